--- a/benchmarks/controlcost.cpp
+++ b/benchmarks/controlcost.cpp
@@ -36,7 +36,7 @@
 }
 
 /** The log of one instance, in memory. */
-class MemoryLog : public platform::LogService
+class MemoryLog : public store::LogService
 {
 public:
     Result<LogOffset> append(const std::vector<std::string> &bodies, TimePoint) override
@@ -47,12 +47,12 @@
         grown_.notify_all();
         return first;
     }
-    Result<platform::LogPage> read(LogOffset from, TimePoint waitUntil) override
+    Result<store::LogPage> read(LogOffset from, TimePoint waitUntil) override
     {
         std::unique_lock lock(mutex_);
         const auto wait = std::chrono::milliseconds(millisUntil(waitUntil, BootClock::now()));
         grown_.wait_for(lock, wait, [&] { return bodies_.size() >= from; });
-        platform::LogPage page {1, bodies_.size() + 1, {}};
+        store::LogPage page {1, bodies_.size() + 1, {}};
         for (LogOffset offset = from; offset <= bodies_.size(); ++offset) {
             page.records_.push_back({offset, bodies_[offset - 1]});
         }
@@ -111,12 +111,12 @@
 };
 
 /** Bears any number of loads at once. */
-class FastStore : public platform::WeightStore
+class FastStore : public store::WeightStore
 {
 public:
-    Result<platform::WeightStoreStatus> status(TimePoint) override
+    Result<store::WeightStoreStatus> status(TimePoint) override
     {
-        return platform::WeightStoreStatus {1e12, 0};
+        return store::WeightStoreStatus {1e12, 0};
     }
 };
 
--- a/libs/app/src/commandline.cpp
+++ b/libs/app/src/commandline.cpp
@@ -16,8 +16,9 @@
     std::string_view help_;
 };
 
-constexpr std::array<Verb, 6> Verbs {{
+constexpr std::array<Verb, 7> Verbs {{
     {"serve", &serveVerb, "run an entry instance"},
+    {"entry", &entryVerb, "run an entry instance fed from the platform's store"},
     {"check", &checkVerb, "check a fleet or settings file, without a connection"},
     {"review", &reviewVerb, "show what a fleet file would change, and the orders it causes"},
     {"apply", &applyVerb, "put a fleet file in force"},
--- a/libs/app/src/instance.cpp
+++ b/libs/app/src/instance.cpp
@@ -79,9 +79,9 @@
     BOOST_LEAF_AUTO(logAddress, addressOf(settings_.logService_));
     BOOST_LEAF_AUTO(listAddress, addressOf(settings_.instanceList_));
     BOOST_LEAF_AUTO(weightAddress, addressOf(settings_.weightStore_));
-    logService_ = platform::makeHttpLogService(logAddress);
-    instanceList_ = platform::makeHttpInstanceList(listAddress);
-    weightStore_ = platform::makeHttpWeightStore(weightAddress);
+    logService_ = store::makeHttpLogService(logAddress);
+    instanceList_ = store::makeHttpInstanceList(listAddress);
+    weightStore_ = store::makeHttpWeightStore(weightAddress);
     buildControl();
     BOOST_LEAF_CHECK(buildPeers());
     BOOST_LEAF_CHECK(buildServer());
@@ -275,9 +275,9 @@
     }
     std::vector<peers::PeerAddress> seeds;
     std::set<EndpointId> leaving;
-    for (const platform::ListedInstance &entry : std::get<0>(listed)) {
+    for (const store::ListedInstance &entry : std::get<0>(listed)) {
         if (entry.kind_ != "entry") {
-            if (entry.state_ == platform::ListedState::Leaving) {
+            if (entry.state_ == store::ListedState::Leaving) {
                 leaving.insert(EndpointId(entry.id_));
             }
             continue;
@@ -296,7 +296,7 @@
 void Instance::Parts::catchUpFromPeers()
 {
     const LogOffset next = log_->read([](const control::Fold &fold) { return fold.next(); });
-    const std::vector<platform::LogRecord> records = recordSource_.recordsFrom(next);
+    const std::vector<store::LogRecord> records = recordSource_.recordsFrom(next);
     if (!records.empty()) {
         log_->offer(records);
     }
--- a/libs/app/src/instanceparts.h
+++ b/libs/app/src/instanceparts.h
@@ -12,7 +12,7 @@
 #include "almondridge/observe/metrics.h"
 #include "almondridge/observe/timeline.h"
 #include "almondridge/peers/peerexchange.h"
-#include "almondridge/platform/httpplatform.h"
+#include "almondridge/store/httpstore.h"
 #include "almondridge/relay/relay.h"
 #include "availabilitytable.h"
 #include "endpointwatch.h"
@@ -73,9 +73,9 @@
     std::atomic<bool> stopping_ = false;
     std::atomic<Revision> followedRevision_ = 0;
 
-    std::unique_ptr<platform::LogService> logService_;
-    std::unique_ptr<platform::InstanceList> instanceList_;
-    std::unique_ptr<platform::WeightStore> weightStore_;
+    std::unique_ptr<store::LogService> logService_;
+    std::unique_ptr<store::InstanceList> instanceList_;
+    std::unique_ptr<store::WeightStore> weightStore_;
     PeerRecordSource recordSource_;
     std::unique_ptr<control::ControlLog> log_;
     std::unique_ptr<control::LogKeyClaims> logClaims_;
--- a/libs/app/src/peerlinks.cpp
+++ b/libs/app/src/peerlinks.cpp
@@ -44,18 +44,18 @@
 
 } // namespace
 
-nlohmann::json recordsToJson(const std::vector<platform::LogRecord> &records)
+nlohmann::json recordsToJson(const std::vector<store::LogRecord> &records)
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const platform::LogRecord &record : records) {
+    for (const store::LogRecord &record : records) {
         list.push_back({record.offset_, record.body_});
     }
     return {{"records", std::move(list)}};
 }
 
-std::vector<platform::LogRecord> recordsFromJson(const nlohmann::json &json)
+std::vector<store::LogRecord> recordsFromJson(const nlohmann::json &json)
 {
-    std::vector<platform::LogRecord> records;
+    std::vector<store::LogRecord> records;
     const auto list = json.find("records");
     if (list == json.end() || !list->is_array()) {
         return records;
@@ -76,7 +76,7 @@
     exchange_ = exchange;
 }
 
-std::vector<platform::LogRecord> PeerRecordSource::recordsFrom(LogOffset from)
+std::vector<store::LogRecord> PeerRecordSource::recordsFrom(LogOffset from)
 {
     const std::lock_guard lock(mutex_);
     if (exchange_ == nullptr) {
@@ -101,7 +101,7 @@
                                   BootClock::now() + millis(RecordsTimeoutMillis));
     });
     return answer.index() == 0 ? recordsFromJson(std::get<0>(answer))
-                               : std::vector<platform::LogRecord> {};
+                               : std::vector<store::LogRecord> {};
 }
 
 PeerAnnouncer::PeerAnnouncer(AvailabilityTable &table, DomainId domain,
--- a/libs/app/src/peerlinks.h
+++ b/libs/app/src/peerlinks.h
@@ -20,8 +20,8 @@
 inline constexpr std::string_view TimelineTopic = "timeline";
 
 /** Log records as a peer message, and back. Malformed ones are left out. */
-nlohmann::json recordsToJson(const std::vector<platform::LogRecord> &records);
-std::vector<platform::LogRecord> recordsFromJson(const nlohmann::json &json);
+nlohmann::json recordsToJson(const std::vector<store::LogRecord> &records);
+std::vector<store::LogRecord> recordsFromJson(const nlohmann::json &json);
 
 /** Asks the peer that has folded furthest for log records. */
 class PeerRecordSource final : public control::RecordSource
@@ -29,7 +29,7 @@
 public:
     /** The exchange is built after the log that needs this source. */
     void setExchange(peers::PeerExchange *exchange);
-    std::vector<platform::LogRecord> recordsFrom(LogOffset from) override;
+    std::vector<store::LogRecord> recordsFrom(LogOffset from) override;
 
 private:
     std::mutex mutex_;
--- a/libs/app/src/verbs.h
+++ b/libs/app/src/verbs.h
@@ -8,6 +8,7 @@
 namespace almondridge::app {
 
 ExitCode serveVerb(int argc, char **argv);
+ExitCode entryVerb(int argc, char **argv);
 ExitCode checkVerb(int argc, char **argv);
 ExitCode reviewVerb(int argc, char **argv);
 ExitCode applyVerb(int argc, char **argv);
--- /dev/null
+++ b/libs/async/src/connection.cpp
@@ -0,0 +1,270 @@
+#include "almondridge/async/connection.h"
+
+#include <array>
+#include <netinet/tcp.h>
+
+namespace almondridge::async {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+/** What one read takes; shared by all connections, as there is one thread. */
+constexpr std::size_t ReadBytes = 65'536;
+/** Until a peer that goes on sending after our last answer is cut off. */
+constexpr Duration LingerTime = millis(1'000);
+
+std::array<char, ReadBytes> &sharedReadBuffer()
+{
+    static std::array<char, ReadBytes> buffer;
+    return buffer;
+}
+
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using ProbeAfter = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using ProbeInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using ProbeCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+/** Failures are ignored: the connection then only notices a silent peer later. */
+void applyLimits(Connection::Socket &socket, const SilenceLimits &limits)
+{
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(UserTimeout(limits.unackedMillis_), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(ProbeAfter(limits.probeAfterSeconds_), ignored);
+    socket.set_option(ProbeInterval(1), ignored);
+    socket.set_option(ProbeCount(limits.probes_), ignored);
+}
+
+} // namespace
+
+Connection::Connection(EventLoop &loop, Socket socket, const SilenceLimits &limits)
+    : loop_(loop)
+    , socket_(std::move(socket))
+    , limits_(limits)
+    , deadline_(loop)
+{ }
+
+std::shared_ptr<Connection> Connection::adopt(EventLoop &loop, Socket socket,
+                                              const SilenceLimits &limits)
+{
+    auto connection = std::make_shared<Connection>(loop, std::move(socket), limits);
+    applyLimits(connection->socket_, limits);
+    return connection;
+}
+
+std::shared_ptr<Connection> Connection::connect(EventLoop &loop, const net::Address &address,
+                                                TimePoint deadline, const SilenceLimits &limits,
+                                                std::function<void()> onConnected)
+{
+    auto connection = std::make_shared<Connection>(loop, Socket(loop.context()), limits);
+    connection->established_ = false;
+    connection->onConnected_ = std::move(onConnected);
+    error_code failure;
+    const auto ip = asio::ip::make_address_v4(address.ip_, failure);
+    connection->socket_.open(asio::ip::tcp::v4(), failure);
+    if (!failure) {
+        applyLimits(connection->socket_, limits);
+    }
+    std::weak_ptr<Connection> weak = connection;
+    connection->deadline_.startAt(deadline, [weak] {
+        if (const auto self = weak.lock()) {
+            self->fail(CloseCause::ConnectFailed);
+        }
+    });
+    connection->socket_.async_connect({ip, address.port_}, [weak](const error_code &result) {
+        const auto self = weak.lock();
+        if (self == nullptr || !self->open_) {
+            return;
+        }
+        if (result) {
+            self->fail(CloseCause::ConnectFailed);
+            return;
+        }
+        self->onConnected();
+    });
+    return connection;
+}
+
+void Connection::onConnected()
+{
+    established_ = true;
+    deadline_.stop();
+    startReading();
+    if (onConnected_) {
+        std::exchange(onConnected_, {})();
+    }
+    flush();
+}
+
+void Connection::startReading()
+{
+    reading_ = true;
+    waitReadable();
+}
+
+void Connection::resumeReading()
+{
+    if (paused_) {
+        paused_ = false;
+        if (!reading_) {
+            startReading();
+        }
+    }
+}
+
+void Connection::waitReadable()
+{
+    socket_.async_wait(Socket::wait_read,
+                       [weak = weak_from_this()](const error_code &failure) {
+                           const auto self = weak.lock();
+                           if (self == nullptr || !self->open_) {
+                               return;
+                           }
+                           if (failure) {
+                               self->fail(CloseCause::Reset);
+                               return;
+                           }
+                           self->readAvailable();
+                       });
+}
+
+void Connection::readAvailable()
+{
+    error_code failure;
+    const std::size_t got = socket_.read_some(asio::buffer(sharedReadBuffer()), failure);
+    if (failure == asio::error::would_block) {
+        waitReadable();
+        return;
+    }
+    if (failure) {
+        fail(failure == asio::error::eof ? CloseCause::EndOfStream : CloseCause::Reset);
+        return;
+    }
+    if (!lingering_) {
+        input_.append(sharedReadBuffer().data(), got);
+        if (onInput_) {
+            onInput_();
+        }
+    }
+    if (!open_) {
+        return;
+    }
+    reading_ = !paused_;
+    if (reading_) {
+        waitReadable();
+    }
+}
+
+void Connection::write(std::string_view bytes)
+{
+    if (!open_ || closing_) {
+        return;
+    }
+    output_.append(bytes);
+    if (established_ && !writing_) {
+        flush();
+    }
+}
+
+void Connection::flush()
+{
+    while (!output_.empty()) {
+        error_code failure;
+        const std::size_t sent = socket_.write_some(asio::buffer(output_), failure);
+        if (failure == asio::error::would_block) {
+            waitWritable();
+            return;
+        }
+        if (failure) {
+            // Reported from the loop, not from within the caller's write().
+            loop_.post([weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->fail(CloseCause::Reset);
+                }
+            });
+            return;
+        }
+        output_.erase(0, sent);
+    }
+    output_.shrink_to_fit();
+    onFlushed();
+}
+
+void Connection::waitWritable()
+{
+    writing_ = true;
+    socket_.async_wait(Socket::wait_write,
+                       [weak = weak_from_this()](const error_code &failure) {
+                           const auto self = weak.lock();
+                           if (self == nullptr || !self->open_) {
+                               return;
+                           }
+                           self->writing_ = false;
+                           if (failure) {
+                               self->fail(CloseCause::Reset);
+                               return;
+                           }
+                           self->flush();
+                       });
+}
+
+void Connection::onFlushed()
+{
+    if (closing_ && !lingering_) {
+        lingering_ = true;
+        error_code ignored;
+        socket_.shutdown(Socket::shutdown_send, ignored);
+        deadline_.startAt(BootClock::now() + LingerTime, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->fail(CloseCause::EndOfStream);
+            }
+        });
+        resumeReading();
+        return;
+    }
+    if (onWritten_) {
+        onWritten_();
+    }
+}
+
+void Connection::closeAfterWriting()
+{
+    if (!open_ || closing_) {
+        return;
+    }
+    closing_ = true;
+    input_.clear();
+    if (!writing_) {
+        flush();
+    }
+}
+
+void Connection::close()
+{
+    if (!open_) {
+        return;
+    }
+    open_ = false;
+    deadline_.stop();
+    error_code ignored;
+    socket_.close(ignored);
+    // The handlers stay: one of them may be what called close().
+}
+
+void Connection::fail(CloseCause cause)
+{
+    if (!open_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto handler = std::exchange(onClosed_, {});
+    close();
+    if (handler) {
+        handler(cause);
+    }
+}
+
+} // namespace almondridge::async
--- /dev/null
+++ b/libs/async/src/httpclient.cpp
@@ -0,0 +1,316 @@
+#include "almondridge/async/httpclient.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace almondridge::async {
+namespace {
+
+/** A connection without a stated idle timeout is kept for this long. */
+constexpr Duration KeptByDefault = millis(2'000);
+/**
+ * Taken off a stated idle timeout: the peer's clock started earlier than ours, and a request must
+ * not cross its close. That would look like a request that may have run.
+ */
+constexpr Duration KeptMargin = millis(700);
+
+/** How long the peer says it keeps the connection; 0 when it does not say. */
+int statedIdleSeconds(std::string_view keepAlive)
+{
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t at = keepAlive.find(Name);
+    int seconds = 0;
+    if (at != std::string_view::npos) {
+        const std::string_view digits = keepAlive.substr(at + Name.size());
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    }
+    return seconds;
+}
+
+TimePoint keepUntil(const net::Headers &headers, TimePoint now)
+{
+    const int seconds = statedIdleSeconds(net::headerValue(headers, "Keep-Alive"));
+    return seconds > 0 ? now + millis(1'000LL * seconds) - KeptMargin : now + KeptByDefault;
+}
+
+} // namespace
+
+struct HttpClient::Exchange
+{
+    Exchange(ExchangeId id, ExchangeRequest request, ExchangeEvents events)
+        : id_(id)
+        , request_(std::move(request))
+        , events_(std::move(events))
+        , parser_(request_.bodyless_)
+    { }
+
+    ExchangeId id_;
+    ExchangeRequest request_;
+    ExchangeEvents events_;
+    ResponseParser parser_;
+    std::shared_ptr<Connection> connection_ {};
+    TimePoint keepUntil_ {};
+    bool headTold_ = false;
+    bool skipping_ = false;
+    bool paused_ = false;
+};
+
+struct HttpClient::Kept
+{
+    std::string peer_;
+    std::shared_ptr<Connection> connection_;
+    TimePoint until_;
+};
+
+HttpClient::HttpClient(EventLoop &loop, SilenceLimits silence)
+    : loop_(loop)
+    , silence_(silence)
+{ }
+
+HttpClient::~HttpClient() = default;
+
+ExchangeId HttpClient::start(ExchangeRequest request, ExchangeEvents events)
+{
+    const ExchangeId id = nextId_++;
+    auto exchange = std::make_shared<Exchange>(id, std::move(request), std::move(events));
+    exchanges_.emplace(id, exchange);
+    if (!exchange->request_.fresh_) {
+        exchange->connection_ = takeKept(exchange->request_.peer_);
+    }
+    if (exchange->connection_ != nullptr) {
+        ++counters_.reuses_;
+    } else {
+        ++counters_.connects_;
+        ++connections_[exchange->request_.peer_];
+        exchange->connection_ = Connection::connect(loop_, exchange->request_.address_,
+                                                    exchange->request_.connectBy_, silence_, {});
+    }
+    attach(*exchange);
+    exchange->connection_->write(exchange->request_.text_);
+    exchange->request_.text_ = {};
+    return id;
+}
+
+void HttpClient::attach(Exchange &exchange)
+{
+    const ExchangeId id = exchange.id_;
+    exchange.connection_->onInput([this, id] { onInput(id); });
+    exchange.connection_->onClosed([this, id](CloseCause cause) { onClosed(id, cause); });
+}
+
+std::shared_ptr<Connection> HttpClient::takeKept(const std::string &peer)
+{
+    const TimePoint now = BootClock::now();
+    // The newest first: the older ones may then lapse, and few connections stay open.
+    for (auto kept = kept_.end(); kept != kept_.begin();) {
+        --kept;
+        if (kept->until_ <= now || !kept->connection_->isOpen()) {
+            const auto lapsed = kept++;
+            dropKeptConnection(lapsed);
+            continue;
+        }
+        if (kept->peer_ == peer) {
+            std::shared_ptr<Connection> connection = kept->connection_;
+            kept_.erase(kept);
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void HttpClient::keep(const std::string &peer, std::shared_ptr<Connection> connection,
+                      TimePoint until)
+{
+    const auto drop = [this, raw = connection.get()] {
+        const auto found = std::find_if(kept_.begin(), kept_.end(), [raw](const Kept &kept) {
+            return kept.connection_.get() == raw;
+        });
+        if (found != kept_.end()) {
+            dropKeptConnection(found);
+        }
+    };
+    // Bytes on an idle connection belong to no request: whatever comes next could be taken for
+    // the answer to the request after it.
+    connection->onInput([this, drop] {
+        ++counters_.dirtyConnections_;
+        drop();
+    });
+    connection->onClosed([drop](CloseCause) { drop(); });
+    kept_.push_back({peer, std::move(connection), until});
+    if (kept_.size() > maxKept_) {
+        dropKeptConnection(kept_.begin());
+    }
+}
+
+void HttpClient::dropKeptConnection(KeptList::iterator kept)
+{
+    const std::shared_ptr<Connection> connection = kept->connection_;
+    countDown(kept->peer_);
+    kept_.erase(kept);
+    connection->close();
+}
+
+void HttpClient::countDown(const std::string &peer)
+{
+    const auto found = connections_.find(peer);
+    if (found != connections_.end() && --found->second == 0) {
+        connections_.erase(found);
+    }
+}
+
+std::size_t HttpClient::connections(const std::string &peer) const
+{
+    const auto found = connections_.find(peer);
+    return found != connections_.end() ? found->second : 0;
+}
+
+void HttpClient::dropKept(const std::string &peer)
+{
+    for (auto kept = kept_.begin(); kept != kept_.end();) {
+        const auto current = kept++;
+        if (current->peer_ == peer) {
+            dropKeptConnection(current);
+        }
+    }
+}
+
+/** Whether the head just read is of an answer to another request, which is then read and dropped. */
+bool HttpClient::skipForeign(Exchange &exchange)
+{
+    const std::string_view named =
+        net::headerValue(exchange.parser_.head().headers_, "X-Request-Id");
+    const bool interim = exchange.parser_.head().status_ < 200;
+    if (interim) {
+        return true;
+    }
+    return !exchange.request_.requestId_.empty() && !named.empty()
+        && named != exchange.request_.requestId_;
+}
+
+void HttpClient::onInput(ExchangeId id)
+{
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end() || found->second->paused_) {
+        return;
+    }
+    const std::shared_ptr<Exchange> exchange = found->second;
+    for (;;) {
+        const ParseStatus status = exchange->parser_.feed(exchange->connection_->input());
+        if (status != ParseStatus::Done && status != ParseStatus::NeedMore) {
+            failExchange(id, exchange->headTold_ ? ExchangeFailure::Truncated
+                                                 : ExchangeFailure::Garbled);
+            return;
+        }
+        if (exchange->parser_.headDone() && !exchange->headTold_ && !exchange->skipping_) {
+            exchange->skipping_ = skipForeign(*exchange);
+            if (!exchange->skipping_) {
+                exchange->headTold_ = true;
+                exchange->keepUntil_ =
+                    keepUntil(exchange->parser_.head().headers_, BootClock::now());
+                exchange->events_.onHead_(exchange->parser_.head());
+            }
+        }
+        if (exchange->skipping_) {
+            if (status != ParseStatus::Done) {
+                return;
+            }
+            ++counters_.skippedAnswers_;
+            exchange->skipping_ = false;
+            exchange->parser_ = ResponseParser(exchange->request_.bodyless_);
+            continue;
+        }
+        if (!exchanges_.contains(id)) {
+            return;
+        }
+        std::string body = exchange->parser_.takeBody();
+        if (!body.empty()) {
+            exchange->events_.onBody_(std::move(body));
+        }
+        if (status == ParseStatus::Done && exchanges_.contains(id)) {
+            finish(id);
+        }
+        return;
+    }
+}
+
+void HttpClient::finish(ExchangeId id)
+{
+    const std::shared_ptr<Exchange> exchange = exchanges_.at(id);
+    exchanges_.erase(id);
+    const std::string &peer = exchange->request_.peer_;
+    const bool clean = exchange->connection_->input().empty();
+    if (!clean) {
+        ++counters_.dirtyConnections_;
+    }
+    if (clean && exchange->parser_.keepAlive() && exchange->connection_->isOpen()
+        && exchange->connection_->unwritten() == 0) {
+        keep(peer, exchange->connection_, exchange->keepUntil_);
+    } else {
+        exchange->connection_->close();
+        countDown(peer);
+    }
+    exchange->events_.onEnd_();
+}
+
+void HttpClient::onClosed(ExchangeId id, CloseCause cause)
+{
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    const std::shared_ptr<Exchange> exchange = found->second;
+    if (cause == CloseCause::ConnectFailed) {
+        failExchange(id, ExchangeFailure::NotSent);
+        return;
+    }
+    if (!exchange->headTold_) {
+        failExchange(id, ExchangeFailure::Unanswered);
+        return;
+    }
+    if (cause == CloseCause::EndOfStream && exchange->parser_.feedEnd() == ParseStatus::Done) {
+        finish(id);
+        return;
+    }
+    failExchange(id, ExchangeFailure::Truncated);
+}
+
+void HttpClient::failExchange(ExchangeId id, ExchangeFailure failure)
+{
+    const std::shared_ptr<Exchange> exchange = exchanges_.at(id);
+    cancel(id);
+    exchange->events_.onFailed_(failure);
+}
+
+void HttpClient::cancel(ExchangeId id)
+{
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    const std::shared_ptr<Exchange> exchange = found->second;
+    exchanges_.erase(found);
+    exchange->connection_->close();
+    countDown(exchange->request_.peer_);
+}
+
+void HttpClient::pause(ExchangeId id)
+{
+    const auto found = exchanges_.find(id);
+    if (found != exchanges_.end() && !found->second->paused_) {
+        found->second->paused_ = true;
+        found->second->connection_->pauseReading();
+    }
+}
+
+void HttpClient::resume(ExchangeId id)
+{
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end() || !found->second->paused_) {
+        return;
+    }
+    found->second->paused_ = false;
+    found->second->connection_->resumeReading();
+    loop_.post([this, id] { onInput(id); });
+}
+
+} // namespace almondridge::async
--- /dev/null
+++ b/libs/async/src/httpserver.cpp
@@ -0,0 +1,398 @@
+#include "almondridge/async/httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+namespace almondridge::async {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+/** Connections that may wait to be accepted: a whole failure domain's callers may come at once. */
+constexpr int AcceptBacklog = 1'024;
+/** Until the next try when the process has no descriptor left for another connection. */
+constexpr Duration AcceptPause = millis(50);
+/** What a caller may send ahead of its answer before its connection is no longer read. */
+constexpr std::size_t ReadAheadBytes = 65'536;
+/** Callers are told half of a second less than we wait, so that their request crosses no close. */
+constexpr SilenceLimits CallerSilence {10'000, 10, 3};
+
+bool sameName(std::string_view one, std::string_view other)
+{
+    return boost::beast::iequals({one.data(), one.size()}, {other.data(), other.size()});
+}
+
+struct Rejection
+{
+    ParseStatus status_;
+    int code_;
+};
+
+constexpr std::array<Rejection, 3> Rejections {{
+    {ParseStatus::HeadTooLarge, 431},
+    {ParseStatus::BodyTooLarge, 413},
+    {ParseStatus::Malformed, 400},
+}};
+
+int codeFor(ParseStatus status)
+{
+    for (const Rejection &row : Rejections) {
+        if (row.status_ == status) {
+            return row.code_;
+        }
+    }
+    return 400;
+}
+
+} // namespace
+
+std::string_view reasonOf(int status) noexcept
+{
+    const auto text = boost::beast::http::obsolete_reason(
+        boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+    return {text.data(), text.size()};
+}
+
+struct HttpServer::Peer
+{
+    Peer(EventLoop &loop, std::uint64_t number, std::shared_ptr<Connection> connection)
+        : number_(number)
+        , connection_(std::move(connection))
+        , deadline_(loop)
+    { }
+
+    std::uint64_t number_;
+    std::shared_ptr<Connection> connection_;
+    Timer deadline_;
+    std::unique_ptr<RequestParser> parser_ {}; ///< While a request is being read.
+    TimePoint startedAt_ {};
+    std::uint64_t call_ = 0; ///< The call in work; 0: none.
+    bool keepAlive_ = true;
+    bool http10_ = false;
+    bool chunked_ = false;
+    bool continued_ = false; ///< The caller was told to send its body.
+};
+
+HttpServer::HttpServer(EventLoop &loop, ServerEvents events)
+    : loop_(loop)
+    , events_(std::move(events))
+    , acceptor_(loop.context())
+    , acceptAgain_(loop)
+{ }
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::listen(const net::Address &address)
+{
+    error_code failure;
+    const auto ip = asio::ip::make_address_v4(address.ip_, failure);
+    acceptor_.open(asio::ip::tcp::v4(), failure);
+    if (!failure) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
+        acceptor_.bind({ip, address.port_}, failure);
+    }
+    if (!failure) {
+        acceptor_.listen(AcceptBacklog, failure);
+    }
+    if (failure) {
+        return fail(ErrorKind::Unavailable, net::toString(address) + ": " + failure.message(),
+                    "listen on a free port of this machine");
+    }
+    accept();
+    return {};
+}
+
+std::uint16_t HttpServer::port() const
+{
+    error_code ignored;
+    return acceptor_.local_endpoint(ignored).port();
+}
+
+void HttpServer::stopListening()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+    acceptAgain_.stop();
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this](const error_code &failure, Connection::Socket socket) {
+        if (failure == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (failure) {
+            acceptAgain_.startAt(BootClock::now() + AcceptPause, [this] { accept(); });
+            return;
+        }
+        adopt(std::move(socket));
+        accept();
+    });
+}
+
+void HttpServer::adopt(Connection::Socket socket)
+{
+    const std::uint64_t number = nextConnection_++;
+    auto connection = Connection::adopt(loop_, std::move(socket), CallerSilence);
+    connection->onInput([this, number] { onInput(number); });
+    connection->onClosed([this, number](CloseCause) { onPeerClosed(number); });
+    connection->onWritten([this, number] {
+        const auto found = connections_.find(number);
+        if (found != connections_.end() && found->second->call_ != 0 && events_.onWritten_) {
+            events_.onWritten_({number, found->second->call_});
+        }
+    });
+    auto &peer = connections_[number] = std::make_unique<Peer>(loop_, number, connection);
+    startIdle(*peer);
+    connection->startReading();
+}
+
+void HttpServer::onInput(std::uint64_t number)
+{
+    const auto found = connections_.find(number);
+    if (found == connections_.end()) {
+        return;
+    }
+    Peer &peer = *found->second;
+    if (peer.call_ == 0) {
+        readRequest(peer);
+        return;
+    }
+    if (peer.connection_->input().size() > ReadAheadBytes) {
+        peer.connection_->pauseReading();
+    }
+}
+
+void HttpServer::readRequest(Peer &peer)
+{
+    if (peer.parser_ == nullptr) {
+        peer.parser_ = std::make_unique<RequestParser>(limits_.message_);
+        peer.startedAt_ = BootClock::now();
+        peer.continued_ = false;
+        peer.deadline_.startAt(peer.startedAt_ + millis(limits_.headerTimeoutMillis_),
+                               [this, number = peer.number_] { onDeadline(number); });
+    }
+    const ParseStatus status = peer.parser_->feed(peer.connection_->input());
+    if (status == ParseStatus::Done) {
+        beginCall(peer);
+        return;
+    }
+    if (status != ParseStatus::NeedMore) {
+        rejectMessage(peer, status);
+        return;
+    }
+    if (peer.parser_->headDone() && !peer.continued_) {
+        peer.continued_ = true;
+        if (sameName(net::headerValue(peer.parser_->head().headers_, "Expect"), "100-continue")) {
+            peer.connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+}
+
+void HttpServer::beginCall(Peer &peer)
+{
+    peer.deadline_.stop();
+    peer.call_ = nextCall_++;
+    peer.keepAlive_ = peer.parser_->keepAlive();
+    peer.http10_ = peer.parser_->head().http10_;
+    ++openCalls_;
+    ServerCall call {{peer.number_, peer.call_}, std::move(peer.parser_->head()),
+                     std::move(peer.parser_->body()), peer.startedAt_};
+    peer.parser_.reset();
+    peer.connection_->input().shrink_to_fit();
+    events_.onCall_(std::move(call));
+}
+
+void HttpServer::rejectMessage(Peer &peer, ParseStatus status)
+{
+    const int code = codeFor(status);
+    peer.connection_->write(fmt::format(
+        "HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", code, reasonOf(code)));
+    peer.connection_->closeAfterWriting();
+    peer.parser_.reset();
+    peer.connection_->onInput({});
+}
+
+void HttpServer::onDeadline(std::uint64_t number)
+{
+    const auto found = connections_.find(number);
+    if (found == connections_.end()) {
+        return;
+    }
+    Peer &peer = *found->second;
+    if (peer.parser_ != nullptr) {
+        peer.connection_->write(
+            "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    }
+    peer.parser_.reset();
+    peer.connection_->onInput({});
+    peer.connection_->closeAfterWriting();
+}
+
+void HttpServer::startIdle(Peer &peer)
+{
+    peer.deadline_.startAt(BootClock::now() + millis(limits_.idleTimeoutMillis_),
+                           [this, number = peer.number_] { onDeadline(number); });
+}
+
+void HttpServer::onPeerClosed(std::uint64_t number)
+{
+    const auto found = connections_.find(number);
+    if (found == connections_.end()) {
+        return;
+    }
+    const CallId id {number, found->second->call_};
+    drop(number);
+    if (id.call_ != 0) {
+        --openCalls_;
+        events_.onCallerGone_(id);
+    }
+}
+
+void HttpServer::drop(std::uint64_t number)
+{
+    const auto found = connections_.find(number);
+    found->second->connection_->close();
+    connections_.erase(found);
+}
+
+HttpServer::Peer *HttpServer::find(const CallId &id)
+{
+    const auto found = connections_.find(id.connection_);
+    return found != connections_.end() && found->second->call_ == id.call_ && id.call_ != 0
+        ? found->second.get()
+        : nullptr;
+}
+
+const HttpServer::Peer *HttpServer::find(const CallId &id) const
+{
+    return const_cast<HttpServer *>(this)->find(id);
+}
+
+std::string HttpServer::headText(Peer &peer, const ResponseHead &head) const
+{
+    if (closing_) {
+        peer.keepAlive_ = false;
+    }
+    const std::string_view reason = head.reason_.empty() ? reasonOf(head.status_) : head.reason_;
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status_, reason);
+    for (const net::Header &header : head.headers_) {
+        text += header.name_;
+        text += ": ";
+        text += header.value_;
+        text += "\r\n";
+    }
+    if (!peer.keepAlive_) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+void HttpServer::respond(const CallId &id, const net::Response &response)
+{
+    Peer *peer = find(id);
+    if (peer == nullptr) {
+        return;
+    }
+    std::string text = headText(*peer, {response.status_, {}, response.headers_});
+    text += fmt::format("Content-Length: {}\r\n\r\n", response.body_.size());
+    text += response.body_;
+    peer->connection_->write(text);
+    finishCall(*peer);
+}
+
+void HttpServer::beginStream(const CallId &id, const ResponseHead &head)
+{
+    Peer *peer = find(id);
+    if (peer == nullptr) {
+        return;
+    }
+    const bool hasLength = !net::headerValue(head.headers_, "Content-Length").empty();
+    peer->chunked_ = !hasLength && !peer->http10_;
+    if (peer->http10_ && !hasLength) {
+        peer->keepAlive_ = false;
+    }
+    std::string text = headText(*peer, head);
+    text += peer->chunked_ ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+    peer->connection_->write(text);
+}
+
+void HttpServer::streamBytes(const CallId &id, std::string_view bytes)
+{
+    Peer *peer = find(id);
+    if (peer == nullptr || bytes.empty()) {
+        return;
+    }
+    if (!peer->chunked_) {
+        peer->connection_->write(bytes);
+        return;
+    }
+    std::string chunk = fmt::format("{:x}\r\n", bytes.size());
+    chunk += bytes;
+    chunk += "\r\n";
+    peer->connection_->write(chunk);
+}
+
+void HttpServer::endStream(const CallId &id)
+{
+    Peer *peer = find(id);
+    if (peer == nullptr) {
+        return;
+    }
+    if (peer->chunked_) {
+        peer->connection_->write("0\r\n\r\n");
+    }
+    finishCall(*peer);
+}
+
+void HttpServer::finishCall(Peer &peer)
+{
+    peer.call_ = 0;
+    peer.chunked_ = false;
+    --openCalls_;
+    if (!peer.keepAlive_) {
+        peer.connection_->onInput({});
+        peer.connection_->closeAfterWriting();
+        return;
+    }
+    startIdle(peer);
+    peer.connection_->resumeReading();
+    if (!peer.connection_->input().empty()) {
+        // The next request may be here already. From the loop: this may be within onCall_.
+        loop_.post([this, number = peer.number_] { onInput(number); });
+    }
+}
+
+void HttpServer::abort(const CallId &id)
+{
+    if (find(id) == nullptr) {
+        return;
+    }
+    --openCalls_;
+    drop(id.connection_);
+}
+
+std::size_t HttpServer::unwritten(const CallId &id) const
+{
+    const Peer *peer = find(id);
+    return peer != nullptr ? peer->connection_->unwritten() : 0;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    closing_ = true;
+}
+
+void HttpServer::closeIdle()
+{
+    for (auto &[number, peer] : connections_) {
+        if (peer->call_ == 0 && peer->parser_ == nullptr) {
+            peer->connection_->closeAfterWriting();
+        }
+    }
+}
+
+} // namespace almondridge::async
--- a/libs/base/include/almondridge/base/log.h
+++ b/libs/base/include/almondridge/base/log.h
@@ -54,6 +54,14 @@
 /** Sets up the process-wide log: least level to print and fields that stand on every line. */
 void startLog(LogLevel least, const std::string &instance, const std::string &domain);
 
+/**
+ * The same on standard output through a bounded buffer: a reader that does not read never blocks
+ * the caller, and lines that had no room are counted on a line of their own. Lines leave in
+ * batches, so flushLog() has to be called now and then.
+ */
+void startBoundedLog(LogLevel least, const std::string &instance, const std::string &domain);
+void flushLog();
+
 /** Writes one line: time, level, event=NAME and the fields in the order given. Thread-safe. */
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -1,7 +1,10 @@
 #include "almondridge/base/log.h"
 
+#include "boundedsink.h"
+
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace almondridge {
 namespace {
@@ -14,17 +17,34 @@
     return SpdlogLevels[static_cast<std::size_t>(level)];
 }
 
-} // namespace
-
-void startLog(LogLevel least, const std::string &instance, const std::string &domain)
+void useLogger(std::shared_ptr<spdlog::logger> logger, LogLevel least, const std::string &instance,
+               const std::string &domain)
 {
-    auto logger = spdlog::stderr_logger_mt("almondridge");
     logger->set_level(toSpdlog(least));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l instance=" + quoteLogValue(instance)
                         + " domain=" + quoteLogValue(domain) + " %v");
     spdlog::set_default_logger(std::move(logger));
 }
 
+} // namespace
+
+void startLog(LogLevel least, const std::string &instance, const std::string &domain)
+{
+    useLogger(spdlog::stderr_logger_mt("almondridge"), least, instance, domain);
+}
+
+void startBoundedLog(LogLevel least, const std::string &instance, const std::string &domain)
+{
+    auto sink = std::make_shared<BoundedSink>(STDOUT_FILENO);
+    useLogger(std::make_shared<spdlog::logger>("almondridge", std::move(sink)), least, instance,
+              domain);
+}
+
+void flushLog()
+{
+    spdlog::default_logger_raw()->flush();
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (!spdlog::should_log(toSpdlog(level))) {
--- a/libs/control/include/almondridge/control/controllog.h
+++ b/libs/control/include/almondridge/control/controllog.h
@@ -21,7 +21,7 @@
 public:
     virtual ~RecordSource() = default;
     /** Records from offset on, or a snapshot and what follows it; empty when no peer has more. */
-    virtual std::vector<platform::LogRecord> recordsFrom(LogOffset from) = 0;
+    virtual std::vector<store::LogRecord> recordsFrom(LogOffset from) = 0;
 };
 
 /** What an append does while the log is out. */
@@ -97,9 +97,9 @@
      * Records from offset on that this instance still holds, for peers; a snapshot, as a record
      * of offset 0, and what follows it when from is older than what is held.
      */
-    std::vector<platform::LogRecord> recordsFrom(LogOffset from, std::size_t limit) const;
+    std::vector<store::LogRecord> recordsFrom(LogOffset from, std::size_t limit) const;
     /** Hands in records that a peer announced. The follower folds those that come next. */
-    void offer(std::vector<platform::LogRecord> records);
+    void offer(std::vector<store::LogRecord> records);
 
     /** Whether the last read or append of the log succeeded. */
     bool logReachable() const noexcept;
@@ -120,7 +120,7 @@
 class ControlLog::Builder
 {
 public:
-    Builder &logService(platform::LogService &service);
+    Builder &logService(store::LogService &service);
     Builder &recordSource(RecordSource &source);
     Builder &timeline(observe::Timeline &timeline);
     Builder &keyHorizon(std::int64_t millis);
@@ -137,7 +137,7 @@
     std::unique_ptr<ControlLog> build();
 
 private:
-    platform::LogService *service_ = nullptr;
+    store::LogService *service_ = nullptr;
     RecordSource *source_ = nullptr;
     observe::Timeline *timeline_ = nullptr;
     std::int64_t keyHorizonMillis_ = 3'600'000;
--- a/libs/control/include/almondridge/control/fold.h
+++ b/libs/control/include/almondridge/control/fold.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "almondridge/control/records.h"
-#include "almondridge/platform/platform.h"
+#include "almondridge/store/store.h"
 
 #include <deque>
 #include <map>
@@ -99,8 +99,8 @@
      * what is wanted next. next() is then the offset after what the snapshot covers, which may
      * lie before the snapshot itself. The caller asks canFold() first.
      */
-    FoldStep fold(const platform::LogRecord &record);
-    bool canFold(const platform::LogRecord &record) const;
+    FoldStep fold(const store::LogRecord &record);
+    bool canFold(const store::LogRecord &record) const;
 
     /** The offset that is wanted next. 1 in an empty fold. */
     LogOffset next() const noexcept { return next_; }
@@ -135,8 +135,8 @@
     friend struct FoldState;
     struct Ruling;
 
-    FoldStep foldNext(const platform::LogRecord &record);
-    FoldStep foldSnapshotAhead(const platform::LogRecord &record);
+    FoldStep foldNext(const store::LogRecord &record);
+    FoldStep foldSnapshotAhead(const store::LogRecord &record);
     Ruling judge(const ApplyRecord &record, LogOffset offset);
     Ruling judge(const LeaseClaimRecord &record, LogOffset offset);
     Ruling judge(const LeaseRenewRecord &record, LogOffset offset);
--- a/libs/control/include/almondridge/control/orderplan.h
+++ b/libs/control/include/almondridge/control/orderplan.h
@@ -12,7 +12,7 @@
 #include "almondridge/control/enginetargets.h"
 #include "almondridge/control/fold.h"
 #include "almondridge/control/ordergate.h"
-#include "almondridge/platform/platform.h"
+#include "almondridge/store/store.h"
 
 #include <memory>
 #include <optional>
@@ -105,7 +105,7 @@
     /** A record for it was not accepted: the log is slow, out, or has another holder. */
     void onNotRecorded(const EndpointId &id, TimePoint now);
     /** nullopt: the store did not answer; loads then go one at a time. */
-    void onWeights(std::optional<platform::WeightStoreStatus> status, TimePoint now);
+    void onWeights(std::optional<store::WeightStoreStatus> status, TimePoint now);
 
     bool hasNews() const noexcept { return !news_.empty(); }
     /**
@@ -199,7 +199,7 @@
     std::map<EndpointId, Entry> entries_;
     Availabilities news_;
     std::map<LogOffset, TimePoint> orphanSince_;
-    std::optional<platform::WeightStoreStatus> weights_;
+    std::optional<store::WeightStoreStatus> weights_;
     std::optional<TimePoint> weightsUntil_; ///< When the status has to be asked for again.
 };
 
--- a/libs/control/include/almondridge/control/reconciler.h
+++ b/libs/control/include/almondridge/control/reconciler.h
@@ -72,7 +72,7 @@
     Builder &controlLog(ControlLog &log);
     Builder &orders(EngineOrders &orders);
     Builder &announcer(Announcer &announcer);
-    Builder &weightStore(platform::WeightStore &store);
+    Builder &weightStore(store::WeightStore &store);
     Builder &timeline(observe::Timeline &timeline);
     std::unique_ptr<Reconciler> build();
 
@@ -84,7 +84,7 @@
     ControlLog *log_ = nullptr;
     EngineOrders *orders_ = nullptr;
     Announcer *announcer_ = nullptr;
-    platform::WeightStore *store_ = nullptr;
+    store::WeightStore *store_ = nullptr;
     observe::Timeline *timeline_ = nullptr;
 };
 
--- a/libs/control/src/controllog.cpp
+++ b/libs/control/src/controllog.cpp
@@ -32,7 +32,7 @@
 
 struct ControlLog::State
 {
-    State(platform::LogService &service, RecordSource *source, observe::Timeline *timeline,
+    State(store::LogService &service, RecordSource *source, observe::Timeline *timeline,
           std::int64_t keyHorizonMillis, const LogFollower::Options &follower,
           LogAppender::Options appender, const LogReader::Options &reader)
         : service_(service)
@@ -85,7 +85,7 @@
         return {};
     }
 
-    platform::LogService &service_;
+    store::LogService &service_;
     observe::Timeline *const timeline_;
     std::atomic<bool> reachable_ = false;
     Revision lastRevision_ = 0; ///< Follower's thread only.
@@ -189,12 +189,12 @@
     return state_->store_.waitForRevision(revision, deadline);
 }
 
-std::vector<platform::LogRecord> ControlLog::recordsFrom(LogOffset from, std::size_t limit) const
+std::vector<store::LogRecord> ControlLog::recordsFrom(LogOffset from, std::size_t limit) const
 {
     return state_->store_.recordsFrom(from, limit);
 }
 
-void ControlLog::offer(std::vector<platform::LogRecord> records)
+void ControlLog::offer(std::vector<store::LogRecord> records)
 {
     if (!records.empty()) {
         const LogOffset end = records.back().offset_ + 1;
@@ -227,7 +227,7 @@
     return state_->store_.unlockedFold();
 }
 
-ControlLog::Builder &ControlLog::Builder::logService(platform::LogService &service)
+ControlLog::Builder &ControlLog::Builder::logService(store::LogService &service)
 {
     service_ = &service;
     return *this;
--- a/libs/control/src/enginework.cpp
+++ b/libs/control/src/enginework.cpp
@@ -165,10 +165,10 @@
 
 bool EngineWork::askWeights(const EndpointId & /*id*/, Fence fence, const EngineStep & /*step*/)
 {
-    std::optional<platform::WeightStoreStatus> status;
+    std::optional<store::WeightStoreStatus> status;
     if (parts_.store_ != nullptr) {
         auto answer = capture([&] { return parts_.store_->status(fromNow(WeightsTimeoutMillis)); });
-        if (const auto *known = std::get_if<platform::WeightStoreStatus>(&answer)) {
+        if (const auto *known = std::get_if<store::WeightStoreStatus>(&answer)) {
             status = *known;
         }
     }
--- a/libs/control/src/enginework.h
+++ b/libs/control/src/enginework.h
@@ -18,7 +18,7 @@
     ControlLog *log_ = nullptr;
     EngineOrders *orders_ = nullptr;
     Announcer *announcer_ = nullptr;
-    platform::WeightStore *store_ = nullptr;
+    store::WeightStore *store_ = nullptr;
     observe::Timeline *timeline_ = nullptr;
 };
 
--- a/libs/control/src/fold.cpp
+++ b/libs/control/src/fold.cpp
@@ -41,7 +41,7 @@
     : keyHorizonMillis_(keyHorizonMillis)
 { }
 
-bool Fold::canFold(const platform::LogRecord &record) const
+bool Fold::canFold(const store::LogRecord &record) const
 {
     if (record.offset_ <= next_) {
         return true;
@@ -53,7 +53,7 @@
            && snapshot->through_ < record.offset_;
 }
 
-FoldStep Fold::fold(const platform::LogRecord &record)
+FoldStep Fold::fold(const store::LogRecord &record)
 {
     if (record.offset_ < next_) {
         return {record.offset_, Verdict::Duplicate, {}, "folded before", {}, false};
@@ -61,7 +61,7 @@
     return record.offset_ == next_ ? foldNext(record) : foldSnapshotAhead(record);
 }
 
-FoldStep Fold::foldNext(const platform::LogRecord &record)
+FoldStep Fold::foldNext(const store::LogRecord &record)
 {
     ++next_;
     FoldStep step;
@@ -82,7 +82,7 @@
     return step;
 }
 
-FoldStep Fold::foldSnapshotAhead(const platform::LogRecord &record)
+FoldStep Fold::foldSnapshotAhead(const store::LogRecord &record)
 {
     FoldStep step;
     step.offset_ = record.offset_;
--- a/libs/control/src/foldstore.cpp
+++ b/libs/control/src/foldstore.cpp
@@ -20,7 +20,7 @@
     , tail_(TailRecords, TailBytes)
 { }
 
-std::optional<FoldStep> FoldStore::fold(const platform::LogRecord &record)
+std::optional<FoldStep> FoldStore::fold(const store::LogRecord &record)
 {
     std::optional<FoldStep> step;
     {
@@ -37,7 +37,7 @@
     return step;
 }
 
-std::optional<FoldStep> FoldStore::foldLocked(const platform::LogRecord &record)
+std::optional<FoldStep> FoldStore::foldLocked(const store::LogRecord &record)
 {
     const LogOffset wanted = fold_.next();
     FoldStep step = fold_.fold(record);
@@ -53,7 +53,7 @@
     return step;
 }
 
-std::optional<FoldStep> FoldStore::restoreLocked(const platform::LogRecord &record)
+std::optional<FoldStep> FoldStore::restoreLocked(const store::LogRecord &record)
 {
     auto decoded = capture([&] { return decodeRecord(record.body_); });
     Record *body = std::get_if<Record>(&decoded);
@@ -99,9 +99,9 @@
     return fold_.next();
 }
 
-std::optional<platform::LogRecord> FoldStore::lastRecord() const
+std::optional<store::LogRecord> FoldStore::lastRecord() const
 {
-    std::vector<platform::LogRecord> last;
+    std::vector<store::LogRecord> last;
     const std::lock_guard lock(foldMutex_);
     if (tail_.first() < tail_.next()) {
         tail_.copyTo(last, tail_.next() - 1, 1);
@@ -117,9 +117,9 @@
     return {copy.next() - 1, copy.snapshot()};
 }
 
-std::vector<platform::LogRecord> FoldStore::recordsFrom(LogOffset from, std::size_t limit) const
+std::vector<store::LogRecord> FoldStore::recordsFrom(LogOffset from, std::size_t limit) const
 {
-    std::vector<platform::LogRecord> records;
+    std::vector<store::LogRecord> records;
     std::unique_lock lock(foldMutex_);
     if (fold_.next() == 1 || from >= tail_.first() || limit == 0) {
         tail_.copyTo(records, from, limit);
--- a/libs/control/src/foldstore.h
+++ b/libs/control/src/foldstore.h
@@ -22,15 +22,15 @@
      * Folds a record that comes next, or a snapshot that leaps ahead; a record of offset 0 is a
      * peer's snapshot. Nothing when it changes nothing here.
      */
-    std::optional<FoldStep> fold(const platform::LogRecord &record);
+    std::optional<FoldStep> fold(const store::LogRecord &record);
 
     LogOffset next() const;
     bool knowsAnything() const { return next() > 1; }
     /** The record before next(), if it was folded from one. */
-    std::optional<platform::LogRecord> lastRecord() const;
+    std::optional<store::LogRecord> lastRecord() const;
     /** The whole state as a record. */
     SnapshotRecord snapshot() const;
-    std::vector<platform::LogRecord> recordsFrom(LogOffset from, std::size_t limit) const;
+    std::vector<store::LogRecord> recordsFrom(LogOffset from, std::size_t limit) const;
 
     AcceptedFleet fleet() const;
     std::shared_ptr<const fleet::Fleet> fleetInForce() const;
@@ -44,14 +44,14 @@
     const Fold &unlockedFold() const noexcept { return fold_; }
 
 private:
-    std::optional<FoldStep> foldLocked(const platform::LogRecord &record);
-    std::optional<FoldStep> restoreLocked(const platform::LogRecord &record);
+    std::optional<FoldStep> foldLocked(const store::LogRecord &record);
+    std::optional<FoldStep> restoreLocked(const store::LogRecord &record);
     void publish();
 
     mutable std::mutex foldMutex_;
     Fold fold_;
     RecordTail tail_;
-    mutable platform::LogRecord snapshot_; ///< The newest snapshot for peers, as of offset 0.
+    mutable store::LogRecord snapshot_; ///< The newest snapshot for peers, as of offset 0.
     mutable LogOffset snapshotThrough_ = 0;
 
     mutable std::mutex fleetMutex_;
--- a/libs/control/src/logappender.cpp
+++ b/libs/control/src/logappender.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-LogAppender::LogAppender(platform::LogService &service, Options options, ReachedListener reached)
+LogAppender::LogAppender(store::LogService &service, Options options, ReachedListener reached)
     : service_(service)
     , idPrefix_(std::move(options.idPrefix_))
     , reached_(std::move(reached))
--- a/libs/control/src/logappender.h
+++ b/libs/control/src/logappender.h
@@ -28,7 +28,7 @@
     /** Told of each answer of the log: whether it could be reached. */
     using ReachedListener = std::function<void(bool)>;
 
-    LogAppender(platform::LogService &service, Options options, ReachedListener reached);
+    LogAppender(store::LogService &service, Options options, ReachedListener reached);
     ~LogAppender();
     LogAppender(const LogAppender &) = delete;
     LogAppender &operator=(const LogAppender &) = delete;
@@ -62,7 +62,7 @@
     void answerLocked(const std::vector<Answered> &answered);
     double random() { return std::uniform_real_distribution<>()(random_); }
 
-    platform::LogService &service_;
+    store::LogService &service_;
     const std::string idPrefix_;
     const ReachedListener reached_;
     std::atomic<std::uint64_t> appends_ = 0;
--- a/libs/control/src/logfollower.cpp
+++ b/libs/control/src/logfollower.cpp
@@ -93,7 +93,7 @@
 
 void LogFollower::foldBatch(const RecordBatch &batch)
 {
-    for (const platform::LogRecord &record : batch.records_) {
+    for (const store::LogRecord &record : batch.records_) {
         if (const std::optional<FoldStep> step = store_.fold(record)) {
             noteStep(*step);
         }
--- a/libs/control/src/logfollower.h
+++ b/libs/control/src/logfollower.h
@@ -16,7 +16,7 @@
 /** Records in a row from one source. */
 struct RecordBatch
 {
-    std::vector<platform::LogRecord> records_;
+    std::vector<store::LogRecord> records_;
     LogOffset kept_ = 0; ///< The oldest offset that the log keeps; 0 from peers.
     LogOffset end_ = 0;  ///< The source's next offset; 0 when it did not say.
 };
--- a/libs/control/src/logreader.cpp
+++ b/libs/control/src/logreader.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-LogReader::LogReader(platform::LogService &service, RecordSource *source, FoldStore &store,
+LogReader::LogReader(store::LogService &service, RecordSource *source, FoldStore &store,
                      LogFollower &follower, LogAppender &appender, const Options &options,
                      ReachedListener reached)
     : service_(service)
@@ -65,7 +65,7 @@
 void LogReader::readOnce()
 {
     const LogOffset next = store_.next();
-    const std::optional<platform::LogRecord> last = unchecked_ ? store_.lastRecord() : std::nullopt;
+    const std::optional<store::LogRecord> last = unchecked_ ? store_.lastRecord() : std::nullopt;
     const LogOffset from = last ? last->offset_ : next;
     const TimePoint start = BootClock::now();
     auto read = capture([&] { return service_.read(from, start + wait_); });
@@ -73,7 +73,7 @@
         onFailure(*error);
         return;
     }
-    platform::LogPage &page = std::get<platform::LogPage>(read);
+    store::LogPage &page = std::get<store::LogPage>(read);
     if (!continues(page, next, last)) {
         onOtherLog(page, next);
         return;
@@ -94,8 +94,8 @@
  * configurations and fences. It shows as an end before ours, or, when others have filled the log
  * past it while this instance was cut off, as another record at the last offset folded.
  */
-bool LogReader::continues(const platform::LogPage &page, LogOffset next,
-                          const std::optional<platform::LogRecord> &last)
+bool LogReader::continues(const store::LogPage &page, LogOffset next,
+                          const std::optional<store::LogRecord> &last)
 {
     if (page.next_ < next) {
         return false;
@@ -103,7 +103,7 @@
     return !last || (!page.records_.empty() && page.records_.front().body_ == last->body_);
 }
 
-void LogReader::onOtherLog(const platform::LogPage &page, LogOffset next)
+void LogReader::onOtherLog(const store::LogPage &page, LogOffset next)
 {
     unchecked_ = true;
     if (!wentBack_.exchange(true)) {
@@ -141,7 +141,7 @@
         return false;
     }
     const LogOffset before = store_.next();
-    std::vector<platform::LogRecord> records = source_->recordsFrom(before);
+    std::vector<store::LogRecord> records = source_->recordsFrom(before);
     if (records.empty()) {
         return false;
     }
@@ -154,14 +154,14 @@
 void LogReader::readFromOldest()
 {
     const auto kept = capture([&] { return service_.read(BeyondEnd, BootClock::now()); });
-    const auto *ends = std::get_if<platform::LogPage>(&kept);
+    const auto *ends = std::get_if<store::LogPage>(&kept);
     if (ends == nullptr) {
         return;
     }
     const LogOffset before = store_.next();
     for (LogOffset from = ends->first_; from < ends->next_ && store_.next() == before;) {
         auto read = capture([&] { return service_.read(from, BootClock::now()); });
-        auto *page = std::get_if<platform::LogPage>(&read);
+        auto *page = std::get_if<store::LogPage>(&read);
         if (page == nullptr || page->records_.empty()) {
             return;
         }
--- a/libs/control/src/logreader.h
+++ b/libs/control/src/logreader.h
@@ -21,7 +21,7 @@
     using ReachedListener = std::function<void(bool)>;
 
     /** source may be null. */
-    LogReader(platform::LogService &service, RecordSource *source, FoldStore &store,
+    LogReader(store::LogService &service, RecordSource *source, FoldStore &store,
               LogFollower &follower, LogAppender &appender, const Options &options,
               ReachedListener reached);
     ~LogReader();
@@ -37,16 +37,16 @@
 private:
     void run();
     void readOnce();
-    static bool continues(const platform::LogPage &page, LogOffset next,
-                          const std::optional<platform::LogRecord> &last);
-    void onOtherLog(const platform::LogPage &page, LogOffset next);
+    static bool continues(const store::LogPage &page, LogOffset next,
+                          const std::optional<store::LogRecord> &last);
+    void onOtherLog(const store::LogPage &page, LogOffset next);
     void onFailure(const Error &error);
     bool askPeers();
     void readFromOldest();
     void pause(TimePoint until);
     double random() { return std::uniform_real_distribution<>()(random_); }
 
-    platform::LogService &service_;
+    store::LogService &service_;
     RecordSource *const source_;
     FoldStore &store_;
     LogFollower &follower_;
--- a/libs/control/src/orderplan.cpp
+++ b/libs/control/src/orderplan.cpp
@@ -252,7 +252,7 @@
     return outcomes;
 }
 
-void OrderPlan::onWeights(std::optional<platform::WeightStoreStatus> status, TimePoint now)
+void OrderPlan::onWeights(std::optional<store::WeightStoreStatus> status, TimePoint now)
 {
     weights_ = status;
     weightsUntil_ = now + WeightsInterval;
--- a/libs/control/src/reconciler.cpp
+++ b/libs/control/src/reconciler.cpp
@@ -255,7 +255,7 @@
     return *this;
 }
 
-Reconciler::Builder &Reconciler::Builder::weightStore(platform::WeightStore &store)
+Reconciler::Builder &Reconciler::Builder::weightStore(store::WeightStore &store)
 {
     store_ = &store;
     return *this;
--- a/libs/control/src/recordtail.cpp
+++ b/libs/control/src/recordtail.cpp
@@ -7,7 +7,7 @@
     , maxBytes_(maxBytes)
 { }
 
-void RecordTail::push(const platform::LogRecord &record)
+void RecordTail::push(const store::LogRecord &record)
 {
     records_.push_back(record);
     bytes_ += record.body_.size();
@@ -25,7 +25,7 @@
     next_ = next;
 }
 
-void RecordTail::copyTo(std::vector<platform::LogRecord> &records, LogOffset from,
+void RecordTail::copyTo(std::vector<store::LogRecord> &records, LogOffset from,
                         std::size_t limit) const
 {
     for (LogOffset at = from; at < next_ && limit > 0; ++at, --limit) {
--- a/libs/control/src/recordtail.h
+++ b/libs/control/src/recordtail.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "almondridge/platform/platform.h"
+#include "almondridge/store/store.h"
 
 #include <deque>
 
@@ -16,7 +16,7 @@
     RecordTail(std::size_t maxRecords, std::size_t maxBytes);
 
     /** Adds the record after the last one. */
-    void push(const platform::LogRecord &record);
+    void push(const store::LogRecord &record);
     /** Drops all; the next record to come has this offset. */
     void restart(LogOffset next);
 
@@ -24,14 +24,14 @@
     LogOffset first() const noexcept { return next_ - records_.size(); }
     LogOffset next() const noexcept { return next_; }
     /** Appends up to limit records from offset from on, which must not lie before first(). */
-    void copyTo(std::vector<platform::LogRecord> &records, LogOffset from, std::size_t limit) const;
+    void copyTo(std::vector<store::LogRecord> &records, LogOffset from, std::size_t limit) const;
 
 private:
     const std::size_t maxRecords_;
     const std::size_t maxBytes_;
     std::size_t bytes_ = 0;
     LogOffset next_ = 1;
-    std::deque<platform::LogRecord> records_;
+    std::deque<store::LogRecord> records_;
 };
 
 } // namespace almondridge::control
--- a/libs/control/tests/controllogtest.cpp
+++ b/libs/control/tests/controllogtest.cpp
@@ -4,7 +4,7 @@
 
 using namespace almondridge;
 using namespace almondridge::control;
-using platform::FakeLog;
+using store::FakeLog;
 
 BOOST_AUTO_TEST_SUITE(TheControlLog)
 
--- a/libs/control/tests/keyclaimstest.cpp
+++ b/libs/control/tests/keyclaimstest.cpp
@@ -5,13 +5,13 @@
 
 using namespace almondridge;
 using namespace almondridge::control;
-using platform::FakeLog;
+using store::FakeLog;
 
 namespace {
 
 struct Entry
 {
-    explicit Entry(platform::LogService &log, std::int64_t readPause = 0)
+    explicit Entry(store::LogService &log, std::int64_t readPause = 0)
         : log_(caughtUp(quickBuilder(log).readPause(readPause)))
         , claims_(*log_, InstanceId("i"))
     { }
--- a/libs/control/tests/logsupport.h
+++ b/libs/control/tests/logsupport.h
@@ -1,7 +1,7 @@
 /** Instances on one log in memory, for the tests of what runs the fold. */
 #pragma once
 
-#include "../../platform/tests/fakelog.h"
+#include "../../store/tests/fakelog.h"
 #include "almondridge/control/controllog.h"
 #include "foldsupport.h"
 
@@ -15,16 +15,16 @@
 class FakePeers : public RecordSource
 {
 public:
-    std::vector<platform::LogRecord> recordsFrom(LogOffset from) override
+    std::vector<store::LogRecord> recordsFrom(LogOffset from) override
     {
         const ControlLog *peer = peer_;
-        return peer == nullptr ? std::vector<platform::LogRecord>() : peer->recordsFrom(from, 100);
+        return peer == nullptr ? std::vector<store::LogRecord>() : peer->recordsFrom(from, 100);
     }
 
     std::atomic<const ControlLog *> peer_ = nullptr;
 };
 
-inline ControlLog::Builder quickBuilder(platform::LogService &log)
+inline ControlLog::Builder quickBuilder(store::LogService &log)
 {
     ControlLog::Builder builder;
     builder.logService(log).keyHorizon(3'600'000).readWait(20).readPause(0).seed(1);
--- a/libs/control/tests/orderplantest.cpp
+++ b/libs/control/tests/orderplantest.cpp
@@ -393,7 +393,7 @@
     bench.fleet_.policy_.maxAwayPerDomain_ = 3;
     bench.fleet_.models_[ModelId("m")] = {ModelId("m"), "2", {}, 1'000};
     bench.apply();
-    bench.plan_.onWeights(platform::WeightStoreStatus {20.0, 0}, bench.now_);
+    bench.plan_.onWeights(store::WeightStoreStatus {20.0, 0}, bench.now_);
     for (const int number : {1, 2, 3}) { // All are looked at first.
         bench.plan_.onState(engineId(number), bench.engine(number), bench.now_);
     }
--- a/libs/control/tests/reconcilertest.cpp
+++ b/libs/control/tests/reconcilertest.cpp
@@ -20,26 +20,26 @@
 }
 
 /** One instance's way to the log, which can be cut. */
-class LogLine : public platform::LogService
+class LogLine : public store::LogService
 {
 public:
-    explicit LogLine(platform::FakeLog &log)
+    explicit LogLine(store::FakeLog &log)
         : log_(log)
     { }
     Result<LogOffset> append(const std::vector<std::string> &bodies, TimePoint deadline) override
     {
         return cut_ ? Result<LogOffset>(noLine()) : log_.append(bodies, deadline);
     }
-    Result<platform::LogPage> read(LogOffset from, TimePoint waitUntil) override
+    Result<store::LogPage> read(LogOffset from, TimePoint waitUntil) override
     {
-        return cut_ ? Result<platform::LogPage>(noLine()) : log_.read(from, waitUntil);
+        return cut_ ? Result<store::LogPage>(noLine()) : log_.read(from, waitUntil);
     }
     std::atomic<bool> cut_ = false;
 
 private:
     static boost::leaf::error_id noLine() { return fail(ErrorKind::Unavailable, "cut", "wait"); }
 
-    platform::FakeLog &log_;
+    store::FakeLog &log_;
 };
 
 /** Engines that take orders at once and are ready again two reads after a change. */
@@ -175,7 +175,7 @@
 /** An entry instance as far as control goes. */
 struct Instance
 {
-    Instance(const char *name, platform::FakeLog &log, EngineOrders &engines)
+    Instance(const char *name, store::FakeLog &log, EngineOrders &engines)
         : line_(log)
         , timeline_(InstanceId(name), Domain, 10'000)
         , log_(ControlLog::Builder()
@@ -238,7 +238,7 @@
 
     fleet::Fleet fleet_;
     Revision revision_ = 0;
-    platform::FakeLog log_;
+    store::FakeLog log_;
     FakeEngines engines_;
 };
 
--- a/libs/control/tests/recordstest.cpp
+++ b/libs/control/tests/recordstest.cpp
@@ -100,7 +100,7 @@
             }
             body += body.empty() ? "{" : "";
         }
-        const platform::LogRecord record {fold.next() + random() % 2, body};
+        const store::LogRecord record {fold.next() + random() % 2, body};
         if (fold.fold_.canFold(record)) {
             fold.fold_.fold(record);
         }
--- a/libs/control/tests/trimmedlogtest.cpp
+++ b/libs/control/tests/trimmedlogtest.cpp
@@ -5,14 +5,14 @@
 
 using namespace almondridge;
 using namespace almondridge::control;
-using platform::FakeLog;
+using store::FakeLog;
 
 namespace {
 
 std::size_t snapshotsIn(const FakeLog &log)
 {
     std::size_t count = 0;
-    for (const platform::LogRecord &record : log.records()) {
+    for (const store::LogRecord &record : log.records()) {
         const Record decoded = decodeRecord(record.body_).value();
         count += std::holds_alternative<SnapshotRecord>(decoded) ? 1 : 0;
     }
--- /dev/null
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -0,0 +1,44 @@
+/**
+ * Settings of an entry instance that gets its configuration and its endpoints from a store of the
+ * deployment: addresses, bounds and limits, nothing about the fleet.
+ */
+#pragma once
+
+#include "almondridge/base/error.h"
+#include "almondridge/base/ids.h"
+#include "almondridge/base/log.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace almondridge::fleet {
+
+/** Addresses are "ip:port". */
+struct EntrySettings
+{
+    InstanceId instance_;
+    DomainId domain_;
+    std::string ip_;           ///< Of this machine, for peers and metrics.
+    std::string listen_;       ///< For callers.
+    std::string healthListen_; ///< For whoever asks whether callers may come.
+    int firstPeerPort_ = 0;    ///< Ports from this one on are free for messages between instances.
+    std::string store_;
+    bool firstStart_ = false; ///< The whole deployment starts for the first time.
+    int failureDomains_ = 1;
+    std::int64_t heartbeatMillis_ = 1'200; ///< Between two entries of an endpoint in the store.
+    std::int64_t graceSeconds_ = 8;        ///< Between the signal to stop and the kill.
+    std::int64_t configApplyMillis_ = 2'000; ///< A configuration is in force after this time.
+    std::int64_t drainMillis_ = 2'000; ///< A leaving endpoint gets no request after this time.
+    std::int64_t leaseTermMillis_ = 3'000;
+    double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
+    double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
+    std::int64_t secondSendWindowSeconds_ = 10;
+    int maxDescriptors_ = 1'024;
+    LogLevel logLevel_ = LogLevel::Info;
+};
+
+/** Reads a settings file (JSON). InvalidInput lists every wrong or unknown field at once. */
+Result<EntrySettings> parseEntrySettings(std::string_view text);
+
+} // namespace almondridge::fleet
--- /dev/null
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -0,0 +1,121 @@
+/**
+ * The endpoints as this instance believes them to be: what the platform's list says, the load
+ * they told, what was sent to them and not answered yet, and whether they can be trusted.
+ * Pure: events and the time go in.
+ */
+#pragma once
+
+#include "almondridge/base/enumnames.h"
+#include "almondridge/base/ids.h"
+#include "almondridge/base/time.h"
+#include "almondridge/net/http.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace almondridge::gateway {
+
+enum class Stage {
+    None,    ///< No engine, or one that does both.
+    Prefill, ///< Reads prompts.
+    Decode,  ///< Generates.
+};
+
+inline constexpr std::array<EnumName<Stage>, 3> StageNames {{
+    {Stage::None, "none"},
+    {Stage::Prefill, "prefill"},
+    {Stage::Decode, "decode"},
+}};
+
+/** An endpoint's entry in the platform's list. */
+struct ListedEndpoint
+{
+    EndpointId id_; ///< Of one lifetime: a restart has another one.
+    ServiceId service_;
+    net::Address address_;
+    DomainId domain_;
+    int slots_ = 1;
+    bool draining_ = false;
+    Stage stage_ = Stage::None;
+    std::uint64_t orders_ = 0; ///< Orders accepted so far.
+
+    friend bool operator==(const ListedEndpoint &, const ListedEndpoint &) = default;
+};
+
+/** An endpoint's word on its load, as answers carry it. */
+struct LoadSample
+{
+    int running_ = 0;
+    int waiting_ = 0;
+    int slots_ = 0;
+};
+
+struct Endpoint
+{
+    ListedEndpoint listed_;
+    bool listedNow_ = true; ///< False: its entry is gone and it gets no new work.
+
+    int outstanding_ = 0;            ///< Requests of ours without a whole answer.
+    std::int64_t queuedTokens_ = 0;  ///< Prompt tokens of ours that it has still to read.
+    std::int64_t foreignTokens_ = 0; ///< The same of the other instances, as they told.
+    LoadSample load_;
+    TimePoint loadAt_ {};
+
+    int failures_ = 0;         ///< In a row.
+    TimePoint distrustedUntil_ {};
+    bool probing_ = false;     ///< The one request that tests it again is on its way.
+};
+
+/** What an answer, or its absence, says of an endpoint. */
+enum class Evidence {
+    Sound,       ///< A whole answer of its own.
+    Overloaded,  ///< It refused for want of room.
+    ServerError, ///< An answer 5xx of its own.
+    Broken,      ///< Connection refused, reset or cut, or bytes that are no answer.
+    Silent,      ///< No answer in the time that any sound endpoint needs.
+};
+
+inline constexpr std::array<EnumName<Evidence>, 5> EvidenceNames {{
+    {Evidence::Sound, "sound"},
+    {Evidence::Overloaded, "overloaded"},
+    {Evidence::ServerError, "server-error"},
+    {Evidence::Broken, "broken"},
+    {Evidence::Silent, "silent"},
+}};
+
+class EndpointTable
+{
+public:
+    /** Adds or changes an entry. True when that changes what may be sent there. */
+    bool list(const ListedEndpoint &listed, TimePoint now);
+    /** Its entry is gone. It is forgotten once nothing is outstanding. */
+    bool unlist(const EndpointId &id);
+    /** Drops all that are not in ids: the list was read anew. */
+    std::vector<EndpointId> keepOnly(const std::vector<EndpointId> &ids);
+
+    Endpoint *find(const EndpointId &id);
+    const Endpoint *find(const EndpointId &id) const;
+    /** Those of a service that may get new work, in the order of their ids. */
+    std::vector<const Endpoint *> usable(const ServiceId &service, TimePoint now) const;
+    /** Those of a service that are listed and not draining, trusted or not. */
+    std::vector<const Endpoint *> listed(const ServiceId &service) const;
+    const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
+
+    void onSent(const EndpointId &id, std::int64_t promptTokens);
+    void onRead(const EndpointId &id, std::int64_t promptTokens);
+    void onClosed(const EndpointId &id);
+    void onLoad(const EndpointId &id, const LoadSample &load, TimePoint now);
+    /** True when it was trusted and is not any more, or the other way round. */
+    bool onEvidence(const EndpointId &id, Evidence evidence, TimePoint now);
+
+private:
+    void forgetIfDone(const EndpointId &id);
+
+    std::map<EndpointId, Endpoint> endpoints_;
+};
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -0,0 +1,73 @@
+/**
+ * One instance's way from callers to endpoints: takes requests, places, sends and repeats them
+ * where that is allowed, and passes answers on. Runs on one event loop; nothing locks.
+ */
+#pragma once
+
+#include "almondridge/async/eventloop.h"
+#include "almondridge/async/httpclient.h"
+#include "almondridge/gateway/config.h"
+#include "almondridge/gateway/dialect.h"
+#include "almondridge/gateway/endpoints.h"
+#include "almondridge/gateway/sendbudget.h"
+
+#include <memory>
+#include <vector>
+
+namespace almondridge::gateway {
+
+struct GatewayState;
+
+struct GatewaySettings
+{
+    DomainId domain_;
+    SendBudgetLimits secondSends_;
+    std::int64_t connectMillis_ = 400; ///< Until a connection to an endpoint counts as refused.
+    std::size_t maxKeptConnections_ = 512;
+};
+
+/** Counts since the start, by outcome. */
+struct GatewayCounters
+{
+    std::uint64_t requests_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t refused_ = 0;
+    std::uint64_t failed_ = 0;
+    std::uint64_t abandoned_ = 0; ///< The caller left.
+    std::uint64_t secondSends_ = 0;
+};
+
+class Gateway
+{
+public:
+    Gateway(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    Result<void> listen(const net::Address &address);
+    std::uint16_t port() const;
+
+    /** Puts a configuration in force; an older one than the present is ignored. */
+    void setConfig(std::shared_ptr<const Config> config);
+    const std::shared_ptr<const Config> &config() const noexcept;
+    void listEndpoint(const ListedEndpoint &listed);
+    void unlistEndpoint(const EndpointId &id);
+    void keepOnlyEndpoints(const std::vector<EndpointId> &ids);
+    /** How many instances may share the allowance for second sends and the endpoints' connections. */
+    void setInstances(int count);
+    EndpointTable &endpoints() noexcept;
+    const GatewayCounters &counters() const noexcept;
+    const async::ClientCounters &clientCounters() const noexcept;
+
+    /** From now on answers close their connections, so that callers go elsewhere. */
+    void closeAfterAnswers();
+    void stopListening();
+    void closeIdle();
+    std::size_t openCalls() const noexcept;
+
+private:
+    std::unique_ptr<GatewayState> state_;
+};
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/call.cpp
@@ -0,0 +1,195 @@
+#include "call.h"
+
+#include "almondridge/base/log.h"
+
+#include <algorithm>
+
+namespace almondridge::gateway {
+namespace {
+
+/** How long a caller is waited for that does not say how long it waits itself. */
+constexpr std::int64_t DefaultPatienceMillis = 30'000;
+/** Sends of one request, whatever became of them: a bound on what one request can cost. */
+constexpr int MaxSends = 5;
+/**
+ * When a refused caller is asked to come back, if no endpoint said: a queue of prompts that an
+ * engine has room for is read in this time.
+ */
+constexpr std::int64_t DefaultRetryAfterMillis = 300;
+
+} // namespace
+
+Call::Call(GatewayState &gateway, CallInput input)
+    : gateway_(gateway)
+    , input_(std::move(input))
+    , deadlineTimer_(gateway.loop_)
+    , silence_(gateway.loop_)
+{
+    const std::int64_t patience = facts().patienceMillis_.value_or(DefaultPatienceMillis);
+    const std::int64_t timeout = route().timeoutMillis_ > 0 ? route().timeoutMillis_ : patience;
+    deadline_ = input_.request_.startedAt_ + millis(std::min(patience, timeout));
+    deadlineTimer_.startAt(deadline_, [this] { deadlinePassed(); });
+}
+
+Call::~Call() = default;
+
+std::int64_t Call::patienceMillis() const
+{
+    return std::max<std::int64_t>(1, millisUntil(deadline_, BootClock::now()));
+}
+
+void Call::send(const EndpointId &endpoint, SendOrder order, std::int64_t promptTokens)
+{
+    const Endpoint *target = gateway_.table_.find(endpoint);
+    order.endpoint_ = endpoint;
+    order.patienceMillis_ = patienceMillis();
+    if (sends_ > 0) {
+        ++gateway_.counters_.secondSends_;
+    }
+    ++sends_;
+    attempt_ = {};
+    attempt_.endpoint_ = endpoint;
+    attempt_.promptTokens_ = promptTokens;
+    attempt_.sentAt_ = BootClock::now();
+    async::ExchangeRequest request;
+    request.peer_ = endpoint.value();
+    request.address_ = target->listed_.address_;
+    request.text_ =
+        gateway_.dialect_.requestText(input_.request_.head_, input_.request_.body_, order);
+    request.requestId_ = facts().requestId_;
+    request.bodyless_ = input_.request_.head_.method_ == "HEAD";
+    request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectMillis_);
+    gateway_.table_.onSent(endpoint, promptTokens);
+    trail_ += (trail_.empty() ? "" : ",") + endpoint.value();
+
+    async::ExchangeEvents events;
+    events.onHead_ = [this](async::ResponseHead &head) {
+        attempt_.head_ = head;
+        attempt_.facts_ = gateway_.dialect_.readAnswer(head);
+        if (attempt_.facts_.load_) {
+            gateway_.table_.onLoad(attempt_.endpoint_, *attempt_.facts_.load_, BootClock::now());
+        }
+        attemptHead();
+    };
+    events.onBody_ = [this](std::string bytes) { attemptBody(std::move(bytes)); };
+    events.onEnd_ = [this] { attemptEnd(); };
+    events.onFailed_ = [this](async::ExchangeFailure failure) {
+        trail_ += ':';
+        trail_ += nameOf(async::ExchangeFailureNames, failure);
+        attemptFailed(failure);
+    };
+    attempt_.exchange_ = gateway_.client_.start(std::move(request), std::move(events));
+}
+
+void Call::promptWasRead()
+{
+    gateway_.table_.onRead(attempt_.endpoint_, attempt_.promptTokens_);
+    attempt_.promptTokens_ = 0;
+}
+
+void Call::closeAttempt(std::optional<Evidence> evidence)
+{
+    silence_.stop();
+    if (attempt_.exchange_ == 0) {
+        return;
+    }
+    attempt_.exchange_ = 0;
+    promptWasRead();
+    if (evidence && gateway_.table_.onEvidence(attempt_.endpoint_, *evidence, BootClock::now())) {
+        logEvent(LogLevel::Warning, "endpoint_trust",
+                 {{"endpoint", attempt_.endpoint_.value()},
+                  {"evidence", nameOf(EvidenceNames, *evidence)},
+                  {"trusted", *evidence == Evidence::Sound ? "yes" : "no"},
+                  {"request", facts().requestId_}});
+    }
+    gateway_.table_.onClosed(attempt_.endpoint_);
+}
+
+void Call::cancelAttempt(std::optional<Evidence> evidence)
+{
+    gateway_.client_.cancel(attempt_.exchange_);
+    closeAttempt(evidence);
+}
+
+void Call::watchSilence(TimePoint until)
+{
+    silence_.startAt(until, [this] { attemptSilent(); });
+}
+
+bool Call::maySendAgain()
+{
+    const TimePoint now = BootClock::now();
+    return sends_ < MaxSends && now < deadline_
+        && gateway_.budget(input_.service_).take(now);
+}
+
+void Call::onCallerGone()
+{
+    abandonEndpoints();
+    cancelAttempt(std::nullopt);
+    finish(Outcome::Abandoned, 0, "caller-gone");
+}
+
+void Call::deadlinePassed()
+{
+    failCall(504, "deadline");
+}
+
+void Call::answer(const WholeAnswer &answer)
+{
+    net::Response response;
+    response.status_ = answer.head_.status_;
+    response.headers_ = gateway_.dialect_.callerHeaders(answer.head_.headers_);
+    response.body_ = answer.body_;
+    gateway_.server_.respond(input_.request_.id_, response);
+    finish(Outcome::Answered, answer.head_.status_, "");
+}
+
+void Call::refuse(std::string_view cause)
+{
+    const std::int64_t after = retryAfterMillis_.value_or(DefaultRetryAfterMillis);
+    gateway_.server_.respond(input_.request_.id_, gateway_.dialect_.refusal(503, after, cause));
+    finish(Outcome::Refused, 503, cause);
+}
+
+void Call::failCall(int status, std::string_view cause)
+{
+    abandonEndpoints();
+    cancelAttempt(std::nullopt);
+    gateway_.server_.respond(input_.request_.id_,
+                             gateway_.dialect_.refusal(status, std::nullopt, cause));
+    finish(Outcome::Failed, status, cause);
+}
+
+void Call::finish(Outcome outcome, int status, std::string_view cause)
+{
+    if (finished_) {
+        return;
+    }
+    finished_ = true;
+    deadlineTimer_.stop();
+    silence_.stop();
+    GatewayCounters &counters = gateway_.counters_;
+    const std::array<std::uint64_t *, 4> byOutcome {&counters.answered_, &counters.refused_,
+                                                    &counters.failed_, &counters.abandoned_};
+    ++*byOutcome[static_cast<std::size_t>(outcome)];
+    const TimePoint now = BootClock::now();
+    const TimePoint began = input_.request_.startedAt_;
+    const LogLevel level = outcome == Outcome::Answered ? LogLevel::Info : LogLevel::Warning;
+    logEvent(level, "request",
+             {{"id", facts().requestId_},
+              {"route", route().name_},
+              {"service", input_.service_.value()},
+              {"config", input_.config_->version()},
+              {"outcome", nameOf(OutcomeNames, outcome)},
+              {"status", status},
+              {"cause", cause},
+              {"sends", sends_},
+              {"endpoints", trail_},
+              {"first_ms", firstByteAt_ == TimePoint {} ? -1 : toMillis(firstByteAt_ - began)},
+              {"total_ms", toMillis(now - began)},
+              {"left_ms", millisUntil(deadline_, now)}});
+    gateway_.release(input_.request_.id_.call_);
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/endpoints.cpp
@@ -0,0 +1,197 @@
+#include "almondridge/gateway/endpoints.h"
+
+#include <algorithm>
+#include <set>
+
+namespace almondridge::gateway {
+namespace {
+
+/** How far one piece of evidence goes. */
+struct EvidenceRule
+{
+    Evidence evidence_;
+    int weight_;      ///< Added to the failures in a row; 0 clears them.
+    int distrustAt_;  ///< From this many on it gets no work.
+};
+
+/**
+ * A broken connection or silence speaks for itself: the second one stops new work, as a single
+ * one is also what a lost packet or a planned stop looks like. Errors need more of them: a sound
+ * service fails some of its calls for reasons of its own.
+ */
+constexpr std::array<EvidenceRule, 5> EvidenceRules {{
+    {Evidence::Sound, 0, 0},
+    {Evidence::Overloaded, 0, 0},
+    {Evidence::ServerError, 1, 8},
+    {Evidence::Broken, 4, 8},
+    {Evidence::Silent, 8, 8},
+}};
+
+/** First time without work; doubles with each further failure. */
+constexpr Duration FirstDistrust = millis(300);
+constexpr Duration LongestDistrust = millis(2'000);
+
+const EvidenceRule &ruleFor(Evidence evidence)
+{
+    return *std::find_if(EvidenceRules.begin(), EvidenceRules.end(),
+                         [&](const EvidenceRule &rule) { return rule.evidence_ == evidence; });
+}
+
+Duration distrustFor(int failures, int distrustAt)
+{
+    Duration span = FirstDistrust;
+    for (int step = distrustAt; step < failures && span < LongestDistrust; step += distrustAt / 2) {
+        span *= 2;
+    }
+    return std::min(span, LongestDistrust);
+}
+
+} // namespace
+
+bool EndpointTable::list(const ListedEndpoint &listed, TimePoint now)
+{
+    const auto [place, added] = endpoints_.try_emplace(listed.id_);
+    Endpoint &endpoint = place->second;
+    const bool changed = added || !endpoint.listedNow_ || endpoint.listed_ != listed;
+    endpoint.listed_ = listed;
+    endpoint.listedNow_ = true;
+    if (added) {
+        endpoint.loadAt_ = now;
+    }
+    return changed;
+}
+
+bool EndpointTable::unlist(const EndpointId &id)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || !found->second.listedNow_) {
+        return false;
+    }
+    found->second.listedNow_ = false;
+    forgetIfDone(id);
+    return true;
+}
+
+std::vector<EndpointId> EndpointTable::keepOnly(const std::vector<EndpointId> &ids)
+{
+    const std::set<EndpointId> kept(ids.begin(), ids.end());
+    std::vector<EndpointId> gone;
+    for (const auto &[id, endpoint] : endpoints_) {
+        if (endpoint.listedNow_ && !kept.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const EndpointId &id : gone) {
+        unlist(id);
+    }
+    return gone;
+}
+
+Endpoint *EndpointTable::find(const EndpointId &id)
+{
+    const auto found = endpoints_.find(id);
+    return found != endpoints_.end() ? &found->second : nullptr;
+}
+
+const Endpoint *EndpointTable::find(const EndpointId &id) const
+{
+    return const_cast<EndpointTable *>(this)->find(id);
+}
+
+std::vector<const Endpoint *> EndpointTable::listed(const ServiceId &service) const
+{
+    std::vector<const Endpoint *> found;
+    for (const auto &[id, endpoint] : endpoints_) {
+        if (endpoint.listedNow_ && !endpoint.listed_.draining_
+            && endpoint.listed_.service_ == service) {
+            found.push_back(&endpoint);
+        }
+    }
+    return found;
+}
+
+std::vector<const Endpoint *> EndpointTable::usable(const ServiceId &service, TimePoint now) const
+{
+    std::vector<const Endpoint *> found = listed(service);
+    std::erase_if(found, [&](const Endpoint *endpoint) {
+        // Distrusted until a time, and then until the one request that tests it was answered.
+        return endpoint->distrustedUntil_ > now || endpoint->probing_;
+    });
+    return found;
+}
+
+void EndpointTable::onSent(const EndpointId &id, std::int64_t promptTokens)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint == nullptr) {
+        return;
+    }
+    ++endpoint->outstanding_;
+    endpoint->queuedTokens_ += promptTokens;
+    if (endpoint->distrustedUntil_ != TimePoint {}) {
+        endpoint->probing_ = true;
+    }
+}
+
+void EndpointTable::onRead(const EndpointId &id, std::int64_t promptTokens)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint != nullptr) {
+        endpoint->queuedTokens_ = std::max<std::int64_t>(0, endpoint->queuedTokens_ - promptTokens);
+    }
+}
+
+void EndpointTable::onClosed(const EndpointId &id)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint == nullptr) {
+        return;
+    }
+    --endpoint->outstanding_;
+    if (endpoint->outstanding_ == 0) {
+        endpoint->probing_ = false;
+    }
+    forgetIfDone(id);
+}
+
+void EndpointTable::forgetIfDone(const EndpointId &id)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end() && !found->second.listedNow_
+        && found->second.outstanding_ == 0) {
+        endpoints_.erase(found);
+    }
+}
+
+void EndpointTable::onLoad(const EndpointId &id, const LoadSample &load, TimePoint now)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint != nullptr) {
+        endpoint->load_ = load;
+        endpoint->loadAt_ = now;
+    }
+}
+
+bool EndpointTable::onEvidence(const EndpointId &id, Evidence evidence, TimePoint now)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint == nullptr) {
+        return false;
+    }
+    const bool wasTrusted = endpoint->distrustedUntil_ == TimePoint {};
+    const EvidenceRule &rule = ruleFor(evidence);
+    endpoint->probing_ = false;
+    if (rule.weight_ == 0) {
+        endpoint->failures_ = 0;
+        endpoint->distrustedUntil_ = {};
+        return !wasTrusted;
+    }
+    endpoint->failures_ += rule.weight_;
+    if (endpoint->failures_ < rule.distrustAt_) {
+        return false;
+    }
+    endpoint->distrustedUntil_ = now + distrustFor(endpoint->failures_, rule.distrustAt_);
+    return wasTrusted;
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,225 @@
+#include "almondridge/gateway/gateway.h"
+
+#include "almondridge/base/log.h"
+#include "call.h"
+#include "gatewaystate.h"
+
+namespace almondridge::gateway {
+
+GatewayState::GatewayState(async::EventLoop &loop, const Dialect &dialect,
+                           GatewaySettings settings)
+    : loop_(loop)
+    , dialect_(dialect)
+    , settings_(std::move(settings))
+    , server_(loop,
+              {[this](async::ServerCall call) { onCall(std::move(call)); },
+               [this](const async::CallId &id) { onCallerGone(id); },
+               [this](const async::CallId &id) { onWritten(id); }})
+    , client_(loop)
+    , placement_({settings_.domain_})
+    , random_(std::random_device {}())
+{
+    client_.setMaxKept(settings_.maxKeptConnections_);
+}
+
+GatewayState::~GatewayState() = default;
+
+Gateway::Gateway(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings)
+    : state_(std::make_unique<GatewayState>(loop, dialect, std::move(settings)))
+{ }
+
+Gateway::~Gateway() = default;
+
+std::uint16_t Gateway::port() const
+{
+    return state_->server_.port();
+}
+
+const std::shared_ptr<const Config> &Gateway::config() const noexcept
+{
+    return state_->config_;
+}
+
+EndpointTable &Gateway::endpoints() noexcept
+{
+    return state_->table_;
+}
+
+const GatewayCounters &Gateway::counters() const noexcept
+{
+    return state_->counters_;
+}
+
+const async::ClientCounters &Gateway::clientCounters() const noexcept
+{
+    return state_->client_.counters();
+}
+
+void Gateway::closeAfterAnswers()
+{
+    state_->server_.closeAfterAnswers();
+}
+
+void Gateway::stopListening()
+{
+    state_->server_.stopListening();
+}
+
+void Gateway::closeIdle()
+{
+    state_->server_.closeIdle();
+}
+
+std::size_t Gateway::openCalls() const noexcept
+{
+    return state_->server_.openCalls();
+}
+
+Result<void> Gateway::listen(const net::Address &address)
+{
+    return state_->server_.listen(address);
+}
+
+void Gateway::setConfig(std::shared_ptr<const Config> config)
+{
+    if (state_->config_ != nullptr && config->version() <= state_->config_->version()) {
+        return;
+    }
+    const CallerLimits &limits = config->limits();
+    state_->server_.setLimits({{static_cast<std::uint32_t>(limits.headBytes_),
+                        static_cast<std::uint64_t>(limits.bodyBytes_)},
+                       limits.headerTimeoutMillis_,
+                       limits.idleTimeoutMillis_});
+    logEvent(LogLevel::Info, "config",
+             {{"version", config->version()},
+              {"before", state_->config_ != nullptr ? state_->config_->version() : 0},
+              {"routes", config->routes().size()},
+              {"services", config->services().size()}});
+    state_->config_ = std::move(config);
+}
+
+void Gateway::listEndpoint(const ListedEndpoint &listed)
+{
+    if (!state_->table_.list(listed, BootClock::now())) {
+        return;
+    }
+    logEvent(LogLevel::Info, "endpoint",
+             {{"endpoint", listed.id_.value()},
+              {"service", listed.service_.value()},
+              {"address", net::toString(listed.address_)},
+              {"domain", listed.domain_.value()},
+              {"state", listed.draining_ ? "draining" : "ready"},
+              {"stage", nameOf(StageNames, listed.stage_)},
+              {"orders", listed.orders_}});
+    if (listed.draining_) {
+        state_->client_.dropKept(listed.id_.value());
+    }
+}
+
+void Gateway::unlistEndpoint(const EndpointId &id)
+{
+    if (state_->table_.unlist(id)) {
+        logEvent(LogLevel::Info, "endpoint", {{"endpoint", id.value()}, {"state", "gone"}});
+        state_->client_.dropKept(id.value());
+    }
+}
+
+void Gateway::keepOnlyEndpoints(const std::vector<EndpointId> &ids)
+{
+    for (const EndpointId &id : state_->table_.keepOnly(ids)) {
+        logEvent(LogLevel::Info, "endpoint", {{"endpoint", id.value()}, {"state", "gone"}});
+        state_->client_.dropKept(id.value());
+    }
+}
+
+void Gateway::setInstances(int count)
+{
+    state_->instances_ = std::max(1, count);
+    for (auto &[service, budget] : state_->budgets_) {
+        budget.setInstances(state_->instances_);
+    }
+}
+
+SendBudget &GatewayState::budget(const ServiceId &service)
+{
+    const auto [place, added] = budgets_.try_emplace(service, settings_.secondSends_);
+    if (added) {
+        place->second.setInstances(instances_);
+    }
+    return place->second;
+}
+
+const ServiceId &GatewayState::pickService(const Route &route)
+{
+    int total = 0;
+    for (const ServiceShare &share : route.services_) {
+        total += share.weight_;
+    }
+    auto ticket = static_cast<int>(random_() % static_cast<std::uint64_t>(std::max(1, total)));
+    for (const ServiceShare &share : route.services_) {
+        ticket -= share.weight_;
+        if (ticket < 0) {
+            return share.service_;
+        }
+    }
+    return route.services_.front().service_;
+}
+
+void GatewayState::refuse(const async::CallId &id, int status, std::string_view reason)
+{
+    constexpr std::int64_t UntilConfigMillis = 500;
+    const auto after = status == 503 ? std::optional(UntilConfigMillis) : std::nullopt;
+    server_.respond(id, dialect_.refusal(status, after, reason));
+}
+
+void GatewayState::onCall(async::ServerCall request)
+{
+    ++counters_.requests_;
+    if (config_ == nullptr) {
+        refuse(request.id_, 503, "no-config");
+        return;
+    }
+    const std::string_view host = net::headerValue(request.head_.headers_, "Host");
+    const Route *route = config_->find(host, request.head_.target_);
+    if (route == nullptr || route->services_.empty()) {
+        logEvent(LogLevel::Info, "no_route",
+                 {{"host", host}, {"target", request.head_.target_}, {"config", config_->version()}});
+        refuse(request.id_, 404, "no-route");
+        return;
+    }
+    CallInput input;
+    input.facts_ = dialect_.readCall(request.head_);
+    input.request_ = std::move(request);
+    input.config_ = config_;
+    input.route_ = route;
+    input.service_ = pickService(*route);
+    budget(input.service_).onRequest(BootClock::now());
+    const bool model = route->kind_ == RouteKind::Streaming && input.facts_.prompt_.has_value();
+    const std::uint64_t number = input.request_.id_.call_;
+    auto &call = calls_[number] = model ? makeModelCall(*this, std::move(input))
+                                        : makeServiceCall(*this, std::move(input));
+    call->start();
+}
+
+void GatewayState::onCallerGone(const async::CallId &id)
+{
+    const auto found = calls_.find(id.call_);
+    if (found != calls_.end()) {
+        found->second->onCallerGone();
+    }
+}
+
+void GatewayState::onWritten(const async::CallId &id)
+{
+    const auto found = calls_.find(id.call_);
+    if (found != calls_.end()) {
+        found->second->onWritten();
+    }
+}
+
+void GatewayState::release(std::uint64_t call)
+{
+    loop_.post([this, call] { calls_.erase(call); });
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/gatewaystate.h
@@ -0,0 +1,47 @@
+/**
+ * What all calls of one gateway share.
+ */
+#pragma once
+
+#include "almondridge/async/httpserver.h"
+#include "almondridge/gateway/gateway.h"
+#include "almondridge/gateway/placement.h"
+
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace almondridge::gateway {
+
+class Call;
+
+struct GatewayState
+{
+    GatewayState(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings);
+    ~GatewayState();
+
+    void onCall(async::ServerCall request);
+    void onCallerGone(const async::CallId &id);
+    void onWritten(const async::CallId &id);
+    void refuse(const async::CallId &id, int status, std::string_view reason);
+    const ServiceId &pickService(const Route &route);
+    SendBudget &budget(const ServiceId &service);
+    /** Forgets a call once the stack that it is on has unwound. */
+    void release(std::uint64_t call);
+
+    async::EventLoop &loop_;
+    const Dialect &dialect_;
+    GatewaySettings settings_;
+    async::HttpServer server_;
+    async::HttpClient client_;
+    EndpointTable table_;
+    Placement placement_;
+    std::map<ServiceId, SendBudget> budgets_;
+    std::shared_ptr<const Config> config_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
+    GatewayCounters counters_;
+    std::mt19937_64 random_;
+    int instances_ = 1;
+};
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/modelcall.cpp
@@ -0,0 +1,403 @@
+#include "call.h"
+#include "eventsplitter.h"
+
+#include "almondridge/base/log.h"
+
+#include <algorithm>
+
+namespace almondridge::gateway {
+namespace {
+
+/** Bytes of a stream that wait for a slow caller before the engine is no longer read. */
+constexpr std::size_t MaxUnwritten = 131'072;
+/** A prefill is given up after this many times its estimate, and the time below. */
+constexpr double SilentAfterEstimates = 3;
+constexpr Duration SilentAtLeast = millis(600);
+/** A stream that may be resumed is taken elsewhere after this many times its longest pause. */
+constexpr int StalledAfterGaps = 4;
+
+enum class ModelPhase {
+    Idle,
+    Prefilling, ///< One engine reads the prompt.
+    Waiting,    ///< Sent to the engine that generates; no event came yet.
+    Streaming,  ///< Events are passed on.
+};
+
+class ModelCall final : public Call
+{
+public:
+    using Call::Call;
+
+    void start() override { place(); }
+    void onWritten() override;
+
+private:
+    void place();
+    void sendPrefill(const PromptPlan &plan);
+    void sendInPlace(const PromptPlan &plan);
+    void sendToDecode();
+    void sendResume();
+    void attemptHead() override;
+    void attemptBody(std::string bytes) override;
+    void attemptEnd() override;
+    void attemptFailed(async::ExchangeFailure failure) override;
+    void attemptSilent() override;
+    void deadlinePassed() override;
+    void abandonEndpoints() override;
+
+    void prefillEnded();
+    void prefillFailed(std::optional<Evidence> evidence);
+    void notRun();
+    void streamEnded();
+    void streamBroke(async::ExchangeFailure failure, Evidence evidence);
+    void passEvents(std::string_view events);
+    void watchStream();
+    bool isStream() const;
+    bool mayRunAgain();
+    const Prompt &prompt() const { return *facts().prompt_; }
+
+    ModelPhase phase_ = ModelPhase::Idle;
+    std::optional<PromptHandle> handle_; ///< Read, and not fetched by an engine yet.
+    EndpointId prefillEngine_;
+    DomainId prefillDomain_;
+    EventSplitter events_;
+    bool prefillAccepted_ = false; ///< The one prefill that is no attempt was made.
+    bool inPlaceOnly_ = false;
+    bool begun_ = false;  ///< The answer's head went to the caller.
+    bool paused_ = false; ///< The engine is not read, as the caller is slow.
+};
+
+bool ModelCall::isStream() const
+{
+    return attempt_.head_.status_ == 200;
+}
+
+bool ModelCall::mayRunAgain()
+{
+    return route().idempotent() && runs_ < route().maxAttempts_ && maySendAgain();
+}
+
+void ModelCall::place()
+{
+    const TimePoint now = BootClock::now();
+    const auto plan = gateway_.placement_.planPrompt(gateway_.table_, input_.service_, prompt(),
+                                                     excluded_, now);
+    if (!plan) {
+        mayHaveRun_ ? failCall(502, "no-engine-left") : refuse("no-engine");
+        return;
+    }
+    if (plan->prefill_ && !inPlaceOnly_) {
+        sendPrefill(*plan);
+    } else {
+        sendInPlace(*plan);
+    }
+}
+
+void ModelCall::sendPrefill(const PromptPlan &plan)
+{
+    phase_ = ModelPhase::Prefilling;
+    prefillEngine_ = *plan.prefill_;
+    prefillDomain_ = gateway_.table_.find(prefillEngine_)->listed_.domain_;
+    gateway_.placement_.onPromptRead(prefillEngine_, prompt(), BootClock::now());
+    SendOrder order;
+    order.priority_ = route().priority_;
+    order.prefillOnly_ = true;
+    send(prefillEngine_, order, plan.newTokens_);
+    const Duration patience =
+        SilentAtLeast + millis(static_cast<std::int64_t>(SilentAfterEstimates * plan.readMillis_));
+    watchSilence(BootClock::now() + patience);
+}
+
+void ModelCall::sendInPlace(const PromptPlan &plan)
+{
+    phase_ = ModelPhase::Waiting;
+    ++runs_;
+    gateway_.placement_.onPromptRead(plan.decode_, prompt(), BootClock::now());
+    SendOrder order;
+    order.priority_ = route().priority_;
+    order.resumeAfter_ = events_.lastId();
+    send(plan.decode_, order, plan.newTokens_);
+    watchStream();
+}
+
+void ModelCall::sendToDecode()
+{
+    const auto engine = gateway_.placement_.chooseDecode(
+        gateway_.table_, input_.service_, prefillDomain_, excluded_, BootClock::now());
+    if (!engine) {
+        abandonEndpoints();
+        mayHaveRun_ ? failCall(502, "no-engine-left") : refuse("no-engine");
+        return;
+    }
+    phase_ = ModelPhase::Waiting;
+    ++runs_;
+    SendOrder order;
+    order.priority_ = route().priority_;
+    order.prompt_ = std::exchange(handle_, std::nullopt);
+    send(*engine, order, 0);
+    watchStream();
+}
+
+/** Goes on at another engine after the last event that the caller got. */
+void ModelCall::sendResume()
+{
+    events_.dropRest();
+    inPlaceOnly_ = true;
+    place();
+}
+
+/** Only streams that may be resumed are watched: the others can only be waited for. */
+void ModelCall::watchStream()
+{
+    if (!route().resumable_ || runs_ >= route().maxAttempts_) {
+        return;
+    }
+    const std::int64_t gap = phase_ == ModelPhase::Streaming
+        ? StalledAfterGaps * route().gapObjectiveMillis_
+        : 2 * route().objectiveMillis_;
+    watchSilence(BootClock::now() + millis(gap));
+}
+
+void ModelCall::attemptHead()
+{
+    if (phase_ == ModelPhase::Waiting && isStream()) {
+        promptWasRead();
+    }
+}
+
+void ModelCall::attemptBody(std::string bytes)
+{
+    if (phase_ == ModelPhase::Prefilling || !isStream()) {
+        attempt_.body_ += bytes;
+        return;
+    }
+    const std::string whole = events_.feed(bytes);
+    if (!whole.empty()) {
+        passEvents(whole);
+    }
+}
+
+void ModelCall::passEvents(std::string_view events)
+{
+    phase_ = ModelPhase::Streaming;
+    if (!begun_) {
+        begun_ = true;
+        firstByteAt_ = BootClock::now();
+        gateway_.server_.beginStream(
+            input_.request_.id_,
+            {attempt_.head_.status_, attempt_.head_.reason_,
+             gateway_.dialect_.callerHeaders(attempt_.head_.headers_)});
+    }
+    gateway_.server_.streamBytes(input_.request_.id_, events);
+    if (gateway_.server_.unwritten(input_.request_.id_) > MaxUnwritten && !paused_) {
+        paused_ = true;
+        stopWatching();
+        gateway_.client_.pause(attempt_.exchange_);
+        return;
+    }
+    watchStream();
+}
+
+void ModelCall::onWritten()
+{
+    if (paused_) {
+        paused_ = false;
+        watchStream();
+        gateway_.client_.resume(attempt_.exchange_);
+    }
+}
+
+void ModelCall::attemptEnd()
+{
+    if (phase_ == ModelPhase::Prefilling) {
+        prefillEnded();
+        return;
+    }
+    if (attempt_.facts_.notRun_) {
+        --runs_;
+        notRun();
+        return;
+    }
+    mayHaveRun_ = true;
+    if (isStream()) {
+        streamEnded();
+        return;
+    }
+    const Evidence evidence =
+        attempt_.head_.status_ >= 500 ? Evidence::ServerError : Evidence::Sound;
+    const WholeAnswer whole {attempt_.head_, attempt_.facts_, attempt_.body_};
+    if (evidence == Evidence::ServerError && mayRunAgain()) {
+        excluded_.push_back(attempt_.endpoint_);
+        closeAttempt(evidence);
+        sendResume();
+        return;
+    }
+    closeAttempt(evidence);
+    if (begun_) {
+        gateway_.server_.abort(input_.request_.id_);
+        finish(Outcome::Failed, whole.head_.status_, "not-resumed");
+        return;
+    }
+    answer(whole);
+}
+
+void ModelCall::prefillEnded()
+{
+    const std::string handle = attempt_.head_.status_ == 200
+        ? gateway_.dialect_.readHandle(attempt_.body_)
+        : std::string();
+    if (handle.empty()) {
+        retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
+        prefillFailed(attempt_.facts_.notRun_ ? Evidence::Overloaded : Evidence::ServerError);
+        return;
+    }
+    const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
+    prefillAccepted_ = true;
+    handle_ = PromptHandle {engine->listed_.address_, handle};
+    gateway_.placement_.onReadTime(
+        attempt_.promptTokens_,
+        static_cast<double>(toMillis(BootClock::now() - attempt_.sentAt_)));
+    closeAttempt(Evidence::Sound);
+    sendToDecode();
+}
+
+/** The prompt was not read, or not for us: it is read where it is generated. */
+void ModelCall::prefillFailed(std::optional<Evidence> evidence)
+{
+    excluded_.push_back(attempt_.endpoint_);
+    cancelAttempt(evidence);
+    inPlaceOnly_ = true;
+    if (!maySendAgain()) {
+        refuse("prefill-failed");
+        return;
+    }
+    place();
+}
+
+/** The engine promises that it did not run the request: the handle may be gone, or it is full. */
+void ModelCall::notRun()
+{
+    retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
+    excluded_.push_back(attempt_.endpoint_);
+    closeAttempt(Evidence::Overloaded);
+    if (!maySendAgain()) {
+        if (begun_) {
+            gateway_.server_.abort(input_.request_.id_);
+            finish(Outcome::Failed, 503, "not-resumed");
+            return;
+        }
+        mayHaveRun_ ? failCall(502, "not-run-again") : refuse("engine-full");
+        return;
+    }
+    sendResume();
+}
+
+void ModelCall::streamEnded()
+{
+    if (!attempt_.facts_.signed_ && !begun_) {
+        streamBroke(async::ExchangeFailure::Garbled, Evidence::Broken);
+        return;
+    }
+    const std::string rest = events_.rest();
+    if (!begun_ || !rest.empty()) {
+        passEvents(rest);
+    }
+    closeAttempt(Evidence::Sound);
+    gateway_.server_.endStream(input_.request_.id_);
+    finish(Outcome::Answered, 200, "");
+}
+
+void ModelCall::attemptFailed(async::ExchangeFailure failure)
+{
+    if (phase_ == ModelPhase::Prefilling) {
+        prefillFailed(Evidence::Broken);
+        return;
+    }
+    if (failure == async::ExchangeFailure::NotSent) {
+        --runs_;
+        attempt_.facts_ = {};
+        excluded_.push_back(attempt_.endpoint_);
+        closeAttempt(Evidence::Broken);
+        if (maySendAgain()) {
+            sendResume();
+        } else if (begun_) {
+            gateway_.server_.abort(input_.request_.id_);
+            finish(Outcome::Failed, 0, "not-resumed");
+        } else {
+            mayHaveRun_ ? failCall(502, "not-sent-again") : refuse("engine-unreachable");
+        }
+        return;
+    }
+    streamBroke(failure, Evidence::Broken);
+}
+
+void ModelCall::streamBroke(async::ExchangeFailure failure, Evidence evidence)
+{
+    mayHaveRun_ = true;
+    excluded_.push_back(attempt_.endpoint_);
+    cancelAttempt(evidence);
+    if (mayRunAgain()) {
+        sendResume();
+        return;
+    }
+    const std::string_view cause = nameOf(async::ExchangeFailureNames, failure);
+    if (begun_) {
+        gateway_.server_.abort(input_.request_.id_);
+        finish(Outcome::Failed, 0, cause);
+        return;
+    }
+    failCall(502, cause);
+}
+
+void ModelCall::attemptSilent()
+{
+    if (phase_ == ModelPhase::Prefilling) {
+        trail_ += ":silent";
+        prefillFailed(Evidence::Silent);
+        return;
+    }
+    if (mayRunAgain()) {
+        trail_ += ":silent";
+        mayHaveRun_ = true;
+        excluded_.push_back(attempt_.endpoint_);
+        cancelAttempt(Evidence::Silent);
+        sendResume();
+    }
+}
+
+void ModelCall::deadlinePassed()
+{
+    if (!begun_) {
+        Call::deadlinePassed();
+        return;
+    }
+    cancelAttempt(std::nullopt);
+    gateway_.server_.abort(input_.request_.id_);
+    finish(Outcome::Failed, 0, "deadline");
+}
+
+void ModelCall::abandonEndpoints()
+{
+    if (!handle_) {
+        return;
+    }
+    // Nobody will fetch it; until it lapses it would take memory from other prompts.
+    async::ExchangeRequest request;
+    request.peer_ = prefillEngine_.value();
+    request.address_ = handle_->source_;
+    request.text_ = gateway_.dialect_.dropHandleText(handle_->source_, handle_->handle_);
+    request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectMillis_);
+    handle_.reset();
+    async::ExchangeEvents ignored {[](async::ResponseHead &) {}, [](const std::string &) {},
+                                   [] {}, [](async::ExchangeFailure) {}};
+    gateway_.client_.start(std::move(request), std::move(ignored));
+}
+
+} // namespace
+
+std::unique_ptr<Call> makeModelCall(GatewayState &gateway, CallInput input)
+{
+    return std::make_unique<ModelCall>(gateway, std::move(input));
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/promptmemory.cpp
@@ -0,0 +1,76 @@
+#include "almondridge/gateway/promptmemory.h"
+
+namespace almondridge::gateway {
+namespace {
+
+/** FNV-1a, so that all instances and builds agree on it. */
+std::uint64_t stableHash(std::string_view text)
+{
+    std::uint64_t hash = 14'695'981'039'346'656'037ULL;
+    for (const char letter : text) {
+        hash ^= static_cast<unsigned char>(letter);
+        hash *= 1'099'511'628'211ULL;
+    }
+    return hash;
+}
+
+/** The finalizer of a 64-bit mixer: spreads nearby values over the whole range. */
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
+} // namespace
+
+std::uint64_t rendezvousWeight(const EndpointId &engine, std::uint64_t part)
+{
+    return mix(stableHash(engine.value()) ^ mix(part));
+}
+
+PromptMemory::PromptMemory(std::size_t capacity)
+    : capacity_(capacity)
+{ }
+
+PromptMemory::Key PromptMemory::keyOf(const EndpointId &engine, std::uint64_t part)
+{
+    return rendezvousWeight(engine, part);
+}
+
+void PromptMemory::remember(const EndpointId &engine, std::uint64_t part)
+{
+    const Key key = keyOf(engine, part);
+    const auto found = entries_.find(key);
+    if (found != entries_.end()) {
+        byUse_.splice(byUse_.begin(), byUse_, found->second);
+        return;
+    }
+    byUse_.push_front(key);
+    entries_.emplace(key, byUse_.begin());
+    if (entries_.size() > capacity_) {
+        entries_.erase(byUse_.back());
+        byUse_.pop_back();
+    }
+}
+
+bool PromptMemory::holds(const EndpointId &engine, std::uint64_t part) const
+{
+    return entries_.contains(keyOf(engine, part));
+}
+
+std::int64_t PromptMemory::cachedTokens(const EndpointId &engine, const Prompt &prompt) const
+{
+    std::int64_t tokens = 0;
+    for (const PromptPart &part : prompt.parts_) {
+        if (!holds(engine, part.id_)) {
+            break;
+        }
+        tokens += part.tokens_;
+    }
+    return tokens;
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/sendbudget.cpp
@@ -0,0 +1,66 @@
+#include "almondridge/gateway/sendbudget.h"
+
+#include <algorithm>
+
+namespace almondridge::gateway {
+namespace {
+
+/** A window is counted in this many parts; it slides by one of them. */
+constexpr int SlicesPerWindow = 20;
+/**
+ * The share of the ratio that is spent. The rest covers requests that others count in the window
+ * next to ours, and sends that arrive later than they were made.
+ */
+constexpr double UsedShare = 0.75;
+
+} // namespace
+
+SendBudget::SendBudget(const SendBudgetLimits &limits)
+    : limits_(limits)
+{ }
+
+void SendBudget::setInstances(int count)
+{
+    instances_ = std::max(1, count);
+}
+
+SendBudget::Slice &SendBudget::current(TimePoint now)
+{
+    const Duration length = millis(limits_.windowMillis_ / SlicesPerWindow);
+    while (!slices_.empty() && slices_.front().end_ + millis(limits_.windowMillis_) <= now) {
+        slices_.pop_front();
+    }
+    if (slices_.empty() || slices_.back().end_ <= now) {
+        slices_.push_back({now + length, 0, 0});
+    }
+    return slices_.back();
+}
+
+void SendBudget::onRequest(TimePoint now)
+{
+    current(now).requests_ += 1;
+}
+
+double SendBudget::left(TimePoint now)
+{
+    current(now);
+    double requests = 0;
+    double sends = 0;
+    for (const Slice &slice : slices_) {
+        requests += slice.requests_;
+        sends += slice.sends_;
+    }
+    const double allowed = UsedShare * (limits_.ratio_ * requests + limits_.slack_ / instances_);
+    return allowed - sends;
+}
+
+bool SendBudget::take(TimePoint now)
+{
+    if (left(now) < 1) {
+        return false;
+    }
+    current(now).sends_ += 1;
+    return true;
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/servicecall.cpp
@@ -0,0 +1,119 @@
+#include "call.h"
+
+namespace almondridge::gateway {
+namespace {
+
+/** An endpoint without an answer after this many times the objective is taken for hung. */
+constexpr int SilentAfterObjectives = 2;
+
+class ServiceCall final : public Call
+{
+public:
+    using Call::Call;
+
+    void start() override { sendNext(); }
+
+private:
+    void sendNext();
+    void attemptEnd() override;
+    void attemptFailed(async::ExchangeFailure failure) override;
+    void attemptSilent() override;
+    bool mayRunAgain();
+    void giveUp();
+    void passOn() { answer({attempt_.head_, attempt_.facts_, attempt_.body_}); }
+};
+
+/** Whether the request may be sent once more after a send that may have run. */
+bool ServiceCall::mayRunAgain()
+{
+    return route().idempotent() && runs_ < route().maxAttempts_ && maySendAgain();
+}
+
+void ServiceCall::sendNext()
+{
+    const auto endpoint = gateway_.placement_.chooseService(gateway_.table_, input_.service_,
+                                                            excluded_, BootClock::now());
+    if (!endpoint) {
+        giveUp();
+        return;
+    }
+    ++runs_;
+    send(*endpoint, {}, 0);
+    if (route().idempotent() && runs_ < route().maxAttempts_) {
+        watchSilence(BootClock::now() + millis(SilentAfterObjectives * route().objectiveMillis_));
+    }
+}
+
+void ServiceCall::giveUp()
+{
+    if (mayHaveRun_) {
+        failCall(502, "no-endpoint-left");
+    } else {
+        refuse("no-endpoint");
+    }
+}
+
+void ServiceCall::attemptEnd()
+{
+    const int status = attempt_.head_.status_;
+    const AnswerFacts &facts = attempt_.facts_;
+    if (facts.notRun_) {
+        --runs_;
+        retryAfterMillis_ = facts.retryAfterMillis_;
+        excluded_.push_back(attempt_.endpoint_);
+        closeAttempt(Evidence::Overloaded);
+        maySendAgain() ? sendNext() : giveUp();
+        return;
+    }
+    mayHaveRun_ = true;
+    if (status < 300 && !facts.signed_) {
+        // Not the endpoint's own word: passing it on could give the caller someone else's answer.
+        attemptFailed(async::ExchangeFailure::Garbled);
+        return;
+    }
+    if (status >= 500) {
+        excluded_.push_back(attempt_.endpoint_);
+        closeAttempt(Evidence::ServerError);
+        mayRunAgain() ? sendNext() : passOn();
+        return;
+    }
+    closeAttempt(Evidence::Sound);
+    passOn();
+}
+
+void ServiceCall::attemptFailed(async::ExchangeFailure failure)
+{
+    excluded_.push_back(attempt_.endpoint_);
+    closeAttempt(Evidence::Broken);
+    if (failure == async::ExchangeFailure::NotSent) {
+        --runs_;
+        maySendAgain() ? sendNext() : giveUp();
+        return;
+    }
+    mayHaveRun_ = true;
+    if (mayRunAgain()) {
+        sendNext();
+    } else {
+        failCall(502, nameOf(async::ExchangeFailureNames, failure));
+    }
+}
+
+void ServiceCall::attemptSilent()
+{
+    if (!mayRunAgain()) {
+        return;
+    }
+    mayHaveRun_ = true;
+    excluded_.push_back(attempt_.endpoint_);
+    cancelAttempt(Evidence::Silent);
+    sendNext();
+}
+
+} // namespace
+
+std::unique_ptr<Call> makeServiceCall(GatewayState &gateway, CallInput input)
+{
+    return std::make_unique<ServiceCall>(gateway, std::move(input));
+}
+
+} // namespace almondridge::gateway
--- a/libs/platform/src/platform.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "almondridge/platform/platform.h"
--- a/libs/platform/include/almondridge/platform/httpplatform.h
+++ b/libs/store/include/almondridge/store/httpstore.h
@@ -4,14 +4,14 @@
 #pragma once
 
 #include "almondridge/net/http.h"
-#include "almondridge/platform/platform.h"
+#include "almondridge/store/store.h"
 
 #include <memory>
 
-namespace almondridge::platform {
+namespace almondridge::store {
 
 std::unique_ptr<LogService> makeHttpLogService(net::Address address);
 std::unique_ptr<InstanceList> makeHttpInstanceList(net::Address address);
 std::unique_ptr<WeightStore> makeHttpWeightStore(net::Address address);
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- a/libs/platform/include/almondridge/platform/platform.h
+++ b/libs/store/include/almondridge/store/store.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace almondridge::platform {
+namespace almondridge::store {
 
 struct LogRecord
 {
@@ -86,4 +86,4 @@
     virtual Result<WeightStoreStatus> status(TimePoint deadline) = 0;
 };
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- a/libs/platform/src/httplog.cpp
+++ b/libs/store/src/httplog.cpp
@@ -1,8 +1,8 @@
-#include "almondridge/platform/httpplatform.h"
+#include "almondridge/store/httpstore.h"
 
-#include "platformcall.h"
+#include "storecall.h"
 
-namespace almondridge::platform {
+namespace almondridge::store {
 namespace {
 
 const std::string LogSource = "the log service";
@@ -55,7 +55,7 @@
         net::Request request {"POST", "/log/append", {{"Content-Type", "application/json"}}, {}};
         const Json body {{"records", bodies}};
         request.body_ = body.dump(-1, ' ', false, Json::error_handler_t::replace);
-        BOOST_LEAF_AUTO(answer, platformCall(address_, request, deadline));
+        BOOST_LEAF_AUTO(answer, storeCall(address_, request, deadline));
         if (answer.status_ != 200) {
             return failedStatus(LogSource, answer);
         }
@@ -72,7 +72,7 @@
         request.path_ =
             "/log/read?from=" + std::to_string(from) + "&wait_in_ms=" + std::to_string(wait);
         const TimePoint deadline = BootClock::now() + millis(wait + ReadSlackMillis);
-        BOOST_LEAF_AUTO(answer, platformCall(address_, request, deadline));
+        BOOST_LEAF_AUTO(answer, storeCall(address_, request, deadline));
         if (answer.status_ == TrimmedStatus) {
             return fail(ErrorKind::Trimmed,
                         "the log no longer keeps offset " + std::to_string(from),
@@ -95,4 +95,4 @@
     return std::make_unique<HttpLogService>(std::move(address));
 }
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- a/libs/platform/src/httpplatform.cpp
+++ b/libs/store/src/httpstore.cpp
@@ -1,8 +1,8 @@
-#include "almondridge/platform/httpplatform.h"
+#include "almondridge/store/httpstore.h"
 
-#include "platformcall.h"
+#include "storecall.h"
 
-namespace almondridge::platform {
+namespace almondridge::store {
 namespace {
 
 const std::string ListSource = "the instance list";
@@ -45,7 +45,7 @@
     {
         net::Request request;
         request.path_ = "/instances";
-        BOOST_LEAF_AUTO(answer, platformCall(address_, request, deadline));
+        BOOST_LEAF_AUTO(answer, storeCall(address_, request, deadline));
         if (answer.status_ != 200) {
             return failedStatus(ListSource, answer);
         }
@@ -76,7 +76,7 @@
     {
         net::Request request;
         request.path_ = "/weights/status";
-        BOOST_LEAF_AUTO(answer, platformCall(address_, request, deadline));
+        BOOST_LEAF_AUTO(answer, storeCall(address_, request, deadline));
         if (answer.status_ != 200) {
             return failedStatus(StoreSource, answer);
         }
@@ -106,4 +106,4 @@
     return std::make_unique<HttpWeightStore>(std::move(address));
 }
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- /dev/null
+++ b/libs/store/src/store.cpp
@@ -0,0 +1,1 @@
+#include "almondridge/store/store.h"
--- a/libs/platform/src/platformcall.cpp
+++ b/libs/store/src/storecall.cpp
@@ -1,8 +1,8 @@
-#include "platformcall.h"
+#include "storecall.h"
 
 #include "almondridge/net/httpexchange.h"
 
-namespace almondridge::platform {
+namespace almondridge::store {
 namespace {
 
 /** A page of the log is at most 1,000 records; a snapshot of the largest fleet fits many times. */
@@ -21,7 +21,7 @@
 
 } // namespace
 
-Result<PlatformAnswer> platformCall(const net::Address &address, const net::Request &request,
+Result<PlatformAnswer> storeCall(const net::Address &address, const net::Request &request,
                                     TimePoint deadline)
 {
     BOOST_LEAF_AUTO(exchange, connect(address, deadline));
@@ -60,4 +60,4 @@
                 "check that the settings name the right address and that its version fits");
 }
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- a/libs/platform/src/platformcall.h
+++ b/libs/store/src/storecall.h
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace almondridge::platform {
+namespace almondridge::store {
 
 using Json = nlohmann::json;
 
@@ -25,7 +25,7 @@
 /**
  * Unavailable: nothing was sent. Interrupted: something was sent and no whole answer came.
  */
-Result<PlatformAnswer> platformCall(const net::Address &address, const net::Request &request,
+Result<PlatformAnswer> storeCall(const net::Address &address, const net::Request &request,
                                     TimePoint deadline);
 
 /** The failure that a status other than 200 stands for; source names the service. */
@@ -34,4 +34,4 @@
 /** Protocol: the answer is not what docs/PROTOCOLS.md says. */
 boost::leaf::error_id wrongAnswer(const std::string &source, const std::string &what);
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- a/libs/platform/tests/fakelog.h
+++ b/libs/store/tests/fakelog.h
@@ -4,14 +4,14 @@
  */
 #pragma once
 
-#include "almondridge/platform/platform.h"
+#include "almondridge/store/store.h"
 
 #include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
 
-namespace almondridge::platform {
+namespace almondridge::store {
 
 class FakeLog : public LogService
 {
@@ -175,4 +175,4 @@
     int reads_ = 0;
 };
 
-} // namespace almondridge::platform
+} // namespace almondridge::store
--- a/libs/platform/tests/httpplatformtest.cpp
+++ b/libs/store/tests/httpstoretest.cpp
@@ -1,10 +1,10 @@
-#include "almondridge/platform/httpplatform.h"
+#include "almondridge/store/httpstore.h"
 #include "almondridge/net/httpserver.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace almondridge;
-using namespace almondridge::platform;
+using namespace almondridge::store;
 
 namespace {
 
@@ -62,7 +62,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(HttpPlatform)
+BOOST_AUTO_TEST_SUITE(HttpStore)
 
 BOOST_AUTO_TEST_CASE(theLogIsAppendedToAndReadAsTheProtocolSays)
 {
