Stage plan under a lease; engines that refuse with room are left alone for a moment

Cause: six of 18 engines read prompts, and demand needs about twelve. Orders need the engine's own count of orders, which only its report tells (an entry's seq is another number: 50 orders of 50 were refused with it).

While an engine changes its stage it answers 503 with nothing running, looks idle and drew every request: 1,421 refusals, 697 requests refused. Ruled out: full memory (refusals carried running=0 waiting=0), lapsed handles.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -67,6 +67,25 @@
     std::optional<std::int64_t> retryAfterMillis_;
 };
 
+/** What an engine tells of itself when asked. */
+struct EngineReport
+{
+    Stage stage_ = Stage::None;
+    bool changing_ = false;    ///< An order is being carried out.
+    std::uint64_t orders_ = 0; ///< Orders accepted in this lifetime.
+};
+
+/** An order that changes what an engine does. */
+struct StageOrder
+{
+    net::Address address_;
+    EndpointId engine_;
+    Stage stage_ = Stage::None;
+    std::string holder_; ///< Who gives it.
+    Fence fence_ = 0;
+    std::uint64_t expectedOrders_ = 0; ///< Refused if the engine took others since.
+};
+
 class Dialect
 {
 public:
@@ -84,6 +103,9 @@
     /** The request that frees a handle that nobody will fetch. */
     virtual std::string dropHandleText(const net::Address &address,
                                        const std::string &handle) const = 0;
+    virtual std::string reportText(const net::Address &address) const = 0;
+    virtual std::optional<EngineReport> readReport(const std::string &body) const = 0;
+    virtual std::string orderText(const StageOrder &order) const = 0;
     /** A refusal that tells the caller when to come back. */
     virtual net::Response refusal(int status, std::optional<std::int64_t> retryAfterMillis,
                                   std::string_view reason) const = 0;
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -41,7 +41,6 @@
     int slots_ = 1;
     bool draining_ = false;
     Stage stage_ = Stage::None;
-    std::uint64_t orders_ = 0; ///< Orders accepted so far.
 
     friend bool operator==(const ListedEndpoint &, const ListedEndpoint &) = default;
 };
@@ -74,14 +73,16 @@
 enum class Evidence {
     Sound,       ///< A whole answer of its own.
     Overloaded,  ///< It refused for want of room.
+    Unwilling,   ///< It refused though it has room: it changes, or is another one than listed.
     ServerError, ///< An answer 5xx of its own.
     Broken,      ///< Connection refused, reset or cut, or bytes that are no answer.
     Silent,      ///< No answer in the time that any sound endpoint needs.
 };
 
-inline constexpr std::array<EnumName<Evidence>, 5> EvidenceNames {{
+inline constexpr std::array<EnumName<Evidence>, 6> EvidenceNames {{
     {Evidence::Sound, "sound"},
     {Evidence::Overloaded, "overloaded"},
+    {Evidence::Unwilling, "unwilling"},
     {Evidence::ServerError, "server-error"},
     {Evidence::Broken, "broken"},
     {Evidence::Silent, "silent"},
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -10,7 +10,9 @@
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/sendbudget.h"
+#include "almondridge/gateway/stageplan.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -57,6 +59,8 @@
     /** How many instances may share the allowance for second sends and the endpoints' connections. */
     void setInstances(int count);
     EndpointTable &endpoints() noexcept;
+    /** What callers asked of each service's engines since the last call. */
+    std::map<ServiceId, StageDemand> takeDemand();
     const GatewayCounters &counters() const noexcept;
     const async::ClientCounters &clientCounters() const noexcept;
 
--- /dev/null
+++ b/libs/gateway/include/almondridge/gateway/stagekeeper.h
@@ -0,0 +1,72 @@
+/**
+ * Keeps the engines of all services in the stages that the plan wants, while this instance has
+ * the right to give orders.
+ */
+#pragma once
+
+#include "almondridge/async/httpclient.h"
+#include "almondridge/gateway/authority.h"
+#include "almondridge/gateway/gateway.h"
+#include "almondridge/gateway/stageplan.h"
+
+#include <functional>
+#include <map>
+
+namespace almondridge::gateway {
+
+/** What the right to give orders is taken from. Answers may come late or never. */
+class AuthorityStore
+{
+public:
+    virtual ~AuthorityStore() = default;
+
+    /** Asks whether this instance is the one that is named; nullopt: no answer. */
+    virtual void ask(std::function<void(std::optional<bool>)> done) = 0;
+    /** Appends a claim and gives its offset; nullopt: it may or may not be there. */
+    virtual void claim(std::function<void(std::optional<LogOffset>)> done) = 0;
+};
+
+struct StageKeeperSettings
+{
+    InstanceId instance_;
+    AuthoritySettings authority_;
+    StagePlanSettings plan_;
+};
+
+class StageKeeper
+{
+public:
+    StageKeeper(async::EventLoop &loop, Gateway &gateway, const Dialect &dialect,
+                AuthorityStore &store, StageKeeperSettings settings);
+    ~StageKeeper();
+
+    void start();
+    void stop();
+    std::uint64_t orders() const noexcept { return orders_; }
+
+private:
+    void renew();
+    void claimIfNeeded();
+    void planAll();
+    void readEngine(const ServiceId &service, const StageChange &change);
+    void give(const ServiceId &service, const StageChange &change, const EngineReport &report);
+    void ask(const EndpointId &engine, std::string text,
+             std::function<void(int status, const std::string &body)> done);
+    void onOrderAnswer(const ServiceId &service, const EndpointId &engine, int status);
+    StagePlan &planOf(const ServiceId &service);
+
+    Gateway &gateway_;
+    const Dialect &dialect_;
+    AuthorityStore &store_;
+    StageKeeperSettings settings_;
+    Authority authority_;
+    std::map<ServiceId, StagePlan> plans_;
+    async::HttpClient client_;
+    async::Timer renewal_;
+    async::Timer planning_;
+    bool claiming_ = false;
+    bool running_ = false;
+    std::uint64_t orders_ = 0;
+};
+
+} // namespace almondridge::gateway
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -81,6 +81,30 @@
     attempt_.exchange_ = gateway_.client_.start(std::move(request), std::move(events));
 }
 
+Evidence Call::refusalEvidence() const
+{
+    if (!attempt_.facts_.load_) {
+        return Evidence::Overloaded;
+    }
+    const LoadSample &load = *attempt_.facts_.load_;
+    const bool hasRoom = load.waiting_ == 0 && 2 * load.running_ < load.slots_;
+    return hasRoom ? Evidence::Unwilling : Evidence::Overloaded;
+}
+
+void Call::logNotRun() const
+{
+    const LoadSample load = attempt_.facts_.load_.value_or(LoadSample {});
+    logEvent(LogLevel::Info, "not_run",
+             {{"id", facts().requestId_},
+              {"endpoint", attempt_.endpoint_.value()},
+              {"status", attempt_.head_.status_},
+              {"running", load.running_},
+              {"waiting", load.waiting_},
+              {"slots", load.slots_},
+              {"after_ms", toMillis(BootClock::now() - attempt_.sentAt_)},
+              {"body", attempt_.body_.substr(0, 80)}});
+}
+
 void Call::promptWasRead()
 {
     gateway_.table_.onRead(attempt_.endpoint_, attempt_.promptTokens_);
@@ -186,6 +210,9 @@
               {"cause", cause},
               {"sends", sends_},
               {"endpoints", trail_},
+              {"read_tokens", readTokens_},
+              {"read_estimate_ms", static_cast<std::int64_t>(readEstimateMillis_)},
+              {"read_ms", readAt_ == TimePoint {} ? -1 : toMillis(readAt_ - began)},
               {"first_ms", firstByteAt_ == TimePoint {} ? -1 : toMillis(firstByteAt_ - began)},
               {"total_ms", toMillis(now - began)},
               {"left_ms", millisUntil(deadline_, now)}});
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -76,6 +76,10 @@
     /** The attempt is over; evidence, if any, tells whether its endpoint can be trusted. */
     void closeAttempt(std::optional<Evidence> evidence);
     void cancelAttempt(std::optional<Evidence> evidence);
+    /** What a refusal says of its endpoint: whether it is full, or takes no requests at all. */
+    Evidence refusalEvidence() const;
+    /** The endpoint said that it did not run the request: one line with its words. */
+    void logNotRun() const;
     void promptWasRead();
     /** Calls attemptSilent() then, unless the attempt is over before. */
     void watchSilence(TimePoint until);
@@ -106,6 +110,9 @@
     bool mayHaveRun_ = false;
     std::optional<std::int64_t> retryAfterMillis_; ///< As the last endpoint that refused said.
     TimePoint firstByteAt_ {};
+    std::int64_t readTokens_ = 0;  ///< Prompt tokens that had to be read, as far as we know.
+    double readEstimateMillis_ = 0;
+    TimePoint readAt_ {}; ///< When the prompt was read.
     std::string trail_; ///< Endpoints asked and what came of it, for the log line.
 
 private:
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -19,9 +19,10 @@
  * one is also what a lost packet or a planned stop looks like. Errors need more of them: a sound
  * service fails some of its calls for reasons of its own.
  */
-constexpr std::array<EvidenceRule, 5> EvidenceRules {{
+constexpr std::array<EvidenceRule, 6> EvidenceRules {{
     {Evidence::Sound, 0, 0},
     {Evidence::Overloaded, 0, 0},
+    {Evidence::Unwilling, 8, 8},
     {Evidence::ServerError, 1, 8},
     {Evidence::Broken, 4, 8},
     {Evidence::Silent, 8, 8},
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -45,6 +45,11 @@
     return state_->table_;
 }
 
+std::map<ServiceId, StageDemand> Gateway::takeDemand()
+{
+    return std::exchange(state_->demand_, {});
+}
+
 const GatewayCounters &Gateway::counters() const noexcept
 {
     return state_->counters_;
@@ -109,8 +114,7 @@
               {"address", net::toString(listed.address_)},
               {"domain", listed.domain_.value()},
               {"state", listed.draining_ ? "draining" : "ready"},
-              {"stage", nameOf(StageNames, listed.stage_)},
-              {"orders", listed.orders_}});
+              {"stage", nameOf(StageNames, listed.stage_)}});
     if (listed.draining_) {
         state_->client_.dropKept(listed.id_.value());
     }
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t MaxUnwritten = 131'072;
 /** A prefill is given up after this many times its estimate, and the time below. */
 constexpr double SilentAfterEstimates = 3;
-constexpr Duration SilentAtLeast = millis(600);
+constexpr Duration SilentAtLeast = millis(1'500);
 /** A stream that may be resumed is taken elsewhere after this many times its longest pause. */
 constexpr int StalledAfterGaps = 4;
 
@@ -50,6 +50,8 @@
     void notRun();
     void streamEnded();
     void streamBroke(async::ExchangeFailure failure, Evidence evidence);
+    void countRead(const PromptPlan &plan);
+    void countGenerated();
     void passEvents(std::string_view events);
     void watchStream();
     bool isStream() const;
@@ -93,9 +95,36 @@
     }
 }
 
+/** The demand that the stages of engines are planned for, in time that one engine is busy. */
+void ModelCall::countRead(const PromptPlan &plan)
+{
+    constexpr double MillisPerSecond = 1'000;
+    readTokens_ = plan.newTokens_;
+    readEstimateMillis_ = plan.readMillis_;
+    gateway_.demand_[input_.service_].prefillSeconds_ += static_cast<double>(plan.newTokens_)
+        / gateway_.placement_.tokensPerMilli() / MillisPerSecond;
+}
+
+/** A stream takes a slot and its prompt's memory while it runs: whichever is scarcer counts. */
+void ModelCall::countGenerated()
+{
+    const ServiceTraits *service = input_.config_->service(input_.service_);
+    if (service == nullptr || !service->engine_) {
+        return;
+    }
+    const EngineTraits &engine = *service->engine_;
+    const double slot = 1.0 / std::max(1, engine.slots_);
+    const double memory = engine.kvTokens_ > 0
+        ? static_cast<double>(prompt().tokens_) / static_cast<double>(engine.kvTokens_)
+        : 0;
+    gateway_.demand_[input_.service_].decodeSeconds_ +=
+        toSeconds(BootClock::now() - attempt_.sentAt_) * std::max(slot, memory);
+}
+
 void ModelCall::sendPrefill(const PromptPlan &plan)
 {
     phase_ = ModelPhase::Prefilling;
+    countRead(plan);
     prefillEngine_ = *plan.prefill_;
     prefillDomain_ = gateway_.table_.find(prefillEngine_)->listed_.domain_;
     gateway_.placement_.onPromptRead(prefillEngine_, prompt(), BootClock::now());
@@ -112,6 +141,7 @@
 {
     phase_ = ModelPhase::Waiting;
     ++runs_;
+    countRead(plan);
     gateway_.placement_.onPromptRead(plan.decode_, prompt(), BootClock::now());
     SendOrder order;
     order.priority_ = route().priority_;
@@ -248,11 +278,12 @@
         : std::string();
     if (handle.empty()) {
         retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
-        prefillFailed(attempt_.facts_.notRun_ ? Evidence::Overloaded : Evidence::ServerError);
+        prefillFailed(attempt_.facts_.notRun_ ? refusalEvidence() : Evidence::ServerError);
         return;
     }
     const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
     prefillAccepted_ = true;
+    readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
     gateway_.placement_.onReadTime(
         attempt_.promptTokens_,
@@ -279,7 +310,8 @@
 {
     retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
     excluded_.push_back(attempt_.endpoint_);
-    closeAttempt(Evidence::Overloaded);
+    logNotRun();
+    closeAttempt(refusalEvidence());
     if (!maySendAgain()) {
         if (begun_) {
             gateway_.server_.abort(input_.request_.id_);
@@ -302,6 +334,7 @@
     if (!begun_ || !rest.empty()) {
         passEvents(rest);
     }
+    countGenerated();
     closeAttempt(Evidence::Sound);
     gateway_.server_.endStream(input_.request_.id_);
     finish(Outcome::Answered, 200, "");
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -146,7 +146,7 @@
         return std::nullopt;
     }
     PromptPlan plan;
-    if (best != nullptr && bestOffer.millis_ + settings_.handoverMillis_ < inPlaceOffer.millis_) {
+    if (best != nullptr) {
         plan.prefill_ = best->listed_.id_;
         plan.decode_ = inPlace->listed_.id_;
         plan.newTokens_ = bestOffer.newTokens_;
--- /dev/null
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -0,0 +1,187 @@
+#include "almondridge/gateway/stagekeeper.h"
+
+#include "almondridge/base/log.h"
+
+namespace almondridge::gateway {
+namespace {
+
+/** Between two looks at the plan. */
+constexpr Duration PlanInterval = millis(500);
+/** An order's connection must not outlive the right to give it. */
+constexpr std::int64_t OrderConnectMillis = 300;
+constexpr int Overtaken = 412;
+constexpr int Conflict = 409;
+
+} // namespace
+
+StageKeeper::StageKeeper(async::EventLoop &loop, Gateway &gateway, const Dialect &dialect,
+                         AuthorityStore &store, StageKeeperSettings settings)
+    : gateway_(gateway)
+    , dialect_(dialect)
+    , store_(store)
+    , settings_(std::move(settings))
+    , authority_(settings_.authority_)
+    , client_(loop)
+    , renewal_(loop)
+    , planning_(loop)
+{ }
+
+StageKeeper::~StageKeeper() = default;
+
+void StageKeeper::start()
+{
+    running_ = true;
+    renew();
+    planAll();
+}
+
+void StageKeeper::stop()
+{
+    running_ = false;
+    renewal_.stop();
+    planning_.stop();
+}
+
+void StageKeeper::renew()
+{
+    const TimePoint askedAt = BootClock::now();
+    renewal_.startAt(askedAt + millis(settings_.authority_.renewMillis_), [this] { renew(); });
+    store_.ask([this, askedAt](std::optional<bool> named) {
+        if (!named || !running_) {
+            return;
+        }
+        if (*named != authority_.named()) {
+            logEvent(LogLevel::Info, "authority", {{"named", *named ? "yes" : "no"}});
+        }
+        authority_.onNamed(*named, askedAt, BootClock::now());
+        claimIfNeeded();
+    });
+}
+
+void StageKeeper::claimIfNeeded()
+{
+    if (claiming_ || !authority_.needsFence(BootClock::now())) {
+        return;
+    }
+    claiming_ = true;
+    store_.claim([this](std::optional<LogOffset> offset) {
+        claiming_ = false;
+        if (!offset) {
+            return;
+        }
+        authority_.onClaimed(*offset, BootClock::now());
+        logEvent(LogLevel::Info, "fence_claimed", {{"offset", *offset}});
+    });
+}
+
+StagePlan &StageKeeper::planOf(const ServiceId &service)
+{
+    return plans_.try_emplace(service, settings_.plan_).first->second;
+}
+
+void StageKeeper::planAll()
+{
+    const TimePoint now = BootClock::now();
+    planning_.startAt(now + PlanInterval, [this] { planAll(); });
+    if (gateway_.config() == nullptr) {
+        return;
+    }
+    for (const auto &[service, demand] : gateway_.takeDemand()) {
+        planOf(service).onDemand(demand, now);
+        logEvent(LogLevel::Debug, "demand",
+                 {{"service", service.value()},
+                  {"prefill_s", demand.prefillSeconds_},
+                  {"decode_s", demand.decodeSeconds_},
+                  {"wanted_of_18", planOf(service).wantedPrefill(18, now)}});
+    }
+    for (const ServiceTraits &service : gateway_.config()->services()) {
+        if (!service.engine_ || !authority_.right(now)) {
+            continue;
+        }
+        for (const StageChange &change :
+             planOf(service.id_).plan(gateway_.endpoints(), service.id_, now)) {
+            readEngine(service.id_, change);
+        }
+    }
+}
+
+/** One call to an engine; status 0: no whole answer came. */
+void StageKeeper::ask(const EndpointId &engine, std::string text,
+                      std::function<void(int, const std::string &)> done)
+{
+    struct Answer
+    {
+        int status_ = 0;
+        std::string body_;
+    };
+    async::ExchangeRequest request;
+    request.peer_ = engine.value();
+    request.address_ = gateway_.endpoints().find(engine)->listed_.address_;
+    request.text_ = std::move(text);
+    request.connectBy_ = BootClock::now() + millis(OrderConnectMillis);
+    auto answer = std::make_shared<Answer>();
+    async::ExchangeEvents events;
+    events.onHead_ = [answer](async::ResponseHead &head) { answer->status_ = head.status_; };
+    events.onBody_ = [answer](const std::string &bytes) { answer->body_ += bytes; };
+    events.onEnd_ = [answer, done] { done(answer->status_, answer->body_); };
+    events.onFailed_ = [done](async::ExchangeFailure) { done(0, ""); };
+    client_.start(std::move(request), std::move(events));
+}
+
+/** How many orders the engine took is only known from itself, and an order has to name it. */
+void StageKeeper::readEngine(const ServiceId &service, const StageChange &change)
+{
+    const Endpoint *engine = gateway_.endpoints().find(change.engine_);
+    ask(change.engine_, dialect_.reportText(engine->listed_.address_),
+        [this, service, change](int, const std::string &body) {
+            const auto report = dialect_.readReport(body);
+            const bool fits = report && !report->changing_ && report->stage_ != change.stage_;
+            if (!fits) {
+                logEvent(LogLevel::Info, "order_not_given",
+                         {{"engine", change.engine_.value()},
+                          {"why", report ? "changing-or-changed" : "unreadable"}});
+                planOf(service).onRefused(change.engine_, BootClock::now());
+                return;
+            }
+            give(service, change, *report);
+        });
+}
+
+void StageKeeper::give(const ServiceId &service, const StageChange &change,
+                       const EngineReport &report)
+{
+    // Asked again here: the right may have lapsed while the engine was read.
+    const auto right = authority_.right(BootClock::now());
+    const Endpoint *engine = gateway_.endpoints().find(change.engine_);
+    if (!right || engine == nullptr || !running_) {
+        return;
+    }
+    ++orders_;
+    logEvent(LogLevel::Info, "order",
+             {{"engine", change.engine_.value()},
+              {"stage", nameOf(StageNames, change.stage_)},
+              {"fence", right->fence_},
+              {"expect", report.orders_}});
+    const StageOrder order {engine->listed_.address_,      change.engine_, change.stage_,
+                            settings_.instance_.value(), right->fence_,  report.orders_};
+    // Without an answer it may still be carried out; the number of orders that it expects makes
+    // it harmless then.
+    ask(change.engine_, dialect_.orderText(order),
+        [this, service, id = change.engine_](int status, const std::string &) {
+            onOrderAnswer(service, id, status);
+        });
+}
+
+void StageKeeper::onOrderAnswer(const ServiceId &service, const EndpointId &engine, int status)
+{
+    logEvent(LogLevel::Info, "order_answer", {{"engine", engine.value()}, {"status", status}});
+    const TimePoint now = BootClock::now();
+    if (status == Overtaken) {
+        authority_.onOvertaken(now);
+    }
+    if (status == Overtaken || status == Conflict) {
+        planOf(service).onRefused(engine, now);
+    }
+}
+
+} // namespace almondridge::gateway
