--- a/libs/app/src/entryverb.cpp
+++ b/libs/app/src/entryverb.cpp
@@ -39,8 +39,9 @@
     }
     const auto &valid = std::get<fleet::EntrySettings>(settings);
     startBoundedLog(valid.logLevel_, valid.instance_.value(), valid.domain_.value());
-    logEvent(LogLevel::Info, "start",
-             {{"version", ALMONDRIDGE_VERSION}, {"listen", valid.listen_}, {"store", valid.store_}});
+    logEvent(
+        LogLevel::Info, "start",
+        {{"version", ALMONDRIDGE_VERSION}, {"listen", valid.listen_}, {"store", valid.store_}});
     const auto ran = capture([&] { return platform::Instance(valid).run(); });
     if (const Error *error = std::get_if<Error>(&ran)) {
         logEvent(LogLevel::Error, "start_failed", {{"error", describe(*error)}});
--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -92,7 +92,7 @@
     bool reading_ = false;
     bool paused_ = false;
     bool writing_ = false;
-    bool closing_ = false;  ///< closeAfterWriting() was called.
+    bool closing_ = false;   ///< closeAfterWriting() was called.
     bool lingering_ = false; ///< Our side is closed; what still arrives is dropped.
 };
 
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -117,18 +117,17 @@
 
 void Connection::waitReadable()
 {
-    socket_.async_wait(Socket::wait_read,
-                       [weak = weak_from_this()](const error_code &failure) {
-                           const auto self = weak.lock();
-                           if (self == nullptr || !self->open_) {
-                               return;
-                           }
-                           if (failure) {
-                               self->fail(CloseCause::Reset);
-                               return;
-                           }
-                           self->readAvailable();
-                       });
+    socket_.async_wait(Socket::wait_read, [weak = weak_from_this()](const error_code &failure) {
+        const auto self = weak.lock();
+        if (self == nullptr || !self->open_) {
+            return;
+        }
+        if (failure) {
+            self->fail(CloseCause::Reset);
+            return;
+        }
+        self->readAvailable();
+    });
 }
 
 void Connection::readAvailable()
@@ -196,19 +195,18 @@
 void Connection::waitWritable()
 {
     writing_ = true;
-    socket_.async_wait(Socket::wait_write,
-                       [weak = weak_from_this()](const error_code &failure) {
-                           const auto self = weak.lock();
-                           if (self == nullptr || !self->open_) {
-                               return;
-                           }
-                           self->writing_ = false;
-                           if (failure) {
-                               self->fail(CloseCause::Reset);
-                               return;
-                           }
-                           self->flush();
-                       });
+    socket_.async_wait(Socket::wait_write, [weak = weak_from_this()](const error_code &failure) {
+        const auto self = weak.lock();
+        if (self == nullptr || !self->open_) {
+            return;
+        }
+        self->writing_ = false;
+        if (failure) {
+            self->fail(CloseCause::Reset);
+            return;
+        }
+        self->flush();
+    });
 }
 
 void Connection::onFlushed()
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -174,7 +174,8 @@
     }
 }
 
-/** Whether the head just read is of an answer to another request, which is then read and dropped. */
+/** Whether the head just read is of an answer to another request, which is then read and dropped.
+ */
 bool HttpClient::skipForeign(Exchange &exchange)
 {
     const std::string_view named =
@@ -184,7 +185,7 @@
         return true;
     }
     return !exchange.request_.requestId_.empty() && !named.empty()
-        && named != exchange.request_.requestId_;
+           && named != exchange.request_.requestId_;
 }
 
 void HttpClient::onInput(ExchangeId id)
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -199,8 +199,10 @@
     peer.keepAlive_ = peer.parser_->keepAlive();
     peer.http10_ = peer.parser_->head().http10_;
     ++openCalls_;
-    ServerCall call {{peer.number_, peer.call_}, std::move(peer.parser_->head()),
-                     std::move(peer.parser_->body()), peer.startedAt_};
+    ServerCall call {{peer.number_, peer.call_},
+                     std::move(peer.parser_->head()),
+                     std::move(peer.parser_->body()),
+                     peer.startedAt_};
     peer.parser_.reset();
     peer.connection_->input().shrink_to_fit();
     events_.onCall_(std::move(call));
@@ -263,8 +265,8 @@
 {
     const auto found = connections_.find(id.connection_);
     return found != connections_.end() && found->second->call_ == id.call_ && id.call_ != 0
-        ? found->second.get()
-        : nullptr;
+               ? found->second.get()
+               : nullptr;
 }
 
 const HttpServer::Peer *HttpServer::find(const CallId &id) const
--- /dev/null
+++ b/libs/async/tests/httpclienttest.cpp
@@ -0,0 +1,177 @@
+#include "almondridge/async/httpclient.h"
+
+#include "loopsupport.h"
+
+using namespace almondridge;
+using namespace almondridge::async;
+using namespace almondridge::async::testing;
+
+namespace {
+
+/** One exchange and what came of it. */
+struct Outcome
+{
+    ResponseHead head_;
+    std::string body_;
+    std::optional<ExchangeFailure> failure_;
+    bool ended_ = false;
+
+    bool over() const { return ended_ || failure_.has_value(); }
+};
+
+struct ClientFixture
+{
+    EventLoop loop_;
+    HttpClient client_ {loop_};
+    std::list<Outcome> results_;
+
+    Outcome &start(const net::Address &address, std::string requestId = "", bool fresh = false)
+    {
+        Outcome &result = results_.emplace_back();
+        ExchangeRequest request;
+        request.peer_ = net::toString(address);
+        request.address_ = address;
+        request.text_ = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        request.requestId_ = std::move(requestId);
+        request.fresh_ = fresh;
+        request.connectBy_ = BootClock::now() + millis(5'000);
+        ExchangeEvents events;
+        events.onHead_ = [&result](ResponseHead &head) { result.head_ = head; };
+        events.onBody_ = [&result](const std::string &bytes) { result.body_ += bytes; };
+        events.onEnd_ = [&result] { result.ended_ = true; };
+        events.onFailed_ = [&result](ExchangeFailure failure) { result.failure_ = failure; };
+        client_.start(std::move(request), std::move(events));
+        return result;
+    }
+
+    Outcome &finish(const net::Address &address, const std::string &requestId = "")
+    {
+        Outcome &result = start(address, requestId);
+        runUntil(loop_, [&result] { return result.over(); });
+        return result;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EventClient, ClientFixture)
+
+BOOST_AUTO_TEST_CASE(aConnectionIsKeptAndUsedAgain)
+{
+    RawServer server(loop_, [](const RawServer::Peer &peer, const std::string &) {
+        peer->write(responseText(200, "Keep-Alive: timeout=5\r\n", "a"));
+    });
+    BOOST_TEST(finish(server.address()).body_ == "a");
+    BOOST_TEST(finish(server.address()).body_ == "a");
+    BOOST_TEST(server.connections() == 1);
+}
+
+/**
+ * A server says that it closes idle connections after one second. A request that it has not read
+ * when it closes looks like one that may have run, so a connection is not used close to that time.
+ */
+BOOST_AUTO_TEST_CASE(aConnectionIsNotUsedNearTheEndOfItsStatedTime)
+{
+    RawServer server(loop_, [](const RawServer::Peer &peer, const std::string &) {
+        peer->write(responseText(200, "Keep-Alive: timeout=1\r\n", "a"));
+    });
+    finish(server.address());
+    const TimePoint later = BootClock::now() + millis(400);
+    runUntil(loop_, [&] { return BootClock::now() > later; });
+    finish(server.address());
+    BOOST_TEST(server.connections() == 2);
+}
+
+/** Bytes after a whole answer belong to no request: the next caller must not get them. */
+BOOST_AUTO_TEST_CASE(surplusBytesEndTheConnectionBeforeTheNextRequest)
+{
+    int answers = 0;
+    RawServer server(loop_, [&](const RawServer::Peer &peer, const std::string &) {
+        const std::string own = responseText(200, "", "own" + std::to_string(++answers));
+        peer->write(answers == 1 ? own + responseText(200, "", "surplus") : own);
+    });
+    BOOST_TEST(finish(server.address()).body_ == "own1");
+    BOOST_TEST(finish(server.address()).body_ == "own2");
+    BOOST_TEST(server.connections() == 2);
+}
+
+/** The same bytes, but they come while the connection is idle. */
+BOOST_AUTO_TEST_CASE(lateBytesOnAKeptConnectionEndIt)
+{
+    RawServer::Peer kept;
+    RawServer server(loop_, [&](const RawServer::Peer &peer, const std::string &) {
+        kept = peer;
+        peer->write(responseText(200, "", "own"));
+    });
+    finish(server.address());
+    kept->write(responseText(200, "", "late"));
+    runUntil(loop_, [&] { return client_.counters().dirtyConnections_ == 1; });
+    BOOST_TEST(finish(server.address()).body_ == "own");
+    BOOST_TEST(server.connections() == 2);
+}
+
+/**
+ * A server answers a request a second time where the next answer is expected. The caller of the
+ * next request would get someone else's answer; the id in the head tells them apart.
+ */
+BOOST_AUTO_TEST_CASE(anAnswerToAnotherRequestIsSkipped)
+{
+    RawServer server(loop_, [](const RawServer::Peer &peer, const std::string &) {
+        peer->write(responseText(200, "X-Request-Id: before\r\n", "foreign")
+                    + responseText(200, "X-Request-Id: mine\r\n", "own"));
+    });
+    BOOST_TEST(finish(server.address(), "mine").body_ == "own");
+    BOOST_TEST(client_.counters().skippedAnswers_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedConnectionMeansThatNothingWasSent)
+{
+    net::Address free;
+    {
+        RawServer server(loop_, [](const RawServer::Peer &, const std::string &) {});
+        free = server.address();
+    }
+    BOOST_TEST((finish(free).failure_ == ExchangeFailure::NotSent));
+}
+
+BOOST_AUTO_TEST_CASE(brokenAnswersAreToldApart)
+{
+    const std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab";
+    struct Case
+    {
+        std::string bytes_;
+        ExchangeFailure failure_;
+    };
+    for (const Case &one : {Case {"", ExchangeFailure::Unanswered},
+                            Case {"no answer at all\r\n\r\n", ExchangeFailure::Garbled},
+                            Case {cut, ExchangeFailure::Truncated}}) {
+        RawServer server(loop_, [&](const RawServer::Peer &peer, const std::string &) {
+            peer->write(one.bytes_);
+            peer->closeAfterWriting();
+        });
+        BOOST_TEST((finish(server.address()).failure_ == one.failure_), one.bytes_);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aCancelledExchangeClosesItsConnection)
+{
+    RawServer server(loop_, [](const RawServer::Peer &, const std::string &) {});
+    Outcome &result = start(server.address());
+    runUntil(loop_, [&] { return server.requests() == 1; });
+    client_.cancel(1);
+    runUntil(loop_, [&] { return server.closedByClient() == 1; });
+    BOOST_TEST(!result.over());
+    BOOST_TEST(client_.connections(net::toString(server.address())) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswersAreSkipped)
+{
+    RawServer server(loop_, [](const RawServer::Peer &peer, const std::string &) {
+        peer->write("HTTP/1.1 102 Processing\r\n\r\n" + responseText(200, "", "own"));
+    });
+    const Outcome &result = finish(server.address());
+    BOOST_TEST(result.head_.status_ == 200);
+    BOOST_TEST(result.body_ == "own");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/async/tests/httpservertest.cpp
@@ -0,0 +1,160 @@
+#include "almondridge/async/httpserver.h"
+
+#include "loopsupport.h"
+
+using namespace almondridge;
+using namespace almondridge::async;
+using namespace almondridge::async::testing;
+
+namespace {
+
+/** Answers with the target and the body, unless the test holds answers back. */
+struct EchoServer
+{
+    explicit EchoServer(ServerLimits limits = {})
+        : server_(loop_, {[this](ServerCall call) { onCall(std::move(call)); },
+                          [this](const CallId &) { ++gone_; },
+                          {}})
+    {
+        server_.setLimits(limits);
+        BOOST_REQUIRE(server_.listen({"127.0.0.1", 0}));
+    }
+
+    void onCall(ServerCall call)
+    {
+        ++calls_;
+        if (hold_) {
+            held_.push_back(call.id_);
+            return;
+        }
+        server_.respond(call.id_, {200, {}, call.head_.target_ + call.body_});
+    }
+
+    EventLoop loop_;
+    HttpServer server_;
+    std::vector<CallId> held_;
+    bool hold_ = false;
+    int calls_ = 0;
+    int gone_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EventServer)
+
+BOOST_AUTO_TEST_CASE(requestsSentAheadAreAnsweredInOrder)
+{
+    EchoServer echo;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
+                "GET /3 HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return caller.has("/3"); });
+    BOOST_TEST(caller.received().find("/1") < caller.received().find("/2x"));
+    BOOST_TEST(caller.received().find("/2x") < caller.received().find("/3"));
+}
+
+/**
+ * 300 callers open a connection and send half of a request. With a worker for each connection
+ * all workers waited for them, and a sound request was answered ten seconds later. Here it is
+ * answered while all of them still wait for the rest of theirs.
+ */
+BOOST_AUTO_TEST_CASE(callersThatSendSlowlyDelayNobody)
+{
+    EchoServer echo;
+    std::list<RawClient> slow;
+    for (int index = 0; index < 300; ++index) {
+        slow.emplace_back(echo.loop_, echo.server_.port());
+        slow.back().send("POST /slow HTTP/1.1\r\nContent-Le");
+    }
+    runUntil(echo.loop_, [&] { return echo.server_.connections() == 300; });
+    RawClient sound(echo.loop_, echo.server_.port());
+    sound.send("GET /sound HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return sound.has("/sound"); });
+    for (const RawClient &caller : slow) {
+        BOOST_TEST(caller.received().empty());
+        BOOST_TEST(!caller.closed());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatNeverEndsGets408AndAnIdleConnectionIsClosed)
+{
+    EchoServer echo({{}, 30, 60});
+    RawClient slow(echo.loop_, echo.server_.port());
+    RawClient idle(echo.loop_, echo.server_.port());
+    slow.send("GET / HTT");
+    runUntil(echo.loop_, [&] { return slow.closed() && idle.closed(); });
+    BOOST_TEST(slow.has("408"));
+    BOOST_TEST(idle.received().empty());
+}
+
+BOOST_AUTO_TEST_CASE(badRequestsGetTheirStatusAndTheConnectionEnds)
+{
+    EchoServer echo({{100, 10}, 3'000, 3'000});
+    RawClient large(echo.loop_, echo.server_.port());
+    large.send("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    RawClient longHead(echo.loop_, echo.server_.port());
+    longHead.send("GET / HTTP/1.1\r\nA: " + std::string(200, 'a') + "\r\n\r\n");
+    RawClient smuggler(echo.loop_, echo.server_.port());
+    smuggler.send("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"
+                  "GET /hidden HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return large.closed() && longHead.closed() && smuggler.closed(); });
+    BOOST_TEST(large.has(" 413 "));
+    BOOST_TEST(longHead.has(" 431 "));
+    BOOST_TEST(smuggler.has(" 400 "));
+    BOOST_TEST(echo.calls_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatWaitsForPermissionToSendItsBodyGetsIt)
+{
+    EchoServer echo;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("POST /b HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    runUntil(echo.loop_, [&] { return caller.has("100 Continue"); });
+    caller.send("ok");
+    runUntil(echo.loop_, [&] { return caller.has("/bok"); });
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesIsTold)
+{
+    EchoServer echo;
+    echo.hold_ = true;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+    caller.leave();
+    runUntil(echo.loop_, [&] { return echo.gone_ == 1; });
+    BOOST_TEST(echo.server_.openCalls() == 0U);
+    echo.server_.respond(echo.held_.front(), {200, {}, "late"});
+}
+
+/** A stream that its endpoint broke off must not look whole to the caller. */
+BOOST_AUTO_TEST_CASE(anAbortedStreamHasNoEnd)
+{
+    EchoServer echo;
+    echo.hold_ = true;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+    echo.server_.beginStream(echo.held_.front(), {200, "OK", {}});
+    echo.server_.streamBytes(echo.held_.front(), "data");
+    runUntil(echo.loop_, [&] { return caller.has("data"); });
+    echo.server_.abort(echo.held_.front());
+    runUntil(echo.loop_, [&] { return caller.closed(); });
+    BOOST_TEST(!caller.has("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(whileStoppingAnswersCloseTheirConnections)
+{
+    EchoServer echo;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return caller.has("/1"); });
+    BOOST_TEST(!caller.has("Connection: close"));
+    echo.server_.closeAfterAnswers();
+    caller.send("GET /2 HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return caller.closed(); });
+    BOOST_TEST(caller.has("/2"));
+    BOOST_TEST(caller.has("Connection: close"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -26,8 +26,8 @@
     std::string store_;
     bool firstStart_ = false; ///< The whole deployment starts for the first time.
     int failureDomains_ = 1;
-    std::int64_t heartbeatMillis_ = 1'200; ///< Between two entries of an endpoint in the store.
-    std::int64_t graceSeconds_ = 8;        ///< Between the signal to stop and the kill.
+    std::int64_t heartbeatMillis_ = 1'200;   ///< Between two entries of an endpoint in the store.
+    std::int64_t graceSeconds_ = 8;          ///< Between the signal to stop and the kill.
     std::int64_t configApplyMillis_ = 2'000; ///< A configuration is in force after this time.
     std::int64_t drainMillis_ = 2'000; ///< A leaving endpoint gets no request after this time.
     std::int64_t leaseTermMillis_ = 3'000;
--- a/libs/gateway/include/almondridge/gateway/authority.h
+++ b/libs/gateway/include/almondridge/gateway/authority.h
@@ -18,9 +18,9 @@
 
 struct AuthoritySettings
 {
-    std::int64_t termMillis_ = 3'000;   ///< How long the store's word holds.
-    std::int64_t renewMillis_ = 1'000;  ///< Between two questions to the store.
-    std::int64_t marginMillis_ = 500;   ///< Clocks that run apart, and orders on their way.
+    std::int64_t termMillis_ = 3'000;  ///< How long the store's word holds.
+    std::int64_t renewMillis_ = 1'000; ///< Between two questions to the store.
+    std::int64_t marginMillis_ = 500;  ///< Clocks that run apart, and orders on their way.
 };
 
 /** A right to give orders, until a point in time. */
--- a/libs/gateway/include/almondridge/gateway/config.h
+++ b/libs/gateway/include/almondridge/gateway/config.h
@@ -43,8 +43,8 @@
     std::string pathPrefix_; ///< Begins and ends with a slash.
     RouteKind kind_ = RouteKind::Unsafe;
     std::vector<ServiceShare> services_;
-    std::int64_t timeoutMillis_ = 0;   ///< The longest that a caller is kept waiting.
-    std::int64_t objectiveMillis_ = 0; ///< For the whole answer; streams: for the first event.
+    std::int64_t timeoutMillis_ = 0;      ///< The longest that a caller is kept waiting.
+    std::int64_t objectiveMillis_ = 0;    ///< For the whole answer; streams: for the first event.
     std::int64_t gapObjectiveMillis_ = 0; ///< Streams: the longest pause between two events.
     int priority_ = 5;                    ///< 0 is the most urgent.
     int maxAttempts_ = 1;                 ///< Servers that may run one request.
--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -28,7 +28,10 @@
     std::int64_t outputTokens_ = 0; ///< At most.
     std::vector<PromptPart> parts_; ///< In order; the last one is the request's own.
 
-    std::int64_t ownTokens() const noexcept { return parts_.empty() ? tokens_ : parts_.back().tokens_; }
+    std::int64_t ownTokens() const noexcept
+    {
+        return parts_.empty() ? tokens_ : parts_.back().tokens_;
+    }
 };
 
 /** What a caller's request says of itself. */
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -64,9 +64,9 @@
     LoadSample load_;
     TimePoint loadAt_ {};
 
-    int failures_ = 0;         ///< In a row.
+    int failures_ = 0; ///< In a row.
     TimePoint distrustedUntil_ {};
-    bool probing_ = false;     ///< The one request that tests it again is on its way.
+    bool probing_ = false; ///< The one request that tests it again is on its way.
 };
 
 /** What an answer, or its absence, says of an endpoint. */
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -56,7 +56,8 @@
     void listEndpoint(const ListedEndpoint &listed);
     void unlistEndpoint(const EndpointId &id);
     void keepOnlyEndpoints(const std::vector<EndpointId> &ids);
-    /** How many instances may share the allowance for second sends and the endpoints' connections. */
+    /** How many instances may share the allowance for second sends and the endpoints' connections.
+     */
     void setInstances(int count);
     EndpointTable &endpoints() noexcept;
     /** What callers asked of each service's engines since the last call. */
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -69,8 +69,8 @@
 private:
     struct Offer;
 
-    Offer offerOf(const Endpoint &engine, const Prompt &prompt, double tokensPerMilli,
-                  bool isHome, TimePoint now) const;
+    Offer offerOf(const Endpoint &engine, const Prompt &prompt, double tokensPerMilli, bool isHome,
+                  TimePoint now) const;
 
     PlacementSettings settings_;
     double tokensPerMilli_;
--- a/libs/gateway/include/almondridge/gateway/sendbudget.h
+++ b/libs/gateway/include/almondridge/gateway/sendbudget.h
@@ -13,8 +13,8 @@
 
 struct SendBudgetLimits
 {
-    double ratio_ = 0.2;            ///< Second sends for each request.
-    double slack_ = 10;             ///< Of all instances together, in each window.
+    double ratio_ = 0.2; ///< Second sends for each request.
+    double slack_ = 10;  ///< Of all instances together, in each window.
     std::int64_t windowMillis_ = 10'000;
 };
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -143,8 +143,7 @@
 bool Call::maySendAgain()
 {
     const TimePoint now = BootClock::now();
-    return sends_ < MaxSends && now < deadline_
-        && gateway_.budget(input_.service_).take(now);
+    return sends_ < MaxSends && now < deadline_ && gateway_.budget(input_.service_).take(now);
 }
 
 void Call::onCallerGone()
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -110,10 +110,10 @@
     bool mayHaveRun_ = false;
     std::optional<std::int64_t> retryAfterMillis_; ///< As the last endpoint that refused said.
     TimePoint firstByteAt_ {};
-    std::int64_t readTokens_ = 0;  ///< Prompt tokens that had to be read, as far as we know.
+    std::int64_t readTokens_ = 0; ///< Prompt tokens that had to be read, as far as we know.
     double readEstimateMillis_ = 0;
     TimePoint readAt_ {}; ///< When the prompt was read.
-    std::string trail_; ///< Endpoints asked and what came of it, for the log line.
+    std::string trail_;   ///< Endpoints asked and what came of it, for the log line.
 
 private:
     TimePoint deadline_;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -10,8 +10,8 @@
 struct EvidenceRule
 {
     Evidence evidence_;
-    int weight_;      ///< Added to the failures in a row; 0 clears them.
-    int distrustAt_;  ///< From this many on it gets no work.
+    int weight_;     ///< Added to the failures in a row; 0 clears them.
+    int distrustAt_; ///< From this many on it gets no work.
 };
 
 /**
@@ -158,8 +158,7 @@
 void EndpointTable::forgetIfDone(const EndpointId &id)
 {
     const auto found = endpoints_.find(id);
-    if (found != endpoints_.end() && !found->second.listedNow_
-        && found->second.outstanding_ == 0) {
+    if (found != endpoints_.end() && !found->second.listedNow_ && found->second.outstanding_ == 0) {
         endpoints_.erase(found);
     }
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -6,15 +6,13 @@
 
 namespace almondridge::gateway {
 
-GatewayState::GatewayState(async::EventLoop &loop, const Dialect &dialect,
-                           GatewaySettings settings)
+GatewayState::GatewayState(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings)
     : loop_(loop)
     , dialect_(dialect)
     , settings_(std::move(settings))
-    , server_(loop,
-              {[this](async::ServerCall call) { onCall(std::move(call)); },
-               [this](const async::CallId &id) { onCallerGone(id); },
-               [this](const async::CallId &id) { onWritten(id); }})
+    , server_(loop, {[this](async::ServerCall call) { onCall(std::move(call)); },
+                     [this](const async::CallId &id) { onCallerGone(id); },
+                     [this](const async::CallId &id) { onWritten(id); }})
     , client_(loop)
     , placement_({settings_.domain_})
     , random_(std::random_device {}())
@@ -92,9 +90,9 @@
     }
     const CallerLimits &limits = config->limits();
     state_->server_.setLimits({{static_cast<std::uint32_t>(limits.headBytes_),
-                        static_cast<std::uint64_t>(limits.bodyBytes_)},
-                       limits.headerTimeoutMillis_,
-                       limits.idleTimeoutMillis_});
+                                static_cast<std::uint64_t>(limits.bodyBytes_)},
+                               limits.headerTimeoutMillis_,
+                               limits.idleTimeoutMillis_});
     logEvent(LogLevel::Info, "config",
              {{"version", config->version()},
               {"before", state_->config_ != nullptr ? state_->config_->version() : 0},
@@ -186,8 +184,9 @@
     const std::string_view host = net::headerValue(request.head_.headers_, "Host");
     const Route *route = config_->find(host, request.head_.target_);
     if (route == nullptr || route->services_.empty()) {
-        logEvent(LogLevel::Info, "no_route",
-                 {{"host", host}, {"target", request.head_.target_}, {"config", config_->version()}});
+        logEvent(
+            LogLevel::Info, "no_route",
+            {{"host", host}, {"target", request.head_.target_}, {"config", config_->version()}});
         refuse(request.id_, 404, "no-route");
         return;
     }
@@ -200,8 +199,8 @@
     budget(input.service_).onRequest(BootClock::now());
     const bool model = route->kind_ == RouteKind::Streaming && input.facts_.prompt_.has_value();
     const std::uint64_t number = input.request_.id_.call_;
-    auto &call = calls_[number] = model ? makeModelCall(*this, std::move(input))
-                                        : makeServiceCall(*this, std::move(input));
+    auto &call = calls_[number] =
+        model ? makeModelCall(*this, std::move(input)) : makeServiceCall(*this, std::move(input));
     call->start();
 }
 
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -82,8 +82,8 @@
 void ModelCall::place()
 {
     const TimePoint now = BootClock::now();
-    const auto plan = gateway_.placement_.planPrompt(gateway_.table_, input_.service_, prompt(),
-                                                     excluded_, now);
+    const auto plan =
+        gateway_.placement_.planPrompt(gateway_.table_, input_.service_, prompt(), excluded_, now);
     if (!plan) {
         mayHaveRun_ ? failCall(502, "no-engine-left") : refuse("no-engine");
         return;
@@ -102,7 +102,8 @@
     readTokens_ = plan.newTokens_;
     readEstimateMillis_ = plan.readMillis_;
     gateway_.demand_[input_.service_].prefillSeconds_ += static_cast<double>(plan.newTokens_)
-        / gateway_.placement_.tokensPerMilli() / MillisPerSecond;
+                                                         / gateway_.placement_.tokensPerMilli()
+                                                         / MillisPerSecond;
 }
 
 /** A stream takes a slot and its prompt's memory while it runs: whichever is scarcer counts. */
@@ -114,9 +115,9 @@
     }
     const EngineTraits &engine = *service->engine_;
     const double slot = 1.0 / std::max(1, engine.slots_);
-    const double memory = engine.kvTokens_ > 0
-        ? static_cast<double>(prompt().tokens_) / static_cast<double>(engine.kvTokens_)
-        : 0;
+    const double memory = engine.kvTokens_ > 0 ? static_cast<double>(prompt().tokens_)
+                                                     / static_cast<double>(engine.kvTokens_)
+                                               : 0;
     gateway_.demand_[input_.service_].decodeSeconds_ +=
         toSeconds(BootClock::now() - attempt_.sentAt_) * std::max(slot, memory);
 }
@@ -183,8 +184,8 @@
         return;
     }
     const std::int64_t gap = phase_ == ModelPhase::Streaming
-        ? StalledAfterGaps * route().gapObjectiveMillis_
-        : 2 * route().objectiveMillis_;
+                                 ? StalledAfterGaps * route().gapObjectiveMillis_
+                                 : 2 * route().objectiveMillis_;
     watchSilence(BootClock::now() + millis(gap));
 }
 
@@ -213,10 +214,9 @@
     if (!begun_) {
         begun_ = true;
         firstByteAt_ = BootClock::now();
-        gateway_.server_.beginStream(
-            input_.request_.id_,
-            {attempt_.head_.status_, attempt_.head_.reason_,
-             gateway_.dialect_.callerHeaders(attempt_.head_.headers_)});
+        gateway_.server_.beginStream(input_.request_.id_,
+                                     {attempt_.head_.status_, attempt_.head_.reason_,
+                                      gateway_.dialect_.callerHeaders(attempt_.head_.headers_)});
     }
     gateway_.server_.streamBytes(input_.request_.id_, events);
     if (gateway_.server_.unwritten(input_.request_.id_) > MaxUnwritten && !paused_) {
@@ -274,8 +274,8 @@
 void ModelCall::prefillEnded()
 {
     const std::string handle = attempt_.head_.status_ == 200
-        ? gateway_.dialect_.readHandle(attempt_.body_)
-        : std::string();
+                                   ? gateway_.dialect_.readHandle(attempt_.body_)
+                                   : std::string();
     if (handle.empty()) {
         retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
         prefillFailed(attempt_.facts_.notRun_ ? refusalEvidence() : Evidence::ServerError);
@@ -286,8 +286,7 @@
     readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
     gateway_.placement_.onReadTime(
-        attempt_.promptTokens_,
-        static_cast<double>(toMillis(BootClock::now() - attempt_.sentAt_)));
+        attempt_.promptTokens_, static_cast<double>(toMillis(BootClock::now() - attempt_.sentAt_)));
     closeAttempt(Evidence::Sound);
     sendToDecode();
 }
@@ -421,8 +420,8 @@
     request.text_ = gateway_.dialect_.dropHandleText(handle_->source_, handle_->handle_);
     request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectMillis_);
     handle_.reset();
-    async::ExchangeEvents ignored {[](async::ResponseHead &) {}, [](const std::string &) {},
-                                   [] {}, [](async::ExchangeFailure) {}};
+    async::ExchangeEvents ignored {[](async::ResponseHead &) {}, [](const std::string &) {}, [] {},
+                                   [](async::ExchangeFailure) {}};
     gateway_.client_.start(std::move(request), std::move(ignored));
 }
 
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -10,7 +10,8 @@
 constexpr std::size_t RememberedParts = 8'192;
 /** How much a new measurement of the reading rate counts. */
 constexpr double RateWeight = 0.05;
-/** A rate beyond these is a measurement of something else: a full cache hit, or a stalled engine. */
+/** A rate beyond these is a measurement of something else: a full cache hit, or a stalled engine.
+ */
 constexpr double LeastTokensPerMilli = 5;
 constexpr double MostTokensPerMilli = 500;
 /** Samples of fewer tokens tell fixed costs rather than the rate. */
@@ -47,8 +48,8 @@
     const Endpoint *best = nullptr;
     double bestCost = 0;
     for (const Endpoint *one : endpoints) {
-        const double cost = fullness(*one, now)
-            + (one->listed_.domain_ == preferred ? 0.0 : otherDomainCost);
+        const double cost =
+            fullness(*one, now) + (one->listed_.domain_ == preferred ? 0.0 : otherDomainCost);
         if (best == nullptr || cost < bestCost) {
             best = one;
             bestCost = cost;
@@ -112,7 +113,7 @@
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
     std::sort(engines.begin(), engines.end(), [&](const Endpoint *one, const Endpoint *other) {
         return rendezvousWeight(one->listed_.id_, part)
-            > rendezvousWeight(other->listed_.id_, part);
+               > rendezvousWeight(other->listed_.id_, part);
     });
 
     const Endpoint *best = nullptr;
@@ -160,8 +161,7 @@
 }
 
 std::optional<EndpointId> Placement::chooseDecode(const EndpointTable &table,
-                                                  const ServiceId &service,
-                                                  const DomainId &source,
+                                                  const ServiceId &service, const DomainId &source,
                                                   const std::vector<EndpointId> &excluded,
                                                   TimePoint now) const
 {
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -26,9 +26,9 @@
 
 int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
 {
-    return static_cast<int>(std::count_if(
-        engines.begin(), engines.end(),
-        [&](const Endpoint *engine) { return engine->listed_.stage_ == stage; }));
+    return static_cast<int>(
+        std::count_if(engines.begin(), engines.end(),
+                      [&](const Endpoint *engine) { return engine->listed_.stage_ == stage; }));
 }
 
 } // namespace
@@ -95,8 +95,7 @@
                               engine->outstanding_ + engine->load_.running_);
     };
     for (const Endpoint *engine : engines) {
-        const bool fits = engine->listed_.stage_ == from
-            && !ordered_.contains(engine->listed_.id_);
+        const bool fits = engine->listed_.stage_ == from && !ordered_.contains(engine->listed_.id_);
         if (fits && (best == nullptr || rank(engine) < rank(best))) {
             best = engine;
         }
@@ -113,7 +112,7 @@
     std::erase_if(ordered_, [&](const auto &entry) {
         const Endpoint *engine = table.find(entry.first);
         return engine == nullptr || entry.second.until_ <= now
-            || engine->listed_.stage_ == entry.second.stage_;
+               || engine->listed_.stage_ == entry.second.stage_;
     });
     const int count = static_cast<int>(engines.size());
     if (count < 2) {
@@ -131,8 +130,7 @@
     if (difference == 0 || (!idle && difference < least && ordered_.empty())) {
         return {};
     }
-    const int room = idle ? count
-                          : std::max(1, static_cast<int>(settings_.awayShare_ * count));
+    const int room = idle ? count : std::max(1, static_cast<int>(settings_.awayShare_ * count));
     std::vector<StageChange> changes;
     const Stage to = wanted > prefill ? Stage::Prefill : Stage::Decode;
     const Stage from = wanted > prefill ? Stage::Decode : Stage::Prefill;
--- /dev/null
+++ b/libs/gateway/tests/decisiontest.cpp
@@ -0,0 +1,147 @@
+#include "../src/eventsplitter.h"
+#include "almondridge/gateway/authority.h"
+#include "almondridge/gateway/config.h"
+#include "almondridge/gateway/sendbudget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace almondridge;
+using namespace almondridge::gateway;
+
+namespace {
+
+TimePoint at(std::int64_t milliseconds)
+{
+    return TimePoint {} + millis(1'000'000 + milliseconds);
+}
+
+Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route one;
+    one.name_ = name;
+    one.host_ = host;
+    one.pathPrefix_ = prefix;
+    one.services_ = {{ServiceId("s"), 1}};
+    return one;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Decisions)
+
+BOOST_AUTO_TEST_CASE(theLongestPrefixOfTheHostDecides)
+{
+    const auto config = Config::Builder()
+                            .route(route("short", "a.example", "/x/"))
+                            .route(route("long", "a.example", "/x/y/"))
+                            .route(route("other", "b.example", "/"))
+                            .build();
+    BOOST_TEST(config->find("a.example", "/x/y/z")->name_ == "long");
+    BOOST_TEST(config->find("A.Example:80", "/x/yy?q=/y/")->name_ == "short");
+    BOOST_TEST(config->find("b.example", "/x/y/")->name_ == "other");
+    BOOST_TEST((config->find("a.example", "/x") == nullptr));
+    BOOST_TEST((config->find("c.example", "/x/") == nullptr));
+    BOOST_TEST((config->find("", "*") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(eventsAreCutAtTheirEnds)
+{
+    EventSplitter splitter;
+    BOOST_TEST(splitter.feed("id: 1\ndata: a\n").empty());
+    BOOST_TEST(splitter.feed("\nid: 2\ndata: b\n\nid: 3\nda")
+               == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    BOOST_TEST(splitter.lastId() == "2");
+    BOOST_TEST(splitter.rest() == "id: 3\nda");
+}
+
+/**
+ * Nine instances repeat a sound share of their requests while a service fails. Each one alone
+ * keeps to the allowance, and so do all together, without talking to each other.
+ */
+BOOST_AUTO_TEST_CASE(allInstancesTogetherKeepToTheAllowance)
+{
+    constexpr int Instances = 9;
+    constexpr int RequestsEach = 100;
+    double sends = 0;
+    for (int instance = 0; instance < Instances; ++instance) {
+        SendBudget budget({0.2, 58, 10'000});
+        budget.setInstances(Instances);
+        for (int request = 0; request < RequestsEach; ++request) {
+            budget.onRequest(at(request * 100));
+            sends += budget.take(at(request * 100)) ? 1 : 0;
+            sends += budget.take(at(request * 100)) ? 1 : 0;
+        }
+    }
+    BOOST_TEST(sends <= 0.2 * Instances * RequestsEach + 58);
+    BOOST_TEST(sends > 0.1 * Instances * RequestsEach);
+}
+
+BOOST_AUTO_TEST_CASE(whatWasSpentComesBackWhenItsWindowHasPassed)
+{
+    SendBudget budget({0, 4, 10'000});
+    BOOST_TEST(budget.take(at(0)));
+    BOOST_TEST(budget.take(at(0)));
+    BOOST_TEST(budget.take(at(0)));
+    BOOST_TEST(!budget.take(at(5'000)));
+    BOOST_TEST(budget.take(at(11'000)));
+}
+
+BOOST_AUTO_TEST_CASE(theFirstHolderOfAllMayOrderAtOnce)
+{
+    Authority authority({3'000, 1'000, 500});
+    authority.onNamed(true, at(0), at(10));
+    BOOST_TEST(authority.needsFence(at(10)));
+    BOOST_TEST(!authority.right(at(10)));
+    authority.onClaimed(0, at(20));
+    BOOST_REQUIRE(authority.right(at(20)).has_value());
+    BOOST_TEST(authority.right(at(20))->fence_ == 1U);
+}
+
+/**
+ * The store names another instance without a word to the one before. That one goes on giving
+ * orders until it asks again; the new holder must not give any in the same time, or engines get
+ * orders of two holders.
+ */
+BOOST_AUTO_TEST_CASE(aLaterHolderWaitsUntilTheOneBeforeMustKnow)
+{
+    Authority before({3'000, 1'000, 500});
+    before.onNamed(true, at(0), at(5));
+    before.onClaimed(0, at(10));
+    Authority after({3'000, 1'000, 500});
+    after.onNamed(true, at(100), at(105));
+    after.onClaimed(1, at(110));
+    for (std::int64_t now = 150; now < 10'000; now += 50) {
+        if (now % 1'000 == 0) {
+            after.onNamed(true, at(now), at(now));
+        }
+        BOOST_TEST(!(before.right(at(now)) && after.right(at(now))));
+    }
+    BOOST_TEST(after.right(at(9'900)).has_value());
+}
+
+/**
+ * A holder is frozen for longer than its term and wakes. By its own clock its right is over, and
+ * when the store names it again it needs a new and higher fence first.
+ */
+BOOST_AUTO_TEST_CASE(aHolderThatWakesHasNoRightLeft)
+{
+    Authority authority({3'000, 1'000, 500});
+    authority.onNamed(true, at(0), at(5));
+    authority.onClaimed(0, at(10));
+    BOOST_TEST(!authority.right(at(2'600)).has_value());
+    authority.onNamed(true, at(9'000), at(9'005));
+    BOOST_TEST(authority.needsFence(at(9'005)));
+    BOOST_TEST(!authority.right(at(9'005)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aHolderThatAnEngineKnowsToBeOvertakenStops)
+{
+    Authority authority({3'000, 1'000, 500});
+    authority.onNamed(true, at(0), at(5));
+    authority.onClaimed(0, at(10));
+    authority.onOvertaken(at(20));
+    BOOST_TEST(!authority.right(at(20)).has_value());
+    BOOST_TEST(!authority.needsFence(at(20)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -0,0 +1,214 @@
+#include "almondridge/gateway/placement.h"
+#include "almondridge/gateway/stageplan.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace almondridge;
+using namespace almondridge::gateway;
+
+namespace {
+
+const ServiceId Models("models");
+
+TimePoint at(std::int64_t milliseconds)
+{
+    return TimePoint {} + millis(1'000'000 + milliseconds);
+}
+
+ListedEndpoint engine(int number, Stage stage, const std::string &domain = "a")
+{
+    ListedEndpoint listed;
+    listed.id_ = EndpointId("engine-" + std::to_string(number));
+    listed.service_ = Models;
+    listed.address_ = {"127.0.0.1", static_cast<std::uint16_t>(number + 1)};
+    listed.domain_ = DomainId(domain);
+    listed.slots_ = 64;
+    listed.stage_ = stage;
+    return listed;
+}
+
+/** prefill engines that read, then decode engines that generate, over three failure domains. */
+EndpointTable fleet(int prefill, int decode)
+{
+    constexpr std::array<const char *, 3> Domains {"a", "b", "c"};
+    EndpointTable table;
+    for (int number = 0; number < prefill + decode; ++number) {
+        const Stage stage = number < prefill ? Stage::Prefill : Stage::Decode;
+        table.list(engine(number, stage, Domains[number % Domains.size()]), at(0));
+    }
+    return table;
+}
+
+Prompt promptWith(std::uint64_t sharedPart, std::int64_t sharedTokens = 13'000)
+{
+    Prompt prompt;
+    prompt.tokens_ = sharedTokens + 3'000;
+    prompt.parts_ = {{sharedPart, sharedTokens}, {sharedPart * 1'000 + 7, 3'000}};
+    return prompt;
+}
+
+int countPrefill(const EndpointTable &table)
+{
+    int count = 0;
+    for (const Endpoint *one : table.listed(Models)) {
+        count += one->listed_.stage_ == Stage::Prefill ? 1 : 0;
+    }
+    return count;
+}
+
+/** Carries the plan's orders out at once and says how many there were. */
+int obey(EndpointTable &table, StagePlan &plan, TimePoint now)
+{
+    const auto changes = plan.plan(table, Models, now);
+    for (const StageChange &change : changes) {
+        ListedEndpoint listed = table.find(change.engine_)->listed_;
+        listed.stage_ = change.stage_;
+        table.list(listed, now);
+    }
+    return static_cast<int>(changes.size());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Endpoints)
+
+BOOST_AUTO_TEST_CASE(aDrainingOrUnlistedEndpointGetsNoNewWork)
+{
+    EndpointTable table = fleet(0, 3);
+    ListedEndpoint draining = engine(0, Stage::Decode);
+    draining.draining_ = true;
+    table.list(draining, at(0));
+    table.unlist(EndpointId("engine-1"));
+    const auto usable = table.usable(Models, at(0));
+    BOOST_REQUIRE(usable.size() == 1U);
+    BOOST_TEST(usable.front()->listed_.id_.value() == "engine-2");
+}
+
+BOOST_AUTO_TEST_CASE(anUnlistedEndpointIsKnownUntilItsLastRequestEnds)
+{
+    EndpointTable table = fleet(0, 1);
+    const EndpointId id("engine-0");
+    table.onSent(id, 0);
+    table.unlist(id);
+    BOOST_TEST((table.find(id) != nullptr));
+    table.onClosed(id);
+    BOOST_TEST((table.find(id) == nullptr));
+}
+
+/**
+ * An endpoint goes dark: connections to it break or stay silent. It is left alone for a time that
+ * grows, then one request tests it, and only its sound answer brings the others back.
+ */
+BOOST_AUTO_TEST_CASE(aDistrustedEndpointIsTestedByOneRequest)
+{
+    EndpointTable table = fleet(0, 1);
+    const EndpointId id("engine-0");
+    BOOST_TEST(!table.onEvidence(id, Evidence::Broken, at(0)));
+    BOOST_TEST(table.onEvidence(id, Evidence::Broken, at(0)));
+    BOOST_TEST(table.usable(Models, at(100)).empty());
+    BOOST_TEST(table.usable(Models, at(1'000)).size() == 1U);
+    table.onSent(id, 0);
+    BOOST_TEST(table.usable(Models, at(1'000)).empty());
+    BOOST_TEST(table.onEvidence(id, Evidence::Sound, at(1'100)));
+    BOOST_TEST(table.usable(Models, at(1'100)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(errorsOfItsOwnTakeAnEndpointOutOnlyInARow)
+{
+    EndpointTable table = fleet(0, 1);
+    const EndpointId id("engine-0");
+    for (int round = 0; round < 20; ++round) {
+        table.onEvidence(id, Evidence::ServerError, at(round));
+        table.onEvidence(id, Evidence::ServerError, at(round));
+        table.onEvidence(id, Evidence::Sound, at(round));
+    }
+    BOOST_TEST(table.usable(Models, at(20)).size() == 1U);
+    for (int error = 0; error < 8; ++error) {
+        table.onEvidence(id, Evidence::ServerError, at(20));
+    }
+    BOOST_TEST(table.usable(Models, at(20)).empty());
+}
+
+/** Two instances that never talked send prompts with the same shared part to the same engine. */
+BOOST_AUTO_TEST_CASE(instancesAgreeOnWhereAPartIsRead)
+{
+    const EndpointTable table = fleet(12, 6);
+    const Placement one({DomainId("a")});
+    const Placement other({DomainId("b")});
+    std::map<EndpointId, int> parts;
+    for (std::uint64_t part = 1; part <= 400; ++part) {
+        const auto first = one.planPrompt(table, Models, promptWith(part), {}, at(0));
+        const auto second = other.planPrompt(table, Models, promptWith(part), {}, at(0));
+        BOOST_REQUIRE((first && second && first->prefill_));
+        BOOST_TEST((first->prefill_ == second->prefill_));
+        ++parts[*first->prefill_];
+    }
+    BOOST_TEST(parts.size() == 12U);
+    for (const auto &[id, count] : parts) {
+        BOOST_TEST(count < 2 * 400 / 12);
+    }
+}
+
+/** One part is asked for far more than the others: its engine's queue sends prompts elsewhere. */
+BOOST_AUTO_TEST_CASE(aLongQueueIsWorthReadingAPartAgain)
+{
+    EndpointTable table = fleet(12, 6);
+    const Placement placement({DomainId("a")});
+    const auto home = *placement.planPrompt(table, Models, promptWith(1), {}, at(0))->prefill_;
+    table.onSent(home, 10'000);
+    BOOST_TEST((placement.planPrompt(table, Models, promptWith(1), {}, at(0))->prefill_ == home));
+    table.onSent(home, 10'000);
+    BOOST_TEST((placement.planPrompt(table, Models, promptWith(1), {}, at(0))->prefill_ != home));
+}
+
+BOOST_AUTO_TEST_CASE(aHandedOverPromptStaysInItsFailureDomainWhileThereIsRoom)
+{
+    EndpointTable table = fleet(0, 6);
+    const Placement placement({DomainId("a")});
+    const auto choose = [&] {
+        return *placement.chooseDecode(table, Models, DomainId("b"), {}, at(0));
+    };
+    BOOST_TEST(table.find(choose())->listed_.domain_.value() == "b");
+    for (int request = 0; request < 40; ++request) {
+        table.onSent(EndpointId("engine-1"), 0);
+        table.onSent(EndpointId("engine-4"), 0);
+    }
+    BOOST_TEST(table.find(choose())->listed_.domain_.value() != "b");
+}
+
+/** Before any traffic the engines take the split that is expected, all at once. */
+BOOST_AUTO_TEST_CASE(theExpectedSplitIsTakenBeforeTheFirstRequest)
+{
+    EndpointTable table = fleet(6, 12);
+    StagePlan plan({});
+    BOOST_TEST(obey(table, plan, at(0)) == 6);
+    BOOST_TEST(countPrefill(table) == 12);
+    BOOST_TEST(obey(table, plan, at(1'000)) == 0);
+}
+
+/** Engines to change come from all failure domains alike, so that a cut leaves both stages. */
+BOOST_AUTO_TEST_CASE(changesAreSpreadOverFailureDomains)
+{
+    EndpointTable table = fleet(0, 18);
+    StagePlan plan({});
+    obey(table, plan, at(0));
+    std::map<DomainId, int> perDomain;
+    for (const Endpoint *one : table.listed(Models)) {
+        perDomain[one->listed_.domain_] += one->listed_.stage_ == Stage::Prefill ? 1 : 0;
+    }
+    for (const auto &[domain, count] : perDomain) {
+        BOOST_TEST(count == 4);
+    }
+}
+
+/** An engine without an answer to its order is not ordered again until it had the time to act. */
+BOOST_AUTO_TEST_CASE(anEngineHasOneOrderOnItsWay)
+{
+    const EndpointTable table = fleet(6, 12);
+    StagePlan plan({});
+    BOOST_TEST(plan.plan(table, Models, at(0)).size() == 6U);
+    BOOST_TEST(plan.plan(table, Models, at(1'000)).empty());
+    BOOST_TEST(plan.plan(table, Models, at(5'000)).size() == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/store/src/storecall.cpp
+++ b/libs/store/src/storecall.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 Result<PlatformAnswer> storeCall(const net::Address &address, const net::Request &request,
-                                    TimePoint deadline)
+                                 TimePoint deadline)
 {
     BOOST_LEAF_AUTO(exchange, connect(address, deadline));
     BOOST_LEAF_CHECK(exchange.send(request, deadline));
--- a/libs/store/src/storecall.h
+++ b/libs/store/src/storecall.h
@@ -26,7 +26,7 @@
  * Unavailable: nothing was sent. Interrupted: something was sent and no whole answer came.
  */
 Result<PlatformAnswer> storeCall(const net::Address &address, const net::Request &request,
-                                    TimePoint deadline);
+                                 TimePoint deadline);
 
 /** The failure that a status other than 200 stands for; source names the service. */
 boost::leaf::error_id failedStatus(const std::string &source, const PlatformAnswer &answer);
