Prompts that cannot be in time go behind those that can; one reading rate but for slow engines

Cause: in a queue longer than an objective every prompt is late. And with speeds measured engine by engine prompts left their cached parts for engines that were faster by chance.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -55,7 +55,7 @@
 {
     EndpointId endpoint_;
     std::int64_t patienceMillis_ = 0;
-    std::optional<int> priority_;
+    std::optional<int> urgency_; ///< Engines serve 0 first.
     bool prefillOnly_ = false;
     std::optional<PromptHandle> prompt_;
     std::string resumeAfter_; ///< Go on after this event; empty: as the caller asked.
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -10,6 +10,7 @@
 #include "almondridge/base/time.h"
 #include "almondridge/net/http.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,6 +46,24 @@
     friend bool operator==(const ListedEndpoint &, const ListedEndpoint &) = default;
 };
 
+/** How urgent a request is for an engine: 0 goes first. */
+inline constexpr int Urgencies = 10;
+
+/** Prompt tokens that an engine has still to read, by the urgency of their requests. */
+struct PromptQueue
+{
+    std::array<std::int64_t, Urgencies> tokens_ {};
+
+    void add(int urgency, std::int64_t tokens);
+    /** Never below zero: what was told twice or late must not hide what is queued. */
+    void remove(int urgency, std::int64_t tokens);
+    /** What is read before a new request of this urgency. */
+    std::int64_t ahead(int urgency) const noexcept;
+    std::int64_t all() const noexcept { return ahead(Urgencies - 1); }
+
+    friend bool operator==(const PromptQueue &, const PromptQueue &) = default;
+};
+
 /** An endpoint's word on its load, as answers carry it. */
 struct LoadSample
 {
@@ -58,9 +77,10 @@
     ListedEndpoint listed_;
     bool listedNow_ = true; ///< False: its entry is gone and it gets no new work.
 
-    int outstanding_ = 0;            ///< Requests of ours without a whole answer.
-    std::int64_t queuedTokens_ = 0;  ///< Prompt tokens of ours that it has still to read.
-    std::int64_t foreignTokens_ = 0; ///< The same of the other instances, as they told.
+    int outstanding_ = 0;       ///< Requests of ours without a whole answer.
+    PromptQueue queued_;        ///< Of this instance's requests.
+    PromptQueue foreignQueued_; ///< Of the other instances', as they told.
+    double readingSpeed_ = 1;   ///< Against the usual rate, as measured.
     LoadSample load_;
     TimePoint loadAt_ {};
 
@@ -104,10 +124,14 @@
     std::vector<const Endpoint *> usable(const ServiceId &service, TimePoint now) const;
     /** Those of a service that are listed and not draining, trusted or not. */
     std::vector<const Endpoint *> listed(const ServiceId &service) const;
+    /** Prompt tokens that an engine usually reads in a millisecond; 0: not measured yet. */
+    double usualRate() const noexcept { return usualRate_; }
     const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
 
-    void onSent(const EndpointId &id, std::int64_t promptTokens);
-    void onRead(const EndpointId &id, std::int64_t promptTokens);
+    void onSent(const EndpointId &id, int urgency, std::int64_t promptTokens);
+    void onRead(const EndpointId &id, int urgency, std::int64_t promptTokens);
+    /** It read this many tokens, its queue included, in the time. */
+    void onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds);
     void onClosed(const EndpointId &id);
     void onLoad(const EndpointId &id, const LoadSample &load, TimePoint now);
     /** True when it was trusted and is not any more, or the other way round. */
@@ -117,6 +141,7 @@
     void forgetIfDone(const EndpointId &id);
 
     std::map<EndpointId, Endpoint> endpoints_;
+    double usualRate_ = 0;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -25,7 +25,7 @@
     InstanceId sender_;
     std::uint64_t lifetime_ = 0; ///< Rises with each restart of the sender.
     std::uint64_t number_ = 0;   ///< Rises within a lifetime; older notes are dropped.
-    std::map<EndpointId, std::int64_t> queuedTokens_;
+    std::map<EndpointId, PromptQueue> queued_;
 };
 
 /** The note as a datagram. */
@@ -33,7 +33,7 @@
 /** nullopt: it is no note. */
 std::optional<LoadNote> decodeNote(std::string_view bytes);
 
-/** The newest notes of all peers, kept in the endpoints' foreignTokens_. */
+/** The newest notes of all peers, kept in the endpoints' foreignQueued_. */
 class PeerLoads
 {
 public:
@@ -49,7 +49,8 @@
         TimePoint heardAt_ {};
     };
 
-    static void count(const LoadNote &note, EndpointTable &table, int sign);
+    using Change = void (PromptQueue::*)(int urgency, std::int64_t tokens);
+    static void count(const LoadNote &note, EndpointTable &table, Change change);
 
     std::map<InstanceId, Peer> peers_;
 };
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -28,8 +28,8 @@
     double firstTokensPerMilli_ = 50;
     /** What generating engines read, against engines that only read. */
     double decodeReadShare_ = 0.5;
-    /** Fixed time of handing a prompt over, beside its reading. */
-    double handoverMillis_ = 12;
+    /** From a read prompt to its first event at the caller: the hand-over and the first step. */
+    std::int64_t handoverMillis_ = 30;
 };
 
 /** How a prompt is to be served. */
@@ -37,8 +37,20 @@
 {
     std::optional<EndpointId> prefill_; ///< Empty: read where it is generated.
     EndpointId decode_;
-    std::int64_t newTokens_ = 0; ///< To be read where it is read first.
-    double readMillis_ = 0;      ///< Estimate until it is read, queue included.
+    int urgency_ = 0;
+    std::int64_t newTokens_ = 0;   ///< To be read where it is read first.
+    std::int64_t aheadTokens_ = 0; ///< What is read there before it.
+    double readMillis_ = 0;        ///< Estimate until it is read, queue included.
+};
+
+/** What is asked of a placement. */
+struct PromptQuery
+{
+    ServiceId service_;
+    const Prompt *prompt_ = nullptr;
+    int priority_ = 0;    ///< Of its route; 0 is the most urgent.
+    TimePoint inTime_ {}; ///< The first event is in time until then.
+    std::vector<EndpointId> excluded_ {};
 };
 
 class Placement
@@ -47,9 +59,7 @@
     explicit Placement(PlacementSettings settings);
 
     /** nullopt: no endpoint may get the request. */
-    std::optional<PromptPlan> planPrompt(const EndpointTable &table, const ServiceId &service,
-                                         const Prompt &prompt,
-                                         const std::vector<EndpointId> &excluded,
+    std::optional<PromptPlan> planPrompt(const EndpointTable &table, const PromptQuery &query,
                                          TimePoint now) const;
     /** An engine to generate for a prompt that was read at source. */
     std::optional<EndpointId> chooseDecode(const EndpointTable &table, const ServiceId &service,
@@ -61,19 +71,25 @@
                                             const std::vector<EndpointId> &excluded,
                                             TimePoint now) const;
 
-    /** A prompt was read: its parts are in the engine's cache, and its time tells the rate. */
-    void onPromptRead(const EndpointId &engine, const Prompt &prompt, TimePoint now);
-    void onReadTime(std::int64_t tokensAhead, double milliseconds);
-    double tokensPerMilli() const noexcept { return tokensPerMilli_; }
+    /** A prompt is read there: its parts are in the engine's cache from now on. */
+    void onPromptRead(const EndpointId &engine, const Prompt &prompt);
+    /** The rate at which an engine reads prompts. */
+    double readingRate(const EndpointTable &table, const Endpoint &engine) const;
 
 private:
     struct Offer;
 
-    Offer offerOf(const Endpoint &engine, const Prompt &prompt, double tokensPerMilli, bool isHome,
-                  TimePoint now) const;
+    std::vector<const Endpoint *> enginesInOrder(const EndpointTable &table,
+                                                 const PromptQuery &query, TimePoint now) const;
+    Offer offerOf(const Endpoint &engine, const PromptQuery &query, bool isHome) const;
+    Offer rank(const EndpointTable &table, const Endpoint &engine, const PromptQuery &query,
+               bool isHome, int urgency) const;
+    Offer bestReader(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
+                     const PromptQuery &query, TimePoint now) const;
+    Offer bestGenerator(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
+                        const PromptQuery &query) const;
 
     PlacementSettings settings_;
-    double tokensPerMilli_;
     PromptMemory memory_;
 };
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -50,6 +50,7 @@
     attempt_ = {};
     attempt_.endpoint_ = endpoint;
     attempt_.promptTokens_ = promptTokens;
+    attempt_.urgency_ = order.urgency_.value_or(0);
     attempt_.sentAt_ = BootClock::now();
     async::ExchangeRequest request;
     request.peer_ = endpoint.value();
@@ -59,7 +60,7 @@
     request.requestId_ = facts().requestId_;
     request.bodyless_ = input_.request_.head_.method_ == "HEAD";
     request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectMillis_);
-    gateway_.table_.onSent(endpoint, promptTokens);
+    gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens);
     trail_ += (trail_.empty() ? "" : ",") + endpoint.value();
 
     async::ExchangeEvents events;
@@ -107,7 +108,7 @@
 
 void Call::promptWasRead()
 {
-    gateway_.table_.onRead(attempt_.endpoint_, attempt_.promptTokens_);
+    gateway_.table_.onRead(attempt_.endpoint_, attempt_.urgency_, attempt_.promptTokens_);
     attempt_.promptTokens_ = 0;
 }
 
@@ -211,6 +212,7 @@
               {"endpoints", trail_},
               {"read_tokens", readTokens_},
               {"read_estimate_ms", static_cast<std::int64_t>(readEstimateMillis_)},
+              {"urgency", urgency_},
               {"read_ms", readAt_ == TimePoint {} ? -1 : toMillis(readAt_ - began)},
               {"first_ms", firstByteAt_ == TimePoint {} ? -1 : toMillis(firstByteAt_ - began)},
               {"total_ms", toMillis(now - began)},
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -55,6 +55,7 @@
         async::ExchangeId exchange_ = 0; ///< 0: none.
         EndpointId endpoint_;
         std::int64_t promptTokens_ = 0; ///< Counted as queued there until read.
+        int urgency_ = 0;
         TimePoint sentAt_ {};
         async::ResponseHead head_;
         AnswerFacts facts_;
@@ -112,6 +113,7 @@
     TimePoint firstByteAt_ {};
     std::int64_t readTokens_ = 0; ///< Prompt tokens that had to be read, as far as we know.
     double readEstimateMillis_ = 0;
+    int urgency_ = -1;    ///< As the engine that read was told; -1: no prompt.
     TimePoint readAt_ {}; ///< When the prompt was read.
     std::string trail_;   ///< Endpoints asked and what came of it, for the log line.
 
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -32,6 +32,15 @@
 constexpr Duration FirstDistrust = millis(300);
 constexpr Duration LongestDistrust = millis(2'000);
 
+/** How much a new measurement counts for the usual rate, and for one engine's own speed. */
+constexpr double UsualRateWeight = 0.02;
+constexpr double SpeedWeight = 0.1;
+/** A rate beyond these is a measurement of something else: a stalled engine, or a cache hit. */
+constexpr double LeastTokensPerMilli = 5;
+constexpr double MostTokensPerMilli = 300;
+/** Fewer tokens tell fixed costs rather than the rate. */
+constexpr std::int64_t LeastSampleTokens = 4'000;
+
 const EvidenceRule &ruleFor(Evidence evidence)
 {
     return *std::find_if(EvidenceRules.begin(), EvidenceRules.end(),
@@ -49,6 +58,26 @@
 
 } // namespace
 
+void PromptQueue::add(int urgency, std::int64_t tokens)
+{
+    tokens_.at(static_cast<std::size_t>(urgency)) += tokens;
+}
+
+void PromptQueue::remove(int urgency, std::int64_t tokens)
+{
+    std::int64_t &queued = tokens_.at(static_cast<std::size_t>(urgency));
+    queued = std::max<std::int64_t>(0, queued - tokens);
+}
+
+std::int64_t PromptQueue::ahead(int urgency) const noexcept
+{
+    std::int64_t sum = 0;
+    for (int one = 0; one <= urgency; ++one) {
+        sum += tokens_[static_cast<std::size_t>(one)];
+    }
+    return sum;
+}
+
 bool EndpointTable::list(const ListedEndpoint &listed, TimePoint now)
 {
     const auto [place, added] = endpoints_.try_emplace(listed.id_);
@@ -121,25 +150,37 @@
     return found;
 }
 
-void EndpointTable::onSent(const EndpointId &id, std::int64_t promptTokens)
+void EndpointTable::onSent(const EndpointId &id, int urgency, std::int64_t promptTokens)
 {
     Endpoint *endpoint = find(id);
     if (endpoint == nullptr) {
         return;
     }
     ++endpoint->outstanding_;
-    endpoint->queuedTokens_ += promptTokens;
+    endpoint->queued_.add(urgency, promptTokens);
     if (endpoint->distrustedUntil_ != TimePoint {}) {
         endpoint->probing_ = true;
     }
 }
 
-void EndpointTable::onRead(const EndpointId &id, std::int64_t promptTokens)
+void EndpointTable::onRead(const EndpointId &id, int urgency, std::int64_t promptTokens)
 {
     Endpoint *endpoint = find(id);
     if (endpoint != nullptr) {
-        endpoint->queuedTokens_ = std::max<std::int64_t>(0, endpoint->queuedTokens_ - promptTokens);
+        endpoint->queued_.remove(urgency, promptTokens);
+    }
+}
+
+void EndpointTable::onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint == nullptr || tokens < LeastSampleTokens || milliseconds <= 0) {
+        return;
     }
+    const double sample = std::clamp(static_cast<double>(tokens) / milliseconds,
+                                     LeastTokensPerMilli, MostTokensPerMilli);
+    usualRate_ = usualRate_ > 0 ? usualRate_ + UsualRateWeight * (sample - usualRate_) : sample;
+    endpoint->readingSpeed_ += SpeedWeight * (sample / usualRate_ - endpoint->readingSpeed_);
 }
 
 void EndpointTable::onClosed(const EndpointId &id)
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -99,8 +99,8 @@
 {
     LoadNote note {self_, lifetime_, number_, {}};
     for (const auto &[id, endpoint] : gateway_.endpoints().all()) {
-        if (endpoint.queuedTokens_ > 0) {
-            note.queuedTokens_[id] = endpoint.queuedTokens_;
+        if (endpoint.queued_.all() > 0) {
+            note.queued_[id] = endpoint.queued_;
         }
     }
     return note;
@@ -114,12 +114,11 @@
     const auto differs = [](const auto &one, const auto &other) {
         return std::any_of(one.begin(), one.end(), [&](const auto &entry) {
             const auto found = other.find(entry.first);
-            const std::int64_t before = found != other.end() ? found->second : 0;
-            return std::abs(entry.second - before) >= WorthTelling;
+            const std::int64_t before = found != other.end() ? found->second.all() : 0;
+            return std::abs(entry.second.all() - before) >= WorthTelling;
         });
     };
-    return differs(note.queuedTokens_, last_.queuedTokens_)
-        || differs(last_.queuedTokens_, note.queuedTokens_);
+    return differs(note.queued_, last_.queued_) || differs(last_.queued_, note.queued_);
 }
 
 void LoadExchange::tick()
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -63,6 +63,7 @@
     EndpointId prefillEngine_;
     DomainId prefillDomain_;
     EventSplitter events_;
+    std::int64_t aheadTokens_ = 0; ///< Read before this prompt, where it is read.
     bool prefillAccepted_ = false; ///< The one prefill that is no attempt was made.
     bool inPlaceOnly_ = false;
     bool begun_ = false;  ///< The answer's head went to the caller.
@@ -82,8 +83,13 @@
 void ModelCall::place()
 {
     const TimePoint now = BootClock::now();
-    const auto plan =
-        gateway_.placement_.planPrompt(gateway_.table_, input_.service_, prompt(), excluded_, now);
+    PromptQuery query;
+    query.service_ = input_.service_;
+    query.prompt_ = &prompt();
+    query.priority_ = route().priority_;
+    query.inTime_ = input_.request_.startedAt_ + millis(route().objectiveMillis_);
+    query.excluded_ = excluded_;
+    const auto plan = gateway_.placement_.planPrompt(gateway_.table_, query, now);
     if (!plan) {
         mayHaveRun_ ? failCall(502, "no-engine-left") : refuse("no-engine");
         return;
@@ -101,9 +107,12 @@
     constexpr double MillisPerSecond = 1'000;
     readTokens_ = plan.newTokens_;
     readEstimateMillis_ = plan.readMillis_;
-    gateway_.demand_[input_.service_].prefillSeconds_ += static_cast<double>(plan.newTokens_)
-                                                         / gateway_.placement_.tokensPerMilli()
-                                                         / MillisPerSecond;
+    aheadTokens_ = plan.aheadTokens_;
+    urgency_ = plan.urgency_;
+    const Endpoint *engine = gateway_.table_.find(plan.prefill_.value_or(plan.decode_));
+    gateway_.demand_[input_.service_].prefillSeconds_ +=
+        static_cast<double>(plan.newTokens_)
+        / gateway_.placement_.readingRate(gateway_.table_, *engine) / MillisPerSecond;
 }
 
 /** A stream takes a slot and its prompt's memory while it runs: whichever is scarcer counts. */
@@ -128,9 +137,9 @@
     countRead(plan);
     prefillEngine_ = *plan.prefill_;
     prefillDomain_ = gateway_.table_.find(prefillEngine_)->listed_.domain_;
-    gateway_.placement_.onPromptRead(prefillEngine_, prompt(), BootClock::now());
+    gateway_.placement_.onPromptRead(prefillEngine_, prompt());
     SendOrder order;
-    order.priority_ = route().priority_;
+    order.urgency_ = plan.urgency_;
     order.prefillOnly_ = true;
     send(prefillEngine_, order, plan.newTokens_);
     const Duration patience =
@@ -143,9 +152,9 @@
     phase_ = ModelPhase::Waiting;
     ++runs_;
     countRead(plan);
-    gateway_.placement_.onPromptRead(plan.decode_, prompt(), BootClock::now());
+    gateway_.placement_.onPromptRead(plan.decode_, prompt());
     SendOrder order;
-    order.priority_ = route().priority_;
+    order.urgency_ = plan.urgency_;
     order.resumeAfter_ = events_.lastId();
     send(plan.decode_, order, plan.newTokens_);
     watchStream();
@@ -163,7 +172,7 @@
     phase_ = ModelPhase::Waiting;
     ++runs_;
     SendOrder order;
-    order.priority_ = route().priority_;
+    order.urgency_ = std::clamp(route().priority_, 0, Urgencies - 1);
     order.prompt_ = std::exchange(handle_, std::nullopt);
     send(*engine, order, 0);
     watchStream();
@@ -285,8 +294,8 @@
     prefillAccepted_ = true;
     readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
-    gateway_.placement_.onReadTime(
-        attempt_.promptTokens_, static_cast<double>(toMillis(BootClock::now() - attempt_.sentAt_)));
+    gateway_.table_.onReadTime(attempt_.endpoint_, aheadTokens_ + readTokens_,
+                               static_cast<double>(toMillis(readAt_ - attempt_.sentAt_)));
     closeAttempt(Evidence::Sound);
     sendToDecode();
 }
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -11,13 +11,40 @@
 /** A peer sends at least once a second; after three missed notes what it had queued is unknown. */
 constexpr Duration SilentAfter = millis(3'000);
 
+/** Tokens by urgency, without the zeros at the end. */
+Json encodeQueue(const PromptQueue &queue)
+{
+    std::size_t length = queue.tokens_.size();
+    while (length > 0 && queue.tokens_[length - 1] == 0) {
+        --length;
+    }
+    return std::vector<std::int64_t>(queue.tokens_.begin(),
+                                     queue.tokens_.begin() + static_cast<std::ptrdiff_t>(length));
+}
+
+std::optional<PromptQueue> decodeQueue(const Json &json)
+{
+    PromptQueue queue;
+    if (!json.is_array() || json.size() > queue.tokens_.size()) {
+        return std::nullopt;
+    }
+    int urgency = 0;
+    for (const Json &tokens : json) {
+        if (!tokens.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        queue.add(urgency++, tokens.get<std::int64_t>());
+    }
+    return queue;
+}
+
 } // namespace
 
 std::string encodeNote(const LoadNote &note)
 {
     Json queued = Json::object();
-    for (const auto &[endpoint, tokens] : note.queuedTokens_) {
-        queued[endpoint.value()] = tokens;
+    for (const auto &[endpoint, queue] : note.queued_) {
+        queued[endpoint.value()] = encodeQueue(queue);
     }
     const Json json = Json::array({note.sender_.value(), note.lifetime_, note.number_, queued});
     std::string bytes;
@@ -30,7 +57,8 @@
     const Json json = Json::from_cbor(bytes, true, false);
     constexpr std::size_t Fields = 4;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
-        && json[1].is_number_unsigned() && json[2].is_number_unsigned() && json[3].is_object();
+                        && json[1].is_number_unsigned() && json[2].is_number_unsigned()
+                        && json[3].is_object();
     if (!shaped) {
         return std::nullopt;
     }
@@ -39,21 +67,22 @@
     note.lifetime_ = json[1].get<std::uint64_t>();
     note.number_ = json[2].get<std::uint64_t>();
     for (const auto &[endpoint, tokens] : json[3].items()) {
-        if (!tokens.is_number_unsigned()) {
+        const auto queue = decodeQueue(tokens);
+        if (!queue) {
             return std::nullopt;
         }
-        note.queuedTokens_[EndpointId(endpoint)] = tokens.get<std::int64_t>();
+        note.queued_[EndpointId(endpoint)] = *queue;
     }
     return note;
 }
 
-void PeerLoads::count(const LoadNote &note, EndpointTable &table, int sign)
+void PeerLoads::count(const LoadNote &note, EndpointTable &table, Change change)
 {
-    for (const auto &[id, tokens] : note.queuedTokens_) {
+    for (const auto &[id, queue] : note.queued_) {
         Endpoint *endpoint = table.find(id);
-        if (endpoint != nullptr) {
-            endpoint->foreignTokens_ =
-                std::max<std::int64_t>(0, endpoint->foreignTokens_ + sign * tokens);
+        for (int urgency = 0; endpoint != nullptr && urgency < Urgencies; ++urgency) {
+            (endpoint->foreignQueued_.*change)(urgency,
+                                               queue.tokens_[static_cast<std::size_t>(urgency)]);
         }
     }
 }
@@ -61,14 +90,15 @@
 void PeerLoads::onNote(const LoadNote &note, EndpointTable &table, TimePoint now)
 {
     Peer &peer = peers_[note.sender_];
-    const bool older = note.lifetime_ < peer.note_.lifetime_
+    const bool older =
+        note.lifetime_ < peer.note_.lifetime_
         || (note.lifetime_ == peer.note_.lifetime_ && note.number_ <= peer.note_.number_);
     if (older && peer.heardAt_ != TimePoint {}) {
         return;
     }
-    count(peer.note_, table, -1);
+    count(peer.note_, table, &PromptQueue::remove);
     peer = {note, now};
-    count(peer.note_, table, 1);
+    count(peer.note_, table, &PromptQueue::add);
 }
 
 void PeerLoads::forgetSilent(EndpointTable &table, TimePoint now)
@@ -76,7 +106,7 @@
     std::erase_if(peers_, [&](const auto &entry) {
         const bool silent = entry.second.heardAt_ + SilentAfter < now;
         if (silent) {
-            count(entry.second.note_, table, -1);
+            count(entry.second.note_, table, &PromptQueue::remove);
         }
         return silent;
     });
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -1,24 +1,29 @@
 #include "almondridge/gateway/placement.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace almondridge::gateway {
 namespace {
 
 /** Shared parts that are remembered: some thousand subjects on a few engines each. */
 constexpr std::size_t RememberedParts = 8'192;
-/** How much a new measurement of the reading rate counts. */
-constexpr double RateWeight = 0.05;
-/** A rate beyond these is a measurement of something else: a full cache hit, or a stalled engine.
+/**
+ * An engine slower than this share of the usual rate is taken for slow. Between sound ones the
+ * measured speeds differ by chance, and choosing by them sends prompts away from their cached
+ * parts: worth 0.812 without, 0.793 with them on a calm day.
  */
-constexpr double LeastTokensPerMilli = 5;
-constexpr double MostTokensPerMilli = 500;
-/** Samples of fewer tokens tell fixed costs rather than the rate. */
-constexpr std::int64_t LeastSampleTokens = 2'000;
+constexpr double SlowSpeed = 0.5;
+
 /** How long a load told by an answer says something of the queue now. */
 constexpr Duration LoadIsFresh = millis(400);
 
+/**
+ * A prompt that cannot be read in time any more goes behind all that can, whatever its route: read
+ * in the order of arrival, a queue that is longer than an objective makes every request late.
+ * Urgencies from this one on are for prompts that are late.
+ */
+constexpr int LateUrgencies = Urgencies / 2;
+
 /**
  * Engines that may read one part: the first of its order, and as many more when that one's queue
  * is long. Each copy of a part takes memory from the other parts; without a bound a loaded fleet
@@ -27,6 +32,14 @@
  */
 constexpr int HomesOfAPart = 3;
 
+/**
+ * What reading a part again elsewhere costs beside its own time: the engine reads nothing else
+ * meanwhile, and the copy pushes others out of its memory. Worth of two sites on a calm and a
+ * loaded day at 0, 0.5, 1 and 2: 0.805, 0.797, 0.814, 0.812 and 0.451, 0.520, 0.517, 0.538;
+ * 0.700, 0.750, 0.768, 0.777 and 0.465, 0.505, 0.499, 0.513.
+ */
+constexpr double ReadAgainWeight = 2;
+
 bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -83,91 +96,145 @@
 
 } // namespace
 
+/** What one engine could do for a prompt. */
 struct Placement::Offer
 {
+    const Endpoint *engine_ = nullptr;
+    int urgency_ = 0;
     std::int64_t newTokens_ = 0;
-    double millis_ = 0;
+    std::int64_t aheadTokens_ = 0;
+    double millis_ = 0; ///< Until the prompt is read.
+    double cost_ = 0;   ///< The same, and what it takes from other prompts.
+
+    bool betterThan(const Offer &other) const
+    {
+        return other.engine_ == nullptr || cost_ < other.cost_;
+    }
 };
 
 Placement::Placement(PlacementSettings settings)
     : settings_(std::move(settings))
-    , tokensPerMilli_(settings_.firstTokensPerMilli_)
     , memory_(RememberedParts)
 { }
 
-Placement::Offer Placement::offerOf(const Endpoint &engine, const Prompt &prompt,
-                                    double tokensPerMilli, bool isHome, TimePoint) const
+double Placement::readingRate(const EndpointTable &table, const Endpoint &engine) const
 {
+    double rate = table.usualRate() > 0 ? table.usualRate() : settings_.firstTokensPerMilli_;
+    if (engine.readingSpeed_ < SlowSpeed) {
+        rate *= engine.readingSpeed_;
+    }
+    return engine.listed_.stage_ == Stage::Prefill ? rate : rate * settings_.decodeReadShare_;
+}
+
+Placement::Offer Placement::offerOf(const Endpoint &engine, const PromptQuery &query,
+                                    bool isHome) const
+{
+    const Prompt &prompt = *query.prompt_;
     std::int64_t cached = memory_.cachedTokens(engine.listed_.id_, prompt);
     if (isHome) {
         // Other instances send the part there too: it is cached even if we never saw it go.
         cached = std::max(cached, prompt.tokens_ - prompt.ownTokens());
     }
     Offer offer;
+    offer.engine_ = &engine;
     offer.newTokens_ = std::max<std::int64_t>(1, prompt.tokens_ - cached);
-    const auto queued = static_cast<double>(engine.queuedTokens_ + engine.foreignTokens_);
-    offer.millis_ = (queued + static_cast<double>(offer.newTokens_)) / tokensPerMilli;
     return offer;
 }
 
-std::optional<PromptPlan> Placement::planPrompt(const EndpointTable &table,
-                                                const ServiceId &service, const Prompt &prompt,
-                                                const std::vector<EndpointId> &excluded,
-                                                TimePoint now) const
+Placement::Offer Placement::rank(const EndpointTable &table, const Endpoint &engine,
+                                 const PromptQuery &query, bool isHome, int urgency) const
 {
-    std::vector<const Endpoint *> engines = table.usable(service, now);
-    removeExcluded(engines, excluded);
-    const PromptPart *leading = leadingPart(prompt);
+    Offer offer = offerOf(engine, query, isHome);
+    const double rate = readingRate(table, engine);
+    offer.urgency_ = urgency;
+    // All that can be in time counts as ahead, also what is less urgent: an engine reads several
+    // prompts at once, and does not stop those that it has begun.
+    const int counted = urgency < LateUrgencies ? LateUrgencies - 1 : Urgencies - 1;
+    offer.aheadTokens_ = engine.queued_.ahead(counted) + engine.foreignQueued_.ahead(counted);
+    offer.millis_ = static_cast<double>(offer.aheadTokens_ + offer.newTokens_) / rate;
+    const std::int64_t again = offer.newTokens_ - query.prompt_->ownTokens();
+    offer.cost_ = offer.millis_
+                  + ReadAgainWeight * static_cast<double>(std::max<std::int64_t>(0, again)) / rate;
+    return offer;
+}
+
+std::vector<const Endpoint *>
+Placement::enginesInOrder(const EndpointTable &table, const PromptQuery &query, TimePoint now) const
+{
+    std::vector<const Endpoint *> engines = table.usable(query.service_, now);
+    removeExcluded(engines, query.excluded_);
+    const PromptPart *leading = leadingPart(*query.prompt_);
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
     std::sort(engines.begin(), engines.end(), [&](const Endpoint *one, const Endpoint *other) {
         return rendezvousWeight(one->listed_.id_, part)
                > rendezvousWeight(other->listed_.id_, part);
     });
+    return engines;
+}
 
-    const Endpoint *best = nullptr;
-    Offer bestOffer;
-    int considered = 0;
-    for (const Endpoint *engine : engines) {
-        if (engine->listed_.stage_ != Stage::Prefill) {
-            continue;
-        }
-        if (considered >= HomesOfAPart) {
-            continue;
-        }
-        const Offer offer = offerOf(*engine, prompt, tokensPerMilli_, considered == 0, now);
-        ++considered;
-        if (best == nullptr || offer.millis_ < bestOffer.millis_) {
-            best = engine;
-            bestOffer = offer;
+Placement::Offer Placement::bestReader(const EndpointTable &table,
+                                       const std::vector<const Endpoint *> &engines,
+                                       const PromptQuery &query, TimePoint now) const
+{
+    const auto bestAt = [&](int urgency) {
+        Offer best;
+        int considered = 0;
+        for (const Endpoint *engine : engines) {
+            if (engine->listed_.stage_ != Stage::Prefill || considered >= HomesOfAPart) {
+                continue;
+            }
+            const Offer offer = rank(table, *engine, query, considered == 0, urgency);
+            ++considered;
+            if (offer.betterThan(best)) {
+                best = offer;
+            }
         }
-    }
-    const Endpoint *inPlace = nullptr;
-    Offer inPlaceOffer;
+        return best;
+    };
+    const int inTime = std::clamp(query.priority_, 0, LateUrgencies - 1);
+    const Offer best = bestAt(inTime);
+    const auto left =
+        static_cast<double>(toMillis(query.inTime_ - now) - settings_.handoverMillis_);
+    return best.engine_ == nullptr || best.millis_ <= left ? best : bestAt(LateUrgencies + inTime);
+}
+
+Placement::Offer Placement::bestGenerator(const EndpointTable &table,
+                                          const std::vector<const Endpoint *> &engines,
+                                          const PromptQuery &query) const
+{
+    Offer best;
     for (const Endpoint *engine : engines) {
         if (engine->listed_.stage_ == Stage::Prefill) {
             continue;
         }
         const Offer offer =
-            offerOf(*engine, prompt, tokensPerMilli_ * settings_.decodeReadShare_, false, now);
-        if (inPlace == nullptr || offer.millis_ < inPlaceOffer.millis_) {
-            inPlace = engine;
-            inPlaceOffer = offer;
+            rank(table, *engine, query, false, std::clamp(query.priority_, 0, LateUrgencies - 1));
+        if (offer.betterThan(best)) {
+            best = offer;
         }
     }
-    if (inPlace == nullptr) {
+    return best;
+}
+
+std::optional<PromptPlan> Placement::planPrompt(const EndpointTable &table,
+                                                const PromptQuery &query, TimePoint now) const
+{
+    const std::vector<const Endpoint *> engines = enginesInOrder(table, query, now);
+    const Offer generator = bestGenerator(table, engines, query);
+    if (generator.engine_ == nullptr) {
         return std::nullopt;
     }
+    const Offer reader = bestReader(table, engines, query, now);
+    const Offer &reads = reader.engine_ != nullptr ? reader : generator;
     PromptPlan plan;
-    if (best != nullptr) {
-        plan.prefill_ = best->listed_.id_;
-        plan.decode_ = inPlace->listed_.id_;
-        plan.newTokens_ = bestOffer.newTokens_;
-        plan.readMillis_ = bestOffer.millis_;
-        return plan;
+    if (reader.engine_ != nullptr) {
+        plan.prefill_ = reader.engine_->listed_.id_;
     }
-    plan.decode_ = inPlace->listed_.id_;
-    plan.newTokens_ = inPlaceOffer.newTokens_;
-    plan.readMillis_ = inPlaceOffer.millis_;
+    plan.decode_ = generator.engine_->listed_.id_;
+    plan.urgency_ = reads.urgency_;
+    plan.newTokens_ = reads.newTokens_;
+    plan.aheadTokens_ = reads.aheadTokens_;
+    plan.readMillis_ = reads.millis_;
     return plan;
 }
 
@@ -200,21 +267,11 @@
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
-void Placement::onPromptRead(const EndpointId &engine, const Prompt &prompt, TimePoint)
+void Placement::onPromptRead(const EndpointId &engine, const Prompt &prompt)
 {
     for (const PromptPart &part : prompt.parts_) {
         memory_.remember(engine, part.id_);
     }
 }
 
-void Placement::onReadTime(std::int64_t tokensAhead, double milliseconds)
-{
-    if (tokensAhead < LeastSampleTokens || milliseconds <= 0) {
-        return;
-    }
-    const double sample = std::clamp(static_cast<double>(tokensAhead) / milliseconds,
-                                     LeastTokensPerMilli, MostTokensPerMilli);
-    tokensPerMilli_ += RateWeight * (sample - tokensPerMilli_);
-}
-
 } // namespace almondridge::gateway
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -1,3 +1,4 @@
+#include "almondridge/gateway/peerload.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/stageplan.h"
 
@@ -47,6 +48,17 @@
     return prompt;
 }
 
+PromptQuery query(const Prompt &prompt, std::int64_t inTimeMillis = 600, int priority = 1)
+{
+    return {Models, &prompt, priority, at(inTimeMillis), {}};
+}
+
+std::optional<PromptPlan> planFor(const Placement &placement, const EndpointTable &table,
+                                  const Prompt &prompt)
+{
+    return placement.planPrompt(table, query(prompt), at(0));
+}
+
 int countPrefill(const EndpointTable &table)
 {
     int count = 0;
@@ -88,7 +100,7 @@
 {
     EndpointTable table = fleet(0, 1);
     const EndpointId id("engine-0");
-    table.onSent(id, 0);
+    table.onSent(id, 0, 0);
     table.unlist(id);
     BOOST_TEST((table.find(id) != nullptr));
     table.onClosed(id);
@@ -107,7 +119,7 @@
     BOOST_TEST(table.onEvidence(id, Evidence::Broken, at(0)));
     BOOST_TEST(table.usable(Models, at(100)).empty());
     BOOST_TEST(table.usable(Models, at(1'000)).size() == 1U);
-    table.onSent(id, 0);
+    table.onSent(id, 0, 0);
     BOOST_TEST(table.usable(Models, at(1'000)).empty());
     BOOST_TEST(table.onEvidence(id, Evidence::Sound, at(1'100)));
     BOOST_TEST(table.usable(Models, at(1'100)).size() == 1U);
@@ -137,8 +149,8 @@
     const Placement other({DomainId("b")});
     std::map<EndpointId, int> parts;
     for (std::uint64_t part = 1; part <= 400; ++part) {
-        const auto first = one.planPrompt(table, Models, promptWith(part), {}, at(0));
-        const auto second = other.planPrompt(table, Models, promptWith(part), {}, at(0));
+        const auto first = planFor(one, table, promptWith(part));
+        const auto second = planFor(other, table, promptWith(part));
         BOOST_REQUIRE((first && second && first->prefill_));
         BOOST_TEST((first->prefill_ == second->prefill_));
         ++parts[*first->prefill_];
@@ -154,11 +166,98 @@
 {
     EndpointTable table = fleet(12, 6);
     const Placement placement({DomainId("a")});
-    const auto home = *placement.planPrompt(table, Models, promptWith(1), {}, at(0))->prefill_;
-    table.onSent(home, 10'000);
-    BOOST_TEST((placement.planPrompt(table, Models, promptWith(1), {}, at(0))->prefill_ == home));
-    table.onSent(home, 10'000);
-    BOOST_TEST((placement.planPrompt(table, Models, promptWith(1), {}, at(0))->prefill_ != home));
+    const auto home = *planFor(placement, table, promptWith(1))->prefill_;
+    table.onSent(home, 1, 20'000);
+    BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
+    table.onSent(home, 1, 30'000);
+    BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
+}
+
+/**
+ * A burst of long prompts: more arrive than can be read in time. Read in the order of arrival all
+ * of them would be late; those that cannot be in time any more give way to those that can.
+ */
+BOOST_AUTO_TEST_CASE(aPromptThatCannotBeInTimeGoesBehindThoseThatCan)
+{
+    EndpointTable table = fleet(1, 1);
+    const Placement placement({DomainId("a")});
+    const Prompt prompt = promptWith(1);
+    const EndpointId reader("engine-0");
+    const auto inTime = placement.planPrompt(table, query(prompt, 600, 2), at(0));
+    BOOST_TEST(inTime->urgency_ == 2);
+    table.onSent(reader, 2, 60'000);
+    const auto late = placement.planPrompt(table, query(prompt, 600, 2), at(0));
+    BOOST_TEST(late->urgency_ == 7);
+    table.onRead(reader, 2, 60'000);
+    table.onSent(reader, late->urgency_, 60'000);
+    const auto next = placement.planPrompt(table, query(prompt, 600, 2), at(0));
+    BOOST_TEST(next->urgency_ == 2);
+    BOOST_TEST(next->aheadTokens_ == 0);
+}
+
+/** What the other instances have sent counts like our own, or nine of them would herd. */
+BOOST_AUTO_TEST_CASE(theQueuesOfOtherInstancesCount)
+{
+    EndpointTable table = fleet(12, 6);
+    const Placement placement({DomainId("a")});
+    const auto home = *planFor(placement, table, promptWith(1))->prefill_;
+    PeerLoads loads;
+    LoadNote note {InstanceId("other"), 1, 1, {}};
+    note.queued_[home].add(1, 50'000);
+    loads.onNote(*decodeNote(encodeNote(note)), table, at(0));
+    BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
+    loads.forgetSilent(table, at(5'000));
+    BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
+}
+
+/** Datagrams overtake each other, and a restarted peer counts anew. */
+BOOST_AUTO_TEST_CASE(anOlderNoteDoesNotReplaceANewerOne)
+{
+    EndpointTable table = fleet(1, 1);
+    const EndpointId id("engine-0");
+    PeerLoads loads;
+    const auto hear = [&](std::uint64_t lifetime, std::uint64_t number, std::int64_t tokens) {
+        LoadNote note {InstanceId("other"), lifetime, number, {}};
+        note.queued_[id].add(0, tokens);
+        loads.onNote(note, table, at(0));
+        return table.find(id)->foreignQueued_.all();
+    };
+    BOOST_TEST(hear(1, 2, 500) == 500);
+    BOOST_TEST(hear(1, 1, 900) == 500);
+    BOOST_TEST(hear(2, 1, 70) == 70);
+    BOOST_TEST(hear(1, 3, 900) == 70);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNoNoteIsIgnored)
+{
+    LoadNote note {InstanceId("other"), 1, 1, {}};
+    note.queued_[EndpointId("e")].add(9, 3);
+    const std::string bytes = encodeNote(note);
+    BOOST_TEST((decodeNote(bytes)->queued_ == note.queued_));
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        BOOST_TEST(!decodeNote(bytes.substr(0, length)).has_value());
+    }
+    BOOST_TEST(!decodeNote("\xff").has_value());
+}
+
+/** Speeds of sound engines differ by chance: only a really slow one loses its cached parts. */
+BOOST_AUTO_TEST_CASE(onlyASlowEngineLosesItsPrompts)
+{
+    EndpointTable table = fleet(12, 6);
+    const Placement placement({DomainId("a")});
+    const auto home = *planFor(placement, table, promptWith(1))->prefill_;
+    for (int sample = 0; sample < 30; ++sample) {
+        for (int number = 0; number < 12; ++number) {
+            const EndpointId id("engine-" + std::to_string(number));
+            table.onReadTime(id, 10'000, id == home ? 220 : 180);
+        }
+    }
+    table.onSent(home, 1, 10'000);
+    BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
+    for (int sample = 0; sample < 30; ++sample) {
+        table.onReadTime(home, 10'000, 2'000);
+    }
+    BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
 }
 
 BOOST_AUTO_TEST_CASE(aHandedOverPromptStaysInItsFailureDomainWhileThereIsRoom)
@@ -170,8 +269,8 @@
     };
     BOOST_TEST(table.find(choose())->listed_.domain_.value() == "b");
     for (int request = 0; request < 40; ++request) {
-        table.onSent(EndpointId("engine-1"), 0);
-        table.onSent(EndpointId("engine-4"), 0);
+        table.onSent(EndpointId("engine-1"), 0, 0);
+        table.onSent(EndpointId("engine-4"), 0, 0);
     }
     BOOST_TEST(table.find(choose())->listed_.domain_.value() != "b");
 }
