--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -18,7 +18,7 @@
 
     /** Unavailable: the address is taken or not this machine's. */
     Result<void> listen(const net::Address &address);
-    void setPeers(std::vector<net::Address> peers);
+    void setPeers(const std::vector<net::Address> &peers);
     std::uint64_t sent() const noexcept { return sent_; }
     std::uint64_t received() const noexcept { return received_; }
 
--- a/libs/gateway/include/almondridge/gateway/stagekeeper.h
+++ b/libs/gateway/include/almondridge/gateway/stagekeeper.h
@@ -21,9 +21,9 @@
     virtual ~AuthorityStore() = default;
 
     /** Asks whether this instance is the one that is named; nullopt: no answer. */
-    virtual void ask(std::function<void(std::optional<bool>)> done) = 0;
+    virtual void ask(const std::function<void(std::optional<bool>)> &done) = 0;
     /** Appends a claim and gives its offset; nullopt: it may or may not be there. */
-    virtual void claim(std::function<void(std::optional<LogOffset>)> done) = 0;
+    virtual void claim(const std::function<void(std::optional<LogOffset>)> &done) = 0;
 };
 
 struct StageKeeperSettings
@@ -51,7 +51,7 @@
     void readEngine(const ServiceId &service, const StageChange &change);
     void give(const ServiceId &service, const StageChange &change, const EngineReport &report);
     void ask(const EndpointId &engine, std::string text,
-             std::function<void(int status, const std::string &body)> done);
+             const std::function<void(int status, const std::string &body)> &done);
     void onOrderAnswer(const ServiceId &service, const EndpointId &engine, int status);
     StagePlan &planOf(const ServiceId &service);
 
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -54,7 +54,7 @@
     return {};
 }
 
-void LoadExchange::setPeers(std::vector<net::Address> peers)
+void LoadExchange::setPeers(const std::vector<net::Address> &peers)
 {
     peers_.clear();
     for (const net::Address &peer : peers) {
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -107,7 +107,7 @@
 
 /** One call to an engine; status 0: no whole answer came. */
 void StageKeeper::ask(const EndpointId &engine, std::string text,
-                      std::function<void(int, const std::string &)> done)
+                      const std::function<void(int, const std::string &)> &done)
 {
     struct Answer
     {
