A begun stream that nobody can go on with is cut, not refused

Cause: a stream whose engine stalled looked for another engine, found none and wrote a 502 into the middle of the stream. All ways to end a model call without an answer now go through one function.

--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -53,6 +53,7 @@
     void countRead(const PromptPlan &plan);
     void countGenerated();
     void passEvents(std::string_view events);
+    void giveUp(std::string_view cause);
     void watchStream();
     bool isStream() const;
     bool mayRunAgain();
@@ -91,7 +92,7 @@
     query.excluded_ = excluded_;
     const auto plan = gateway_.placement_.planPrompt(gateway_.table_, query, now);
     if (!plan) {
-        mayHaveRun_ ? failCall(502, "no-engine-left") : refuse("no-engine");
+        giveUp("no-engine");
         return;
     }
     if (plan->prefill_ && !inPlaceOnly_) {
@@ -165,8 +166,7 @@
     const auto engine = gateway_.placement_.chooseDecode(
         gateway_.table_, input_.service_, prefillDomain_, excluded_, BootClock::now());
     if (!engine) {
-        abandonEndpoints();
-        mayHaveRun_ ? failCall(502, "no-engine-left") : refuse("no-engine");
+        giveUp("no-engine");
         return;
     }
     phase_ = ModelPhase::Waiting;
@@ -273,8 +273,7 @@
     }
     closeAttempt(evidence);
     if (begun_) {
-        gateway_.server_.abort(input_.request_.id_);
-        finish(Outcome::Failed, whole.head_.status_, "not-resumed");
+        giveUp("not-resumed");
         return;
     }
     answer(whole);
@@ -307,7 +306,7 @@
     cancelAttempt(evidence);
     inPlaceOnly_ = true;
     if (!maySendAgain()) {
-        refuse("prefill-failed");
+        giveUp("prefill-failed");
         return;
     }
     place();
@@ -321,12 +320,7 @@
     logNotRun();
     closeAttempt(refusalEvidence());
     if (!maySendAgain()) {
-        if (begun_) {
-            gateway_.server_.abort(input_.request_.id_);
-            finish(Outcome::Failed, 503, "not-resumed");
-            return;
-        }
-        mayHaveRun_ ? failCall(502, "not-run-again") : refuse("engine-full");
+        giveUp("engine-full");
         return;
     }
     sendResume();
@@ -359,14 +353,7 @@
         attempt_.facts_ = {};
         excluded_.push_back(attempt_.endpoint_);
         closeAttempt(Evidence::Broken);
-        if (maySendAgain()) {
-            sendResume();
-        } else if (begun_) {
-            gateway_.server_.abort(input_.request_.id_);
-            finish(Outcome::Failed, 0, "not-resumed");
-        } else {
-            mayHaveRun_ ? failCall(502, "not-sent-again") : refuse("engine-unreachable");
-        }
+        maySendAgain() ? sendResume() : giveUp("engine-unreachable");
         return;
     }
     streamBroke(failure, Evidence::Broken);
@@ -381,13 +368,25 @@
         sendResume();
         return;
     }
-    const std::string_view cause = nameOf(async::ExchangeFailureNames, failure);
+    giveUp(nameOf(async::ExchangeFailureNames, failure));
+}
+
+/**
+ * Ends the request without a whole answer. Once events went to the caller only a cut tells that
+ * no more will come: a refusal would stand in the middle of the stream.
+ */
+void ModelCall::giveUp(std::string_view cause)
+{
+    abandonEndpoints();
+    cancelAttempt(std::nullopt);
     if (begun_) {
         gateway_.server_.abort(input_.request_.id_);
         finish(Outcome::Failed, 0, cause);
-        return;
+    } else if (mayHaveRun_) {
+        failCall(502, cause);
+    } else {
+        refuse(cause);
     }
-    failCall(502, cause);
 }
 
 void ModelCall::attemptSilent()
@@ -412,9 +411,7 @@
         Call::deadlinePassed();
         return;
     }
-    cancelAttempt(std::nullopt);
-    gateway_.server_.abort(input_.request_.id_);
-    finish(Outcome::Failed, 0, "deadline");
+    giveUp("deadline");
 }
 
 void ModelCall::abandonEndpoints()
