One instance asks for the lease, and orders once the list of engines is whole

Cause: nine instances that join a group one after the other hand its partition on, and each new holder waits 4.5 s: orders came 3 s before traffic or within it.

--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -14,11 +14,15 @@
 class LoadExchange
 {
 public:
-    LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self);
+    /** mayLead: whether this instance reaches what the right to give orders is taken from. */
+    LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self,
+                 std::function<bool()> mayLead);
 
     /** Unavailable: the address is taken or not this machine's. */
     Result<void> listen(const net::Address &address);
     void setPeers(const std::vector<net::Address> &peers);
+    /** Whether this instance is the one that should ask for the right to give orders. */
+    bool leads() const { return mayLead_() && loads_.leads(self_); }
     std::uint64_t sent() const noexcept { return sent_; }
     std::uint64_t received() const noexcept { return received_; }
 
@@ -31,6 +35,7 @@
 
     Gateway &gateway_;
     InstanceId self_;
+    std::function<bool()> mayLead_;
     boost::asio::ip::udp::socket socket_;
     async::Timer timer_;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -25,6 +25,7 @@
     InstanceId sender_;
     std::uint64_t lifetime_ = 0; ///< Rises with each restart of the sender.
     std::uint64_t number_ = 0;   ///< Rises within a lifetime; older notes are dropped.
+    bool mayLead_ = false; ///< The sender could give orders: it reaches the store.
     std::map<EndpointId, PromptQueue> queued_;
 };
 
@@ -40,6 +41,11 @@
     void onNote(const LoadNote &note, EndpointTable &table, TimePoint now);
     /** Forgets peers that have not been heard of lately. */
     void forgetSilent(EndpointTable &table, TimePoint now);
+    /**
+     * Whether no peer that may lead comes before self in the order that all work out alike. A
+     * hint that keeps the others from asking for the lease; it gives no right.
+     */
+    bool leads(const InstanceId &self) const;
     std::size_t peers() const noexcept { return peers_.size(); }
 
 private:
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -61,15 +61,15 @@
     /** nullopt: no endpoint may get the request. */
     std::optional<PromptPlan> planPrompt(const EndpointTable &table, const PromptQuery &query,
                                          TimePoint now) const;
-    /** An engine to generate for a prompt that was read at source. */
+    /** An engine to generate for a prompt that was read at source. ticket: any number. */
     std::optional<EndpointId> chooseDecode(const EndpointTable &table, const ServiceId &service,
                                            const DomainId &source,
                                            const std::vector<EndpointId> &excluded,
-                                           TimePoint now) const;
-    /** A plain service's endpoint. */
+                                           std::uint64_t ticket, TimePoint now) const;
+    /** A plain service's endpoint. ticket: any number. */
     std::optional<EndpointId> chooseService(const EndpointTable &table, const ServiceId &service,
                                             const std::vector<EndpointId> &excluded,
-                                            TimePoint now) const;
+                                            std::uint64_t ticket, TimePoint now) const;
 
     /** A prompt is read there: its parts are in the engine's cache from now on. */
     void onPromptRead(const EndpointId &engine, const Prompt &prompt);
--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -76,12 +76,15 @@
         TimePoint until_ {};
     };
 
+    bool settled(int count, TimePoint now);
     std::optional<EndpointId> pick(const std::vector<const Endpoint *> &engines, Stage from) const;
 
     StagePlanSettings settings_;
     Window shortWindow_;
     Window longWindow_;
     std::map<EndpointId, Ordered> ordered_;
+    int lastCount_ = 0;
+    TimePoint countedAt_ {}; ///< Since when there are so many engines.
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -26,9 +26,11 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self)
+LoadExchange::LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self,
+                           std::function<bool()> mayLead)
     : gateway_(gateway)
     , self_(std::move(self))
+    , mayLead_(std::move(mayLead))
     , socket_(loop.context())
     , timer_(loop)
     , lifetime_(static_cast<std::uint64_t>(wallMillis()))
@@ -97,7 +99,7 @@
 
 LoadNote LoadExchange::currentNote() const
 {
-    LoadNote note {self_, lifetime_, number_, {}};
+    LoadNote note {self_, lifetime_, number_, mayLead_(), {}};
     for (const auto &[id, endpoint] : gateway_.endpoints().all()) {
         if (endpoint.queued_.all() > 0) {
             note.queued_[id] = endpoint.queued_;
@@ -108,7 +110,7 @@
 
 bool LoadExchange::worthSending(const LoadNote &note, TimePoint now) const
 {
-    if (now >= lastSentAt_ + QuietInterval) {
+    if (now >= lastSentAt_ + QuietInterval || note.mayLead_ != last_.mayLead_) {
         return true;
     }
     const auto differs = [](const auto &one, const auto &other) {
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -163,8 +163,9 @@
 
 void ModelCall::sendToDecode()
 {
-    const auto engine = gateway_.placement_.chooseDecode(
-        gateway_.table_, input_.service_, prefillDomain_, excluded_, BootClock::now());
+    const auto engine =
+        gateway_.placement_.chooseDecode(gateway_.table_, input_.service_, prefillDomain_,
+                                         excluded_, gateway_.random_(), BootClock::now());
     if (!engine) {
         giveUp("no-engine");
         return;
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -1,5 +1,7 @@
 #include "almondridge/gateway/peerload.h"
 
+#include "almondridge/gateway/promptmemory.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -10,6 +12,8 @@
 
 /** A peer sends at least once a second; after three missed notes what it had queued is unknown. */
 constexpr Duration SilentAfter = millis(3'000);
+/** Any fixed number: it gives the instances one order. */
+constexpr std::uint64_t LeaderOrder = 2;
 
 /** Tokens by urgency, without the zeros at the end. */
 Json encodeQueue(const PromptQueue &queue)
@@ -46,7 +50,8 @@
     for (const auto &[endpoint, queue] : note.queued_) {
         queued[endpoint.value()] = encodeQueue(queue);
     }
-    const Json json = Json::array({note.sender_.value(), note.lifetime_, note.number_, queued});
+    const Json json =
+        Json::array({note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, queued});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -55,10 +60,10 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 4;
+    constexpr std::size_t Fields = 5;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
-                        && json[3].is_object();
+                        && json[3].is_boolean() && json[4].is_object();
     if (!shaped) {
         return std::nullopt;
     }
@@ -66,7 +71,8 @@
     note.sender_ = InstanceId(json[0].get<std::string>());
     note.lifetime_ = json[1].get<std::uint64_t>();
     note.number_ = json[2].get<std::uint64_t>();
-    for (const auto &[endpoint, tokens] : json[3].items()) {
+    note.mayLead_ = json[3].get<bool>();
+    for (const auto &[endpoint, tokens] : json[4].items()) {
         const auto queue = decodeQueue(tokens);
         if (!queue) {
             return std::nullopt;
@@ -101,6 +107,16 @@
     count(peer.note_, table, &PromptQueue::add);
 }
 
+bool PeerLoads::leads(const InstanceId &self) const
+{
+    const auto rank = [](const InstanceId &id) {
+        return rendezvousWeight(EndpointId(id.value()), LeaderOrder);
+    };
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto &entry) {
+        return entry.second.note_.mayLead_ && rank(entry.first) > rank(self);
+    });
+}
+
 void PeerLoads::forgetSilent(EndpointTable &table, TimePoint now)
 {
     std::erase_if(peers_, [&](const auto &entry) {
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -63,12 +63,17 @@
     return busy / slots;
 }
 
+/**
+ * The endpoint with most room. Among equals the ticket decides: in the order of their ids all
+ * instances would send to the first idle one.
+ */
 const Endpoint *leastFull(const std::vector<const Endpoint *> &endpoints, TimePoint now,
-                          const DomainId &preferred, double otherDomainCost)
+                          const DomainId &preferred, double otherDomainCost, std::uint64_t ticket)
 {
     const Endpoint *best = nullptr;
     double bestCost = 0;
-    for (const Endpoint *one : endpoints) {
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        const Endpoint *one = endpoints[(index + ticket) % endpoints.size()];
         const double cost =
             fullness(*one, now) + (one->listed_.domain_ == preferred ? 0.0 : otherDomainCost);
         if (best == nullptr || cost < bestCost) {
@@ -240,7 +245,7 @@
 std::optional<EndpointId> Placement::chooseDecode(const EndpointTable &table,
                                                   const ServiceId &service, const DomainId &source,
                                                   const std::vector<EndpointId> &excluded,
-                                                  TimePoint now) const
+                                                  std::uint64_t ticket, TimePoint now) const
 {
     // Moving a prompt between failure domains takes twice as long and is dearer: another domain's
     // engine is taken when ours is fuller by a quarter of its slots.
@@ -249,20 +254,20 @@
     removeExcluded(engines, excluded);
     std::erase_if(engines,
                   [](const Endpoint *one) { return one->listed_.stage_ == Stage::Prefill; });
-    const Endpoint *best = leastFull(engines, now, source, OtherDomainCost);
+    const Endpoint *best = leastFull(engines, now, source, OtherDomainCost, ticket);
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
 std::optional<EndpointId> Placement::chooseService(const EndpointTable &table,
                                                    const ServiceId &service,
                                                    const std::vector<EndpointId> &excluded,
-                                                   TimePoint now) const
+                                                   std::uint64_t ticket, TimePoint now) const
 {
     // A call is short: half a slot's difference is worth the way into another failure domain.
     constexpr double OtherDomainCost = 0.1;
     std::vector<const Endpoint *> endpoints = table.usable(service, now);
     removeExcluded(endpoints, excluded);
-    const Endpoint *best = leastFull(endpoints, now, settings_.domain_, OtherDomainCost);
+    const Endpoint *best = leastFull(endpoints, now, settings_.domain_, OtherDomainCost, ticket);
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -31,8 +31,8 @@
 
 void ServiceCall::sendNext()
 {
-    const auto endpoint = gateway_.placement_.chooseService(gateway_.table_, input_.service_,
-                                                            excluded_, BootClock::now());
+    const auto endpoint = gateway_.placement_.chooseService(
+        gateway_.table_, input_.service_, excluded_, gateway_.random_(), BootClock::now());
     if (!endpoint) {
         giveUp();
         return;
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -7,6 +7,8 @@
 
 /** Between two looks at the plan. */
 constexpr Duration PlanInterval = millis(500);
+/** Until the instances know of each other, and so which one asks for the right. */
+constexpr Duration SettleTime = millis(2'000);
 /** An order's connection must not outlive the right to give it. */
 constexpr std::int64_t OrderConnectMillis = 300;
 constexpr int Overtaken = 412;
@@ -31,7 +33,9 @@
 void StageKeeper::start()
 {
     running_ = true;
-    renew();
+    // Not at once: each instance that joins may take the lease away from another one, and each
+    // new holder has to wait.
+    renewal_.startAt(BootClock::now() + SettleTime, [this] { renew(); });
     planAll();
 }
 
@@ -70,6 +74,7 @@
             return;
         }
         authority_.onClaimed(*offset, BootClock::now());
+        planAll();
         logEvent(LogLevel::Info, "fence_claimed", {{"offset", *offset}});
     });
 }
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -8,6 +8,11 @@
 
 /** Demand of less engine time than this in a window says nothing of the mix. */
 constexpr double LeastDemandSeconds = 0.5;
+/**
+ * At a start the list of engines fills within their heartbeats; a split worked out on the first
+ * few of them orders some engines forth and back.
+ */
+constexpr Duration SettleTime = millis(1'500);
 /** Both stages keep at least this share of the engines, so that a turn of the mix finds some. */
 constexpr double LeastStageShare = 0.17;
 
@@ -103,6 +108,15 @@
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
+bool StagePlan::settled(int count, TimePoint now)
+{
+    if (count != lastCount_) {
+        lastCount_ = count;
+        countedAt_ = now;
+    }
+    return now - countedAt_ >= SettleTime;
+}
+
 std::vector<StageChange> StagePlan::plan(const EndpointTable &table, const ServiceId &service,
                                          TimePoint now)
 {
@@ -115,7 +129,7 @@
                || engine->listed_.stage_ == entry.second.stage_;
     });
     const int count = static_cast<int>(engines.size());
-    if (count < 2) {
+    if (count < 2 || !settled(count, now)) {
         return {};
     }
     int prefill = countStage(engines, Stage::Prefill);
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -3,6 +3,7 @@
 #include "almondridge/gateway/stageplan.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace almondridge;
 using namespace almondridge::gateway;
@@ -220,7 +221,7 @@
     const Placement placement({DomainId("a")});
     const auto home = *planFor(placement, table, promptWith(1))->prefill_;
     PeerLoads loads;
-    LoadNote note {InstanceId("other"), 1, 1, {}};
+    LoadNote note {InstanceId("other"), 1, 1, false, {}};
     note.queued_[home].add(1, 50'000);
     loads.onNote(*decodeNote(encodeNote(note)), table, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
@@ -235,7 +236,7 @@
     const EndpointId id("engine-0");
     PeerLoads loads;
     const auto hear = [&](std::uint64_t lifetime, std::uint64_t number, std::int64_t tokens) {
-        LoadNote note {InstanceId("other"), lifetime, number, {}};
+        LoadNote note {InstanceId("other"), lifetime, number, false, {}};
         note.queued_[id].add(0, tokens);
         loads.onNote(note, table, at(0));
         return table.find(id)->foreignQueued_.all();
@@ -246,9 +247,51 @@
     BOOST_TEST(hear(1, 3, 900) == 70);
 }
 
+/**
+ * Of all instances one asks for the right to give orders. When it falls silent or loses the store
+ * the next one does, without a vote.
+ */
+BOOST_AUTO_TEST_CASE(oneInstanceLeadsUntilItIsSilentOrCutOff)
+{
+    EndpointTable table;
+    constexpr int Count = 9;
+    std::array<PeerLoads, Count> views;
+    const auto name = [](int number) { return InstanceId("instance-" + std::to_string(number)); };
+    const auto hear = [&](int sender, bool mayLead, std::uint64_t number, TimePoint now) {
+        for (int self = 0; self < Count; ++self) {
+            if (self != sender) {
+                views[self].onNote({name(sender), 1, number, mayLead, {}}, table, now);
+            }
+        }
+    };
+    const auto leader = [&] {
+        int found = -1;
+        for (int self = 0; self < Count; ++self) {
+            if (views[self].leads(name(self))) {
+                BOOST_TEST(found == -1);
+                found = self;
+            }
+        }
+        return found;
+    };
+    for (int sender = 0; sender < Count; ++sender) {
+        hear(sender, true, 1, at(0));
+    }
+    const int first = leader();
+    BOOST_REQUIRE(first >= 0);
+    hear(first, false, 2, at(100));
+    int others = 0;
+    for (int self = 0; self < Count; ++self) {
+        others += self != first && views[self].leads(name(self)) ? 1 : 0;
+    }
+    BOOST_TEST(others == 1);
+    hear(first, true, 3, at(200));
+    BOOST_TEST(leader() == first);
+}
+
 BOOST_AUTO_TEST_CASE(whatIsNoNoteIsIgnored)
 {
-    LoadNote note {InstanceId("other"), 1, 1, {}};
+    LoadNote note {InstanceId("other"), 1, 1, false, {}};
     note.queued_[EndpointId("e")].add(9, 3);
     const std::string bytes = encodeNote(note);
     BOOST_TEST((decodeNote(bytes)->queued_ == note.queued_));
@@ -283,7 +326,7 @@
     EndpointTable table = fleet(0, 6);
     const Placement placement({DomainId("a")});
     const auto choose = [&] {
-        return *placement.chooseDecode(table, Models, DomainId("b"), {}, at(0));
+        return *placement.chooseDecode(table, Models, DomainId("b"), {}, 0, at(0));
     };
     BOOST_TEST(table.find(choose())->listed_.domain_.value() == "b");
     for (int request = 0; request < 40; ++request) {
@@ -293,11 +336,24 @@
     BOOST_TEST(table.find(choose())->listed_.domain_.value() != "b");
 }
 
+/** All engines are idle: instances that each take the first one would all take the same one. */
+BOOST_AUTO_TEST_CASE(idleEnginesAreTakenInAnyOrder)
+{
+    const EndpointTable table = fleet(0, 9);
+    const Placement placement({DomainId("a")});
+    std::set<EndpointId> taken;
+    for (std::uint64_t ticket = 0; ticket < 9; ++ticket) {
+        taken.insert(*placement.chooseDecode(table, Models, DomainId("b"), {}, ticket, at(0)));
+    }
+    BOOST_TEST(taken.size() == 3U); // Those of the failure domain that the prompt lies in.
+}
+
 /** Before any traffic the engines take the split that is expected, all at once. */
 BOOST_AUTO_TEST_CASE(theExpectedSplitIsTakenBeforeTheFirstRequest)
 {
     EndpointTable table = fleet(6, 12);
     StagePlan plan({});
+    BOOST_TEST(obey(table, plan, at(-2'000)) == 0); // More engines may be on their way.
     BOOST_TEST(obey(table, plan, at(0)) == 6);
     BOOST_TEST(countPrefill(table) == 12);
     BOOST_TEST(obey(table, plan, at(1'000)) == 0);
@@ -308,6 +364,7 @@
 {
     EndpointTable table = fleet(0, 18);
     StagePlan plan({});
+    obey(table, plan, at(-2'000));
     obey(table, plan, at(0));
     std::map<DomainId, int> perDomain;
     for (const Endpoint *one : table.listed(Models)) {
@@ -323,6 +380,7 @@
 {
     const EndpointTable table = fleet(6, 12);
     StagePlan plan({});
+    plan.plan(table, Models, at(-2'000));
     BOOST_TEST(plan.plan(table, Models, at(0)).size() == 6U);
     BOOST_TEST(plan.plan(table, Models, at(1'000)).empty());
     BOOST_TEST(plan.plan(table, Models, at(5'000)).size() == 6U);
