--- a/libs/base/include/almondridge/base/log.h
+++ b/libs/base/include/almondridge/base/log.h
@@ -5,6 +5,7 @@
 
 #include "almondridge/base/enumnames.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -61,6 +62,8 @@
  */
 void startBoundedLog(LogLevel least, const std::string &instance, const std::string &domain);
 void flushLog();
+/** Lines that the bounded log had no room for. */
+std::uint64_t droppedLogLines();
 
 /** Writes one line: time, level, event=NAME and the fields in the order given. Thread-safe. */
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -40,6 +40,14 @@
               domain);
 }
 
+std::uint64_t droppedLogLines()
+{
+    const auto &sinks = spdlog::default_logger_raw()->sinks();
+    const auto *sink =
+        sinks.empty() ? nullptr : dynamic_cast<const BoundedSink *>(sinks.front().get());
+    return sink != nullptr ? sink->dropped() : 0;
+}
+
 void flushLog()
 {
     spdlog::default_logger_raw()->flush();
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -86,6 +86,10 @@
 
     int failures_ = 0; ///< In a row.
     TimePoint distrustedUntil_ {};
+    TimePoint changingUntil_ {}; ///< It carries out an order until about then, and refuses work.
+    /** In a word, for metrics. */
+    std::string_view stateName(TimePoint now) const noexcept;
+
     bool probing_ = false; ///< The one request that tests it again is on its way.
 };
 
@@ -128,6 +132,8 @@
     double usualRate() const noexcept { return usualRate_; }
     const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
 
+    /** An order was given to it, or a peer said so. */
+    void onChanging(const EndpointId &id, TimePoint until);
     void onSent(const EndpointId &id, int urgency, std::int64_t promptTokens);
     void onRead(const EndpointId &id, int urgency, std::int64_t promptTokens);
     /** It read this many tokens, its queue included, in the time. */
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/sendbudget.h"
 #include "almondridge/gateway/stageplan.h"
+#include "almondridge/observe/metrics.h"
 
 #include <map>
 #include <memory>
@@ -63,6 +64,10 @@
     /** What callers asked of each service's engines since the last call. */
     std::map<ServiceId, StageDemand> takeDemand();
     const GatewayCounters &counters() const noexcept;
+    /** What requests came to, for the metrics page; the owner adds its own. */
+    observe::Metrics &metrics() noexcept;
+    /** Second sends that are left now, for each service. */
+    std::map<ServiceId, double> secondSendsLeft();
     const async::ClientCounters &clientCounters() const noexcept;
 
     /** From now on answers close their connections, so that callers go elsewhere. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -23,6 +23,9 @@
     void setPeers(const std::vector<net::Address> &peers);
     /** Whether this instance is the one that should ask for the right to give orders. */
     bool leads() const { return mayLead_() && loads_.leads(self_); }
+    /** An engine carries out an order of this instance's until about then: peers are told at once.
+     */
+    void onOrder(const EndpointId &engine, TimePoint until);
     std::uint64_t sent() const noexcept { return sent_; }
     std::uint64_t received() const noexcept { return received_; }
 
@@ -30,8 +33,9 @@
     void waitForNotes();
     void receiveAll();
     void tick();
+    void send(LoadNote note, TimePoint now);
     bool worthSending(const LoadNote &note, TimePoint now) const;
-    LoadNote currentNote() const;
+    LoadNote currentNote(TimePoint now) const;
 
     Gateway &gateway_;
     InstanceId self_;
@@ -40,6 +44,7 @@
     async::Timer timer_;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     PeerLoads loads_;
+    std::map<EndpointId, TimePoint> changing_;
     LoadNote last_;
     TimePoint lastSentAt_ {};
     std::uint64_t lifetime_;
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -25,8 +25,10 @@
     InstanceId sender_;
     std::uint64_t lifetime_ = 0; ///< Rises with each restart of the sender.
     std::uint64_t number_ = 0;   ///< Rises within a lifetime; older notes are dropped.
+    /** Engines that carry out an order of the sender's, and about how much longer. */
+    std::map<EndpointId, std::int64_t> changingMillis_ {};
     bool mayLead_ = false; ///< The sender could give orders: it reaches the store.
-    std::map<EndpointId, PromptQueue> queued_;
+    std::map<EndpointId, PromptQueue> queued_ {};
 };
 
 /** The note as a datagram. */
--- a/libs/gateway/include/almondridge/gateway/stagekeeper.h
+++ b/libs/gateway/include/almondridge/gateway/stagekeeper.h
@@ -28,6 +28,8 @@
 
 struct StageKeeperSettings
 {
+    /** Told of each order that an engine took, so that nobody sends it work meanwhile. */
+    std::function<void(const EndpointId &engine, TimePoint until)> onOrder_ {};
     InstanceId instance_;
     AuthoritySettings authority_;
     StagePlanSettings plan_;
@@ -43,6 +45,7 @@
     void start();
     void stop();
     std::uint64_t orders() const noexcept { return orders_; }
+    bool mayOrder() const { return authority_.right(BootClock::now()).has_value(); }
 
 private:
     void renew();
@@ -53,6 +56,7 @@
     void ask(const EndpointId &engine, std::string text,
              const std::function<void(int status, const std::string &body)> &done);
     void onOrderAnswer(const ServiceId &service, const EndpointId &engine, int status);
+    void onTaken(const ServiceId &service, const EndpointId &engine, TimePoint now);
     StagePlan &planOf(const ServiceId &service);
 
     Gateway &gateway_;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -217,7 +217,26 @@
               {"first_ms", firstByteAt_ == TimePoint {} ? -1 : toMillis(firstByteAt_ - began)},
               {"total_ms", toMillis(now - began)},
               {"left_ms", millisUntil(deadline_, now)}});
+    countOutcome(outcome, cause, now);
     gateway_.release(input_.request_.id_.call_);
 }
 
+void Call::countOutcome(Outcome outcome, std::string_view cause, TimePoint now)
+{
+    observe::Metrics &metrics = gateway_.metrics_;
+    const std::string kind = observe::metricLabel("kind", nameOf(RouteKindNames, route().kind_));
+    metrics.count("requests_total",
+                  kind + ',' + observe::metricLabel("outcome", nameOf(OutcomeNames, outcome)) + ','
+                      + observe::metricLabel("cause", cause));
+    metrics.count("sends_total", kind, static_cast<std::uint64_t>(sends_));
+    const TimePoint began = input_.request_.startedAt_;
+    metrics.observeSeconds("request_seconds", toSeconds(now - began), kind);
+    if (firstByteAt_ != TimePoint {}) {
+        metrics.observeSeconds("first_event_seconds", toSeconds(firstByteAt_ - began), kind);
+    }
+    if (readAt_ != TimePoint {}) {
+        metrics.observeSeconds("prompt_read_seconds", toSeconds(readAt_ - began), kind);
+    }
+}
+
 } // namespace almondridge::gateway
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -118,6 +118,8 @@
     std::string trail_;   ///< Endpoints asked and what came of it, for the log line.
 
 private:
+    void countOutcome(Outcome outcome, std::string_view cause, TimePoint now);
+
     TimePoint deadline_;
     async::Timer deadlineTimer_;
     async::Timer silence_;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -78,11 +78,28 @@
     return sum;
 }
 
+std::string_view Endpoint::stateName(TimePoint now) const noexcept
+{
+    if (!listedNow_) {
+        return "leaving";
+    }
+    if (listed_.draining_) {
+        return "draining";
+    }
+    if (changingUntil_ > now) {
+        return "changing";
+    }
+    return distrustedUntil_ > now || probing_ ? "distrusted" : "usable";
+}
+
 bool EndpointTable::list(const ListedEndpoint &listed, TimePoint now)
 {
     const auto [place, added] = endpoints_.try_emplace(listed.id_);
     Endpoint &endpoint = place->second;
     const bool changed = added || !endpoint.listedNow_ || endpoint.listed_ != listed;
+    if (!added && endpoint.listed_.stage_ != listed.stage_) {
+        endpoint.changingUntil_ = {}; // The order is done.
+    }
     endpoint.listed_ = listed;
     endpoint.listedNow_ = true;
     if (added) {
@@ -145,11 +162,20 @@
     std::vector<const Endpoint *> found = listed(service);
     std::erase_if(found, [&](const Endpoint *endpoint) {
         // Distrusted until a time, and then until the one request that tests it was answered.
-        return endpoint->distrustedUntil_ > now || endpoint->probing_;
+        return endpoint->distrustedUntil_ > now || endpoint->probing_
+               || endpoint->changingUntil_ > now;
     });
     return found;
 }
 
+void EndpointTable::onChanging(const EndpointId &id, TimePoint until)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint != nullptr) {
+        endpoint->changingUntil_ = std::max(endpoint->changingUntil_, until);
+    }
+}
+
 void EndpointTable::onSent(const EndpointId &id, int urgency, std::int64_t promptTokens)
 {
     Endpoint *endpoint = find(id);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -53,6 +53,20 @@
     return state_->counters_;
 }
 
+observe::Metrics &Gateway::metrics() noexcept
+{
+    return state_->metrics_;
+}
+
+std::map<ServiceId, double> Gateway::secondSendsLeft()
+{
+    std::map<ServiceId, double> left;
+    for (auto &[service, budget] : state_->budgets_) {
+        left[service] = budget.left(BootClock::now());
+    }
+    return left;
+}
+
 const async::ClientCounters &Gateway::clientCounters() const noexcept
 {
     return state_->client_.counters();
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -97,9 +97,24 @@
     }
 }
 
-LoadNote LoadExchange::currentNote() const
+void LoadExchange::onOrder(const EndpointId &engine, TimePoint until)
 {
-    LoadNote note {self_, lifetime_, number_, mayLead_(), {}};
+    changing_[engine] = until;
+    const TimePoint now = BootClock::now();
+    send(currentNote(now), now);
+}
+
+LoadNote LoadExchange::currentNote(TimePoint now) const
+{
+    LoadNote note;
+    note.sender_ = self_;
+    note.lifetime_ = lifetime_;
+    note.mayLead_ = mayLead_();
+    for (const auto &[engine, until] : changing_) {
+        if (until > now) {
+            note.changingMillis_[engine] = toMillis(until - now);
+        }
+    }
     for (const auto &[id, endpoint] : gateway_.endpoints().all()) {
         if (endpoint.queued_.all() > 0) {
             note.queued_[id] = endpoint.queued_;
@@ -130,10 +145,15 @@
     timer_.startAt(now + millis(std::max(LeastIntervalMillis, peers * 1'000 / NotesTakenPerSecond)),
                    [this] { tick(); });
     loads_.forgetSilent(gateway_.endpoints(), now);
-    LoadNote note = currentNote();
-    if (peers_.empty() || !worthSending(note, now)) {
-        return;
+    std::erase_if(changing_, [&](const auto &entry) { return entry.second <= now; });
+    LoadNote note = currentNote(now);
+    if (!peers_.empty() && worthSending(note, now)) {
+        send(std::move(note), now);
     }
+}
+
+void LoadExchange::send(LoadNote note, TimePoint now)
+{
     note.number_ = ++number_;
     const std::string bytes = encodeNote(note);
     for (const Udp::endpoint &peer : peers_) {
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -12,6 +12,8 @@
 
 /** A peer sends at least once a second; after three missed notes what it had queued is unknown. */
 constexpr Duration SilentAfter = millis(3'000);
+/** No engine is away for longer, whatever a peer says. */
+constexpr std::int64_t LongestChangeMillis = 10'000;
 /** Any fixed number: it gives the instances one order. */
 constexpr std::uint64_t LeaderOrder = 2;
 
@@ -50,8 +52,12 @@
     for (const auto &[endpoint, queue] : note.queued_) {
         queued[endpoint.value()] = encodeQueue(queue);
     }
-    const Json json =
-        Json::array({note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, queued});
+    Json changing = Json::object();
+    for (const auto &[endpoint, left] : note.changingMillis_) {
+        changing[endpoint.value()] = left;
+    }
+    const Json json = Json::array(
+        {note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, queued, changing});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -60,10 +66,10 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 5;
+    constexpr std::size_t Fields = 6;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
-                        && json[3].is_boolean() && json[4].is_object();
+                        && json[3].is_boolean() && json[4].is_object() && json[5].is_object();
     if (!shaped) {
         return std::nullopt;
     }
@@ -79,6 +85,12 @@
         }
         note.queued_[EndpointId(endpoint)] = *queue;
     }
+    for (const auto &[endpoint, left] : json[5].items()) {
+        if (!left.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        note.changingMillis_[EndpointId(endpoint)] = left.get<std::int64_t>();
+    }
     return note;
 }
 
@@ -105,6 +117,9 @@
     count(peer.note_, table, &PromptQueue::remove);
     peer = {note, now};
     count(peer.note_, table, &PromptQueue::add);
+    for (const auto &[endpoint, left] : note.changingMillis_) {
+        table.onChanging(endpoint, now + millis(std::min(left, LongestChangeMillis)));
+    }
 }
 
 bool PeerLoads::leads(const InstanceId &self) const
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -11,6 +11,7 @@
 constexpr Duration SettleTime = millis(2'000);
 /** An order's connection must not outlive the right to give it. */
 constexpr std::int64_t OrderConnectMillis = 300;
+constexpr int Accepted = 202;
 constexpr int Overtaken = 412;
 constexpr int Conflict = 409;
 
@@ -181,6 +182,9 @@
 {
     logEvent(LogLevel::Info, "order_answer", {{"engine", engine.value()}, {"status", status}});
     const TimePoint now = BootClock::now();
+    if (status == Accepted) {
+        onTaken(service, engine, now);
+    }
     if (status == Overtaken) {
         authority_.onOvertaken(now);
     }
@@ -189,4 +193,16 @@
     }
 }
 
+/** Until the engine is back, or its entry tells of its new stage, it refuses requests. */
+void StageKeeper::onTaken(const ServiceId &service, const EndpointId &engine, TimePoint now)
+{
+    const ServiceTraits *traits = gateway_.config()->service(service);
+    if (traits == nullptr || !traits->engine_) {
+        return;
+    }
+    const TimePoint until = now + millis(traits->engine_->switchMillis_);
+    gateway_.endpoints().onChanging(engine, until);
+    settings_.onOrder_(engine, until);
+}
+
 } // namespace almondridge::gateway
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -221,7 +221,7 @@
     const Placement placement({DomainId("a")});
     const auto home = *planFor(placement, table, promptWith(1))->prefill_;
     PeerLoads loads;
-    LoadNote note {InstanceId("other"), 1, 1, false, {}};
+    LoadNote note {InstanceId("other"), 1, 1};
     note.queued_[home].add(1, 50'000);
     loads.onNote(*decodeNote(encodeNote(note)), table, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
@@ -236,7 +236,7 @@
     const EndpointId id("engine-0");
     PeerLoads loads;
     const auto hear = [&](std::uint64_t lifetime, std::uint64_t number, std::int64_t tokens) {
-        LoadNote note {InstanceId("other"), lifetime, number, false, {}};
+        LoadNote note {InstanceId("other"), lifetime, number};
         note.queued_[id].add(0, tokens);
         loads.onNote(note, table, at(0));
         return table.find(id)->foreignQueued_.all();
@@ -260,7 +260,7 @@
     const auto hear = [&](int sender, bool mayLead, std::uint64_t number, TimePoint now) {
         for (int self = 0; self < Count; ++self) {
             if (self != sender) {
-                views[self].onNote({name(sender), 1, number, mayLead, {}}, table, now);
+                views[self].onNote({name(sender), 1, number, {}, mayLead}, table, now);
             }
         }
     };
@@ -289,12 +289,32 @@
     BOOST_TEST(leader() == first);
 }
 
+/**
+ * An engine that changes its stage answers 503 with nothing running, so it looks idle and draws
+ * every request of the instances that do not know of its order.
+ */
+BOOST_AUTO_TEST_CASE(anEngineThatChangesGetsNoWorkFromAnyInstance)
+{
+    EndpointTable table = fleet(0, 2);
+    PeerLoads loads;
+    LoadNote note {InstanceId("leader"), 1, 1};
+    note.changingMillis_[EndpointId("engine-0")] = 3'000;
+    loads.onNote(note, table, at(0));
+    BOOST_TEST(table.usable(Models, at(2'900)).size() == 1U);
+    BOOST_TEST(table.usable(Models, at(3'100)).size() == 2U);
+    loads.onNote({InstanceId("leader"), 1, 2, note.changingMillis_}, table, at(4'000));
+    table.list(engine(0, Stage::Prefill), at(5'000));
+    BOOST_TEST(table.usable(Models, at(5'000)).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(whatIsNoNoteIsIgnored)
 {
-    LoadNote note {InstanceId("other"), 1, 1, false, {}};
+    LoadNote note {InstanceId("other"), 1, 1};
     note.queued_[EndpointId("e")].add(9, 3);
+    note.changingMillis_[EndpointId("f")] = 2'900;
     const std::string bytes = encodeNote(note);
     BOOST_TEST((decodeNote(bytes)->queued_ == note.queued_));
+    BOOST_TEST((decodeNote(bytes)->changingMillis_ == note.changingMillis_));
     for (std::size_t length = 0; length < bytes.size(); ++length) {
         BOOST_TEST(!decodeNote(bytes.substr(0, length)).has_value());
     }
--- a/platform/src/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -15,7 +15,7 @@
 #include <string_view>
 #include <vector>
 
-namespace almondridge::platform {
+namespace almondridge::news {
 
 enum class Topic { Config, Endpoints, Instances };
 
@@ -82,4 +82,4 @@
     std::size_t removals_ = 0;
 };
 
-} // namespace almondridge::platform
+} // namespace almondridge::news
--- a/platform/src/readers.h
+++ b/libs/news/include/almondridge/news/readers.h
@@ -14,7 +14,7 @@
 #include <optional>
 #include <vector>
 
-namespace almondridge::platform {
+namespace almondridge::news {
 
 class Readers
 {
@@ -34,4 +34,4 @@
     std::map<InstanceId, TimePoint> uselessUntil_;
 };
 
-} // namespace almondridge::platform
+} // namespace almondridge::news
--- a/platform/src/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -5,14 +5,14 @@
  */
 #pragma once
 
-#include "board.h"
+#include "almondridge/news/board.h"
 
 #include "almondridge/async/httpclient.h"
 #include "almondridge/async/httpserver.h"
 
 #include <list>
 
-namespace almondridge::platform {
+namespace almondridge::news {
 
 /** A change set as an answer's body: ages instead of points in time, as clocks differ. */
 std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, TimePoint now);
@@ -92,4 +92,4 @@
 /** Older news than this is no news: the peer has lost the store itself. */
 inline constexpr Duration UselessAge = millis(1'600);
 
-} // namespace almondridge::platform
+} // namespace almondridge::news
--- a/platform/src/board.cpp
+++ b/libs/news/src/board.cpp
@@ -1,9 +1,9 @@
-#include "board.h"
+#include "almondridge/news/board.h"
 
 #include <algorithm>
 #include <set>
 
-namespace almondridge::platform {
+namespace almondridge::news {
 namespace {
 
 /** Removed keys that are remembered; a peer that missed more of them is sent everything. */
@@ -139,4 +139,4 @@
     return found;
 }
 
-} // namespace almondridge::platform
+} // namespace almondridge::news
--- a/platform/src/readers.cpp
+++ b/libs/news/src/readers.cpp
@@ -1,10 +1,10 @@
-#include "readers.h"
+#include "almondridge/news/readers.h"
 
 #include "almondridge/gateway/promptmemory.h"
 
 #include <algorithm>
 
-namespace almondridge::platform {
+namespace almondridge::news {
 namespace {
 
 /** Several, so that the loss of one never matters. */
@@ -58,4 +58,4 @@
                    % readers.size()];
 }
 
-} // namespace almondridge::platform
+} // namespace almondridge::news
--- a/platform/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -1,10 +1,10 @@
-#include "relay.h"
+#include "almondridge/news/relay.h"
 
 #include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace almondridge::platform {
+namespace almondridge::news {
 namespace {
 
 using Json = nlohmann::json;
@@ -228,4 +228,4 @@
     events_.onUseless_();
 }
 
-} // namespace almondridge::platform
+} // namespace almondridge::news
--- a/platform/tests/boardtest.cpp
+++ b/libs/news/tests/newstest.cpp
@@ -1,11 +1,11 @@
-#include "../src/board.h"
-#include "../src/readers.h"
-#include "../src/relay.h"
+#include "almondridge/news/board.h"
+#include "almondridge/news/readers.h"
+#include "almondridge/news/relay.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace almondridge;
-using namespace almondridge::platform;
+using namespace almondridge::news;
 
 namespace {
 
