--- a/libs/gateway/include/almondridge/gateway/authority.h
+++ b/libs/gateway/include/almondridge/gateway/authority.h
@@ -47,6 +47,8 @@
     /** The right to give orders now; nullopt: none. */
     std::optional<OrderRight> right(TimePoint now) const;
     bool named() const noexcept { return named_; }
+    /** Named, and the store's word still holds. */
+    bool namedNow(TimePoint now) const noexcept { return named_ && namedUntil_ > now; }
 
 private:
     Duration takeOverWait() const;
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -14,15 +14,25 @@
 class LoadExchange
 {
 public:
-    /** mayLead: whether this instance reaches what the right to give orders is taken from. */
-    LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self,
-                 std::function<bool()> mayLead);
+    /** What peers are told of this instance's part in giving orders. */
+    struct Leadership
+    {
+        /** Whether it reaches what the right to give orders is taken from. */
+        std::function<bool()> mayLead_;
+        /** Whether it has that right. */
+        std::function<bool()> leads_;
+    };
+
+    LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self, Leadership leadership);
 
     /** Unavailable: the address is taken or not this machine's. */
     Result<void> listen(const net::Address &address);
     void setPeers(const std::vector<net::Address> &peers);
     /** Whether this instance is the one that should ask for the right to give orders. */
-    bool leads() const { return mayLead_() && loads_.leads(self_); }
+    bool shouldLead() const
+    {
+        return leadership_.mayLead_() && (leadership_.leads_() || loads_.leads(self_));
+    }
     /** An engine carries out an order of this instance's until about then: peers are told at once.
      */
     void onOrder(const EndpointId &engine, TimePoint until);
@@ -39,7 +49,7 @@
 
     Gateway &gateway_;
     InstanceId self_;
-    std::function<bool()> mayLead_;
+    Leadership leadership_;
     boost::asio::ip::udp::socket socket_;
     async::Timer timer_;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -28,6 +28,7 @@
     /** Engines that carry out an order of the sender's, and about how much longer. */
     std::map<EndpointId, std::int64_t> changingMillis_ {};
     bool mayLead_ = false; ///< The sender could give orders: it reaches the store.
+    bool leads_ = false;   ///< It has the right to give orders.
     std::map<EndpointId, PromptQueue> queued_ {};
 };
 
@@ -44,8 +45,8 @@
     /** Forgets peers that have not been heard of lately. */
     void forgetSilent(EndpointTable &table, TimePoint now);
     /**
-     * Whether no peer that may lead comes before self in the order that all work out alike. A
-     * hint that keeps the others from asking for the lease; it gives no right.
+     * Whether no peer leads, and none that may lead comes before self in the order that all work
+     * out alike. A hint that keeps the others from asking for the lease; it gives no right.
      */
     bool leads(const InstanceId &self) const;
     std::size_t peers() const noexcept { return peers_.size(); }
--- a/libs/gateway/include/almondridge/gateway/stagekeeper.h
+++ b/libs/gateway/include/almondridge/gateway/stagekeeper.h
@@ -45,6 +45,8 @@
     void start();
     void stop();
     std::uint64_t orders() const noexcept { return orders_; }
+    /** Whether the store names this instance, as far as it knows. */
+    bool named() const { return authority_.namedNow(BootClock::now()); }
     bool mayOrder() const { return authority_.right(BootClock::now()).has_value(); }
 
 private:
--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -21,7 +21,7 @@
     /** Share of the engines that read prompts until a demand is known. */
     double expectedPrefillShare_ = 0.66;
     /** A change is made for a difference of at least this share of the engines. */
-    double leastDifference_ = 1.0;
+    double leastDifference_ = 0.17;
     /** Engines that may be away at once while there is traffic, as a share of all. */
     double awayShare_ = 0.12;
     std::int64_t shortWindowMillis_ = 3'000;
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -27,10 +27,10 @@
 } // namespace
 
 LoadExchange::LoadExchange(async::EventLoop &loop, Gateway &gateway, InstanceId self,
-                           std::function<bool()> mayLead)
+                           Leadership leadership)
     : gateway_(gateway)
     , self_(std::move(self))
-    , mayLead_(std::move(mayLead))
+    , leadership_(std::move(leadership))
     , socket_(loop.context())
     , timer_(loop)
     , lifetime_(static_cast<std::uint64_t>(wallMillis()))
@@ -66,6 +66,7 @@
             peers_.emplace_back(ip, peer.port_);
         }
     }
+    lastSentAt_ = {}; // New peers are told at once.
 }
 
 void LoadExchange::waitForNotes()
@@ -109,7 +110,8 @@
     LoadNote note;
     note.sender_ = self_;
     note.lifetime_ = lifetime_;
-    note.mayLead_ = mayLead_();
+    note.mayLead_ = leadership_.mayLead_();
+    note.leads_ = leadership_.leads_();
     for (const auto &[engine, until] : changing_) {
         if (until > now) {
             note.changingMillis_[engine] = toMillis(until - now);
@@ -125,7 +127,8 @@
 
 bool LoadExchange::worthSending(const LoadNote &note, TimePoint now) const
 {
-    if (now >= lastSentAt_ + QuietInterval || note.mayLead_ != last_.mayLead_) {
+    if (now >= lastSentAt_ + QuietInterval || note.mayLead_ != last_.mayLead_
+        || note.leads_ != last_.leads_) {
         return true;
     }
     const auto differs = [](const auto &one, const auto &other) {
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -56,8 +56,8 @@
     for (const auto &[endpoint, left] : note.changingMillis_) {
         changing[endpoint.value()] = left;
     }
-    const Json json = Json::array(
-        {note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, queued, changing});
+    const Json json = Json::array({note.sender_.value(), note.lifetime_, note.number_,
+                                   note.mayLead_, note.leads_, queued, changing});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -66,10 +66,11 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 6;
+    constexpr std::size_t Fields = 7;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
-                        && json[3].is_boolean() && json[4].is_object() && json[5].is_object();
+                        && json[3].is_boolean() && json[4].is_boolean() && json[5].is_object()
+                        && json[6].is_object();
     if (!shaped) {
         return std::nullopt;
     }
@@ -78,14 +79,15 @@
     note.lifetime_ = json[1].get<std::uint64_t>();
     note.number_ = json[2].get<std::uint64_t>();
     note.mayLead_ = json[3].get<bool>();
-    for (const auto &[endpoint, tokens] : json[4].items()) {
+    note.leads_ = json[4].get<bool>();
+    for (const auto &[endpoint, tokens] : json[5].items()) {
         const auto queue = decodeQueue(tokens);
         if (!queue) {
             return std::nullopt;
         }
         note.queued_[EndpointId(endpoint)] = *queue;
     }
-    for (const auto &[endpoint, left] : json[5].items()) {
+    for (const auto &[endpoint, left] : json[6].items()) {
         if (!left.is_number_unsigned()) {
             return std::nullopt;
         }
@@ -128,7 +130,8 @@
         return rendezvousWeight(EndpointId(id.value()), LeaderOrder);
     };
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto &entry) {
-        return entry.second.note_.mayLead_ && rank(entry.first) > rank(self);
+        const LoadNote &note = entry.second.note_;
+        return note.leads_ || (note.mayLead_ && rank(entry.first) > rank(self));
     });
 }
 
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -8,7 +8,7 @@
 /** Between two looks at the plan. */
 constexpr Duration PlanInterval = millis(500);
 /** Until the instances know of each other, and so which one asks for the right. */
-constexpr Duration SettleTime = millis(2'000);
+constexpr Duration SettleTime = millis(2'500);
 /** An order's connection must not outlive the right to give it. */
 constexpr std::int64_t OrderConnectMillis = 300;
 constexpr int Accepted = 202;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -289,6 +289,25 @@
     BOOST_TEST(leader() == first);
 }
 
+/**
+ * The lease has a holder, and an instance starts that comes before it in the order. If it asked,
+ * the store could hand the lease on, and for seconds nobody could give orders.
+ */
+BOOST_AUTO_TEST_CASE(nobodyAsksWhileAnotherInstanceLeads)
+{
+    EndpointTable table;
+    PeerLoads loads;
+    LoadNote note {InstanceId("holder"), 1, 1};
+    note.mayLead_ = true;
+    note.leads_ = true;
+    loads.onNote(note, table, at(0));
+    for (int number = 0; number < 20; ++number) {
+        BOOST_TEST(!loads.leads(InstanceId("instance-" + std::to_string(number))));
+    }
+    loads.forgetSilent(table, at(4'000));
+    BOOST_TEST(loads.leads(InstanceId("instance-1")));
+}
+
 /**
  * An engine that changes its stage answers 503 with nothing running, so it looks idle and draws
  * every request of the instances that do not know of its order.
--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,171 @@
+#include "callers.h"
+
+#include "endpointstandin.h"
+#include "later.h"
+
+#include <fmt/format.h>
+
+namespace almondridge::soak {
+namespace {
+
+constexpr int PatienceMillis = 4'000;
+constexpr Duration ConnectTime = millis(1'000);
+
+} // namespace
+
+struct Callers::Asked
+{
+    std::string id_;
+    Kind kind_ = Kind::Safe;
+    InstanceProcess *instance_ = nullptr;
+    int lifetime_ = 0;
+    int status_ = 0;
+    std::string body_;
+    bool plannedStop_ = false; ///< The instance was stopping, and nothing else was wrong.
+};
+
+Callers::Callers(async::EventLoop &loop, Ledger &ledger,
+                 std::vector<std::unique_ptr<InstanceProcess>> &instances, std::uint64_t seed)
+    : loop_(loop)
+    , ledger_(ledger)
+    , instances_(instances)
+    , client_(loop)
+    , random_(seed)
+    , seed_(seed)
+{ }
+
+void Callers::sendRound()
+{
+    std::vector<InstanceProcess *> ready;
+    for (const auto &instance : instances_) {
+        if (instance->ready()) {
+            ready.push_back(instance.get());
+        }
+    }
+    if (ready.empty()) {
+        return;
+    }
+    for (const EnumName<Kind> &kind : KindNames) {
+        send(kind.value_, *ready[random_() % ready.size()]);
+    }
+}
+
+void Callers::send(Kind kind, InstanceProcess &instance)
+{
+    auto asked = std::make_shared<Asked>();
+    asked->id_ = fmt::format("{:x}-{}", seed_, next_++);
+    asked->kind_ = kind;
+    asked->instance_ = &instance;
+    asked->lifetime_ = instance.lifetime();
+    const std::string_view service = nameOf(KindNames, kind);
+    const bool prompt = kind == Kind::Stream || kind == Kind::ResumableStream;
+    const std::string body = kind == Kind::Safe ? "" : "body of " + asked->id_;
+    std::string text = fmt::format("{} /{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n"
+                                   "X-Deadline-Ms: {}\r\nContent-Length: {}\r\n",
+                                   kind == Kind::Safe ? "GET" : "POST", service, asked->id_,
+                                   PatienceMillis, body.size());
+    if (prompt) {
+        text += fmt::format("X-Model: m\r\nX-Token-Count: 900,8\r\n"
+                            "X-Prefix-Hash: {:x}:700,{:x}:200\r\n",
+                            random_() % 20, random_());
+    }
+    async::ExchangeRequest request;
+    request.peer_ = fmt::format("{}.{}", instance.name(), instance.lifetime());
+    request.address_ = instance.callers();
+    request.text_ = text + "\r\n" + body;
+    request.connectBy_ = BootClock::now() + ConnectTime;
+    ledger_.onSent(asked->id_, kind);
+    ++open_;
+    async::ExchangeEvents events;
+    events.onHead_ = [asked](async::ResponseHead &head) { asked->status_ = head.status_; };
+    events.onBody_ = [asked](const std::string &bytes) { asked->body_ += bytes; };
+    events.onEnd_ = [this, asked] {
+        --open_;
+        onEnd(asked);
+    };
+    events.onFailed_ = [this, asked](async::ExchangeFailure failure) {
+        --open_;
+        onFailed(asked, failure);
+    };
+    client_.start(std::move(request), std::move(events));
+}
+
+void Callers::onEnd(const std::shared_ptr<Asked> &asked)
+{
+    const int status = asked->status_;
+    const bool promisesNotRun = status == 503 || status == 429 || status == 408 || status == 421;
+    if (promisesNotRun) {
+        ledger_.onNotRunTold(asked->id_);
+    }
+    if (status != 200) {
+        return;
+    }
+    ledger_.onServed(asked->id_);
+    if (asked->kind_ == Kind::Stream || asked->kind_ == Kind::ResumableStream) {
+        checkStream(*asked, true);
+    } else if (asked->body_ != serviceBody(asked->id_)) {
+        ledger_.violate(Promise::OwnAnswer, asked->id_ + " got: " + asked->body_);
+    }
+}
+
+void Callers::checkStream(const Asked &asked, bool whole)
+{
+    std::string expected;
+    for (int number = 1; number <= EventsOfAStream; ++number) {
+        expected += streamEvent(asked.id_, number);
+    }
+    const bool right = whole ? asked.body_ == expected : expected.starts_with(asked.body_);
+    if (!right) {
+        ledger_.violate(Promise::StreamInOrder, asked.id_ + " got: " + asked.body_);
+    }
+}
+
+void Callers::onFailed(const std::shared_ptr<Asked> &asked, async::ExchangeFailure failure)
+{
+    if (failure == async::ExchangeFailure::Garbled) {
+        ledger_.violate(Promise::OwnAnswer, asked->id_ + " got bytes that are no answer");
+    }
+    if (asked->status_ == 200 && (asked->kind_ == Kind::Stream
+                                  || asked->kind_ == Kind::ResumableStream)) {
+        checkStream(*asked, false);
+    }
+    const bool sent = failure != async::ExchangeFailure::NotSent;
+    const bool stopped = asked->instance_->stopping() || asked->instance_->lifetime() != asked->lifetime_;
+    if (sent && stopped && calm_) {
+        ledger_.violate(Promise::StopCutsNothing,
+                        asked->id_ + " was cut by the stop of " + asked->instance_->name());
+    }
+}
+
+void Callers::probeConfig(InstanceProcess &instance, int version)
+{
+    const std::string lifetime = fmt::format("{}.{}", instance.name(), instance.lifetime());
+    async::ExchangeRequest request;
+    request.peer_ = lifetime;
+    request.address_ = instance.callers();
+    const std::string id = fmt::format("{:x}-probe-{}", seed_, next_++);
+    ledger_.onSent(id, Kind::Safe);
+    request.text_ = fmt::format("GET /v{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n"
+                                "X-Deadline-Ms: {}\r\n\r\n",
+                                version, id, PatienceMillis);
+    request.connectBy_ = BootClock::now() + ConnectTime;
+    auto status = std::make_shared<int>(0);
+    async::ExchangeEvents events;
+    events.onHead_ = [status](async::ResponseHead &head) { *status = head.status_; };
+    events.onBody_ = [](const std::string &) {};
+    events.onEnd_ = [this, status, version, lifetime] {
+        int &seen = seenVersion_[lifetime];
+        if (*status == 404 && (calm_ || seen >= version)) {
+            ledger_.violate(Promise::ConfigKept,
+                            fmt::format("{} does not know version {}, has shown {}", lifetime,
+                                        version, seen));
+        }
+        if (*status != 404 && *status != 503) {
+            seen = std::max(seen, version);
+        }
+    };
+    events.onFailed_ = [](async::ExchangeFailure) {};
+    client_.start(std::move(request), std::move(events));
+}
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,49 @@
+/**
+ * Callers that keep their connections open until the instance behind them is gone, and check
+ * every answer.
+ */
+#pragma once
+
+#include "instances.h"
+
+#include "almondridge/async/httpclient.h"
+
+#include <random>
+
+namespace almondridge::soak {
+
+class Callers
+{
+public:
+    Callers(async::EventLoop &loop, Ledger &ledger,
+            std::vector<std::unique_ptr<InstanceProcess>> &instances, std::uint64_t seed);
+
+    /** Sends one request of each kind, each to an instance that is ready. */
+    void sendRound();
+    /** Asks an instance directly for the route that configuration `version` added. */
+    void probeConfig(InstanceProcess &instance, int version);
+    std::size_t open() const noexcept { return open_; }
+    /** Whether violations of a cut are counted: not while a fault strikes. */
+    void setCalm(bool calm) { calm_ = calm; }
+
+private:
+    struct Asked;
+
+    void send(Kind kind, InstanceProcess &instance);
+    void onEnd(const std::shared_ptr<Asked> &asked);
+    void onFailed(const std::shared_ptr<Asked> &asked, async::ExchangeFailure failure);
+    void checkStream(const Asked &asked, bool whole);
+
+    async::EventLoop &loop_;
+    Ledger &ledger_;
+    std::vector<std::unique_ptr<InstanceProcess>> &instances_;
+    async::HttpClient client_;
+    std::mt19937_64 random_;
+    std::uint64_t next_ = 1;
+    std::uint64_t seed_;
+    std::size_t open_ = 0;
+    bool calm_ = true;
+    std::map<std::string, int> seenVersion_; ///< By instance and lifetime.
+};
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/endpointstandin.cpp
@@ -0,0 +1,254 @@
+#include "endpointstandin.h"
+
+#include "later.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almondridge::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration HeartbeatInterval = millis(600);
+constexpr Duration WorkTime = millis(15);
+constexpr Duration EventInterval = millis(20);
+constexpr Duration SwitchTime = millis(1'000);
+/** What the settings of the soak's instances promise, and a little for the proxies. */
+constexpr Duration DrainBound = millis(2'300);
+/** The share of requests that a fault strikes. */
+constexpr double FaultShare = 0.4;
+
+} // namespace
+
+std::string serviceBody(const std::string &requestId)
+{
+    return "answer to " + requestId + "\n";
+}
+
+std::string streamEvent(const std::string &requestId, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + requestId + " token "
+        + std::to_string(number) + "\n\n";
+}
+
+EndpointStandIn::EndpointStandIn(async::EventLoop &loop, StoreStandIn &store, Ledger &ledger,
+                                 std::string id, std::string service, std::string stage,
+                                 std::uint64_t seed)
+    : loop_(loop)
+    , store_(store)
+    , ledger_(ledger)
+    , id_(std::move(id))
+    , service_(std::move(service))
+    , stage_(std::move(stage))
+    , server_(loop,
+              {[this](const async::ServerCall &call) { onCall(call); },
+               [this](const async::CallId &call) { streams_.erase(call.call_); },
+               {}})
+    , random_(seed)
+    , heartbeat_(loop)
+{
+    server_.listen({"127.0.0.1", 0}).value();
+    proxy_ = std::make_unique<Proxy>(loop, net::Address {"127.0.0.1", server_.port()});
+    beat();
+}
+
+EndpointStandIn::~EndpointStandIn()
+{
+    store_.put("keyed.servers", id_, "");
+}
+
+void EndpointStandIn::beat()
+{
+    heartbeat_.startAt(BootClock::now() + HeartbeatInterval, [this] { beat(); });
+    Json entry {{"service", service_},
+                {"address", net::toString(proxy_->address())},
+                {"zone", "z"},
+                {"version", "v1"},
+                {"slots", 16},
+                {"state", draining() ? "draining" : "ready"},
+                {"seq", random_()}};
+    if (!stage_.empty()) {
+        entry["stage"] = stage_;
+    }
+    store_.put("keyed.servers", id_, entry.dump());
+}
+
+void EndpointStandIn::drain()
+{
+    drainedAt_ = BootClock::now();
+    beat();
+}
+
+bool EndpointStandIn::strikes()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_) < FaultShare;
+}
+
+net::Headers EndpointStandIn::signedHeaders(const std::string &requestId) const
+{
+    return {{"X-Request-Id", requestId}, {"X-Response-Signature", id_ + "." + requestId}};
+}
+
+void EndpointStandIn::refuse(const async::CallId &call, int status)
+{
+    server_.respond(call, {status, {{"X-Not-Executed", "1"}}, ""});
+}
+
+void EndpointStandIn::onCall(const async::ServerCall &call)
+{
+    const std::string &target = call.head_.target_;
+    if (target == "/almondridge/report") {
+        server_.respond(call.id_,
+                        {200,
+                         {},
+                         Json {{"stage", stage_},
+                               {"busy", changingUntil_ > BootClock::now()},
+                               {"seq", orders_}}
+                             .dump()});
+    } else if (target == "/almondridge/order") {
+        onOrder(call);
+    } else if (call.head_.method_ == "DELETE") {
+        handles_.erase(target.substr(target.rfind('/') + 1));
+        server_.respond(call.id_, {200, {}, ""});
+    } else {
+        onWork(call);
+    }
+}
+
+void EndpointStandIn::onOrder(const async::ServerCall &call)
+{
+    const Json order = Json::parse(call.body_);
+    const std::uint64_t fence = order.at("fence");
+    ledger_.onOrder(id_, order.at("holder"), fence);
+    if (fence < fence_) {
+        server_.respond(call.id_, {412, {}, ""});
+        return;
+    }
+    fence_ = fence;
+    const bool busy = changingUntil_ > BootClock::now();
+    if (busy || order.at("expect") != orders_) {
+        server_.respond(call.id_, {409, {}, ""});
+        return;
+    }
+    ++orders_;
+    stage_ = order.at("stage");
+    changingUntil_ = BootClock::now() + SwitchTime;
+    beat();
+    server_.respond(call.id_, {202, {}, ""});
+}
+
+void EndpointStandIn::checkDrain(const std::string &requestId)
+{
+    if (draining() && BootClock::now() > drainedAt_ + DrainBound) {
+        ledger_.violate(Promise::DrainKept,
+                        requestId + " reached " + id_ + " after it said that it leaves");
+    }
+}
+
+void EndpointStandIn::onWork(const async::ServerCall &call)
+{
+    const net::Headers &headers = call.head_.headers_;
+    const std::string requestId(net::headerValue(headers, "X-Request-Id"));
+    const bool prefillOnly = net::headerValue(headers, "X-Stage") == "prefill";
+    if (net::headerValue(headers, "X-Target-Instance") != id_) {
+        refuse(call.id_, 421);
+        return;
+    }
+    checkDrain(requestId);
+    const bool wrongStage = !stage_.empty() && prefillOnly != (stage_ == "prefill");
+    if (wrongStage) {
+        refuse(call.id_, 421);
+        return;
+    }
+    if (changingUntil_ > BootClock::now() || (fault_ == EndpointFault::Sheds && strikes())) {
+        refuse(call.id_, 503);
+        return;
+    }
+    if (fault_ == EndpointFault::Hang && strikes()) {
+        return;
+    }
+    if (prefillOnly) {
+        prefill(call);
+        return;
+    }
+    const std::string source(net::headerValue(headers, "X-Kv-Source"));
+    if (!source.empty() && fault_ == EndpointFault::Errors && strikes()) {
+        refuse(call.id_, 503);
+        return;
+    }
+    ledger_.onRun(requestId, id_);
+    if (fault_ == EndpointFault::ResetAfterRun && strikes()) {
+        server_.abort(call.id_);
+        return;
+    }
+    if (fault_ == EndpointFault::Errors && strikes()) {
+        server_.respond(call.id_, {500, signedHeaders(requestId), "failed\n"});
+        return;
+    }
+    stage_.empty() ? runService(call, requestId) : beginStream(call, requestId);
+}
+
+void EndpointStandIn::runService(const async::ServerCall &call, const std::string &requestId)
+{
+    const bool garbled = fault_ == EndpointFault::Garble && strikes();
+    later(loop_, WorkTime, [this, call, requestId,
+                                                                      garbled] {
+        if (!garbled) {
+            server_.respond(call.id_, {200, signedHeaders(requestId), serviceBody(requestId)});
+            return;
+        }
+        net::Headers headers = signedHeaders(requestId);
+        headers.push_back({"Content-Length", "1000"});
+        server_.beginStream(call.id_, {200, "OK", headers});
+        server_.streamBytes(call.id_, "half an answer");
+        server_.abort(call.id_);
+    });
+}
+
+void EndpointStandIn::prefill(const async::ServerCall &call)
+{
+    const std::string handle = id_ + "-" + std::to_string(nextHandle_++);
+    handles_.insert(handle);
+    later(loop_, WorkTime, [this, call, handle] {
+        server_.respond(call.id_,
+                        {200, {}, Json {{"handle", handle}, {"tokens", 10}, {"version", 1}}.dump()});
+    });
+}
+
+void EndpointStandIn::beginStream(const async::ServerCall &call, const std::string &requestId)
+{
+    const std::string after(net::headerValue(call.head_.headers_, "Last-Event-Id"));
+    net::Headers headers = signedHeaders(requestId);
+    headers.push_back({"Content-Type", "text/event-stream"});
+    server_.beginStream(call.id_, {200, "OK", headers});
+    streams_[call.id_.call_] = {call.id_, requestId, after.empty() ? 1 : std::stoi(after) + 1};
+    streamNext(call.id_.call_);
+}
+
+void EndpointStandIn::streamNext(std::uint64_t number)
+{
+    const auto found = streams_.find(number);
+    if (found == streams_.end()) {
+        return;
+    }
+    Stream &stream = found->second;
+    const bool breaks = fault_ == EndpointFault::Garble && stream.next_ == EventsOfAStream / 2;
+    const std::string event = streamEvent(stream.requestId_, stream.next_);
+    if (breaks && strikes()) {
+        // In the middle of an event, as a crash would.
+        server_.streamBytes(stream.call_, event.substr(0, event.size() / 2));
+        server_.abort(stream.call_);
+        streams_.erase(found);
+        return;
+    }
+    if (stream.next_ > EventsOfAStream) {
+        server_.endStream(stream.call_);
+        streams_.erase(found);
+        return;
+    }
+    server_.streamBytes(stream.call_, event);
+    ++stream.next_;
+    later(loop_, EventInterval, [this, number] { streamNext(number); });
+}
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/endpointstandin.h
@@ -0,0 +1,89 @@
+/**
+ * A stand-in of an endpoint for soaks: a plain service, or an engine that reads prompts or
+ * generates. It keeps its entry in the store and tells the ledger what it runs.
+ */
+#pragma once
+
+#include "ledger.h"
+#include "proxy.h"
+#include "storestandin.h"
+
+#include <memory>
+#include <random>
+#include <set>
+
+namespace almondridge::soak {
+
+enum class EndpointFault { None, Errors, Hang, ResetAfterRun, Garble, Sheds };
+
+inline constexpr std::array<EnumName<EndpointFault>, 6> EndpointFaultNames {{
+    {EndpointFault::None, "none"},
+    {EndpointFault::Errors, "errors"},
+    {EndpointFault::Hang, "hang"},
+    {EndpointFault::ResetAfterRun, "reset-after-run"},
+    {EndpointFault::Garble, "garble"},
+    {EndpointFault::Sheds, "sheds"},
+}};
+
+/** The whole answer of a service to a request. */
+std::string serviceBody(const std::string &requestId);
+/** One event of a stream; the stream has EventsOfAStream of them, numbered from 1. */
+std::string streamEvent(const std::string &requestId, int number);
+inline constexpr int EventsOfAStream = 8;
+
+class EndpointStandIn
+{
+public:
+    EndpointStandIn(async::EventLoop &loop, StoreStandIn &store, Ledger &ledger, std::string id,
+                    std::string service, std::string stage, std::uint64_t seed);
+    ~EndpointStandIn();
+
+    const std::string &id() const noexcept { return id_; }
+    void setFault(EndpointFault fault) { fault_ = fault; }
+    Proxy &link() noexcept { return *proxy_; }
+    /** Announces that it leaves; it serves on for a while. */
+    void drain();
+    bool draining() const noexcept { return drainedAt_ != TimePoint {}; }
+
+private:
+    struct Stream
+    {
+        async::CallId call_;
+        std::string requestId_;
+        int next_ = 1;
+    };
+
+    void beat();
+    void onCall(const async::ServerCall &call);
+    void onWork(const async::ServerCall &call);
+    void onOrder(const async::ServerCall &call);
+    void runService(const async::ServerCall &call, const std::string &requestId);
+    void prefill(const async::ServerCall &call);
+    void beginStream(const async::ServerCall &call, const std::string &requestId);
+    void streamNext(std::uint64_t number);
+    void refuse(const async::CallId &call, int status);
+    void checkDrain(const std::string &requestId);
+    bool strikes();
+    net::Headers signedHeaders(const std::string &requestId) const;
+
+    async::EventLoop &loop_;
+    StoreStandIn &store_;
+    Ledger &ledger_;
+    std::string id_;
+    std::string service_;
+    std::string stage_;
+    async::HttpServer server_;
+    std::unique_ptr<Proxy> proxy_;
+    std::mt19937_64 random_;
+    EndpointFault fault_ = EndpointFault::None;
+    TimePoint drainedAt_ {};
+    TimePoint changingUntil_ {};
+    std::uint64_t orders_ = 0;
+    std::uint64_t fence_ = 0;
+    std::uint64_t nextHandle_ = 1;
+    std::set<std::string> handles_;
+    std::map<std::uint64_t, Stream> streams_; ///< By CallId::call_.
+    async::Timer heartbeat_;
+};
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/instances.h
@@ -0,0 +1,66 @@
+/**
+ * The instances under test: real processes, each with its own settings, log and way to the store.
+ */
+#pragma once
+
+#include "ledger.h"
+#include "proxy.h"
+
+#include <optional>
+#include <sys/types.h>
+
+namespace almondridge::soak {
+
+class InstanceProcess
+{
+public:
+    InstanceProcess(async::EventLoop &loop, Ledger &ledger, std::string program,
+                    std::string directory, int number, const net::Address &store);
+    ~InstanceProcess();
+    InstanceProcess(const InstanceProcess &) = delete;
+    InstanceProcess &operator=(const InstanceProcess &) = delete;
+
+    void start();
+    void kill();
+    /** A planned stop; it ends by itself. */
+    void terminate();
+    void pause();
+    void resume();
+    void reload();
+    /** Looks whether the process has ended. One that ends by itself breaks a promise. */
+    void watch();
+
+    bool running() const noexcept { return pid_ > 0; }
+    bool paused() const noexcept { return paused_; }
+    bool stopping() const noexcept { return stopping_; }
+    /** Callers may be sent here, as its own answer was when last asked. */
+    bool ready() const noexcept { return running() && ready_; }
+    void setReady(bool ready) { ready_ = ready; }
+    const net::Address &callers() const noexcept { return callers_; }
+    const net::Address &health() const noexcept { return health_; }
+    Proxy &storeLink() noexcept { return storeLink_; }
+    const std::string &name() const noexcept { return name_; }
+    /** Rises with each start: a configuration may not go back within one. */
+    int lifetime() const noexcept { return lifetime_; }
+
+private:
+    void writeSettings() const;
+
+    async::EventLoop &loop_;
+    Ledger &ledger_;
+    std::string program_;
+    std::string directory_;
+    std::string name_;
+    net::Address callers_;
+    net::Address health_;
+    int peerPort_;
+    Proxy storeLink_;
+    pid_t pid_ = 0;
+    int lifetime_ = 0;
+    bool expectedEnd_ = false;
+    bool paused_ = false;
+    bool stopping_ = false;
+    bool ready_ = false;
+};
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/ledger.cpp
@@ -0,0 +1,63 @@
+#include "ledger.h"
+
+namespace almondridge::soak {
+
+void Ledger::onSent(const std::string &id, Kind kind)
+{
+    entries_[id].kind_ = kind;
+    ++sent_;
+}
+
+void Ledger::onRun(const std::string &id, const std::string &endpoint)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        violate(Promise::OwnAnswer, endpoint + " ran " + id + ", which no caller sent");
+        return;
+    }
+    Entry &entry = found->second;
+    ++entry.runs_;
+    const bool repeatable = entry.kind_ == Kind::Safe || entry.kind_ == Kind::ResumableStream;
+    if (!repeatable && entry.runs_ > 1) {
+        violate(Promise::AtMostOnce, endpoint + " ran " + id + " once more");
+    }
+    if (!repeatable && entry.notRunTold_) {
+        violate(Promise::TruthfulNotRun, endpoint + " ran " + id + " after it was called not run");
+    }
+}
+
+void Ledger::onNotRunTold(const std::string &id)
+{
+    Entry &entry = entries_[id];
+    entry.notRunTold_ = true;
+    ++notRun_;
+    const bool repeatable = entry.kind_ == Kind::Safe || entry.kind_ == Kind::ResumableStream;
+    if (!repeatable && entry.runs_ > 0) {
+        violate(Promise::TruthfulNotRun, id + " was called not run and has run");
+    }
+}
+
+void Ledger::onServed(const std::string &)
+{
+    ++served_;
+}
+
+void Ledger::onOrder(const std::string &engine, const std::string &holder, std::uint64_t fence)
+{
+    std::uint64_t &highest = fences_[engine];
+    if (fence >= highest) {
+        highest = fence;
+    }
+    const auto [place, added] = holders_.try_emplace(fence, holder);
+    if (!added && place->second != holder) {
+        violate(Promise::OneHolder, holder + " and " + place->second + " share fence "
+                                        + std::to_string(fence) + " at " + engine);
+    }
+}
+
+void Ledger::violate(Promise promise, std::string what)
+{
+    violations_.push_back({promise, std::move(what)});
+}
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/ledger.h
@@ -0,0 +1,92 @@
+/**
+ * What callers and endpoints of a soak saw of each request, and which promise that breaks.
+ */
+#pragma once
+
+#include "almondridge/base/enumnames.h"
+#include "almondridge/base/time.h"
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almondridge::soak {
+
+enum class Kind { Safe, Unsafe, Stream, ResumableStream };
+
+inline constexpr std::array<EnumName<Kind>, 4> KindNames {{
+    {Kind::Safe, "safe"},
+    {Kind::Unsafe, "unsafe"},
+    {Kind::Stream, "stream"},
+    {Kind::ResumableStream, "resumable"},
+}};
+
+/** The promises that are checked while the soak runs. */
+enum class Promise {
+    OwnAnswer,     ///< A whole answer to the caller's own request.
+    AtMostOnce,    ///< What may not be repeated runs once at most.
+    TruthfulNotRun, ///< What was called not run did not run and does not run later.
+    StreamInOrder, ///< No event is missing or doubled, and a cut stream does not look whole.
+    DrainKept,     ///< A leaving endpoint gets nothing after the bound.
+    ConfigKept,    ///< A configuration is in force in time and never goes back.
+    OneHolder,     ///< Fencing numbers of orders never fall, and no two instances share one.
+    StopCutsNothing, ///< A planned stop cuts no request that was sent before it ended.
+    Recovers,      ///< After the last fault requests are served again.
+    StaysUp,       ///< No instance ends by itself.
+};
+
+inline constexpr std::array<EnumName<Promise>, 10> PromiseNames {{
+    {Promise::OwnAnswer, "own-answer"},
+    {Promise::AtMostOnce, "at-most-once"},
+    {Promise::TruthfulNotRun, "truthful-not-run"},
+    {Promise::StreamInOrder, "stream-in-order"},
+    {Promise::DrainKept, "drain-kept"},
+    {Promise::ConfigKept, "config-kept"},
+    {Promise::OneHolder, "one-holder"},
+    {Promise::StopCutsNothing, "stop-cuts-nothing"},
+    {Promise::Recovers, "recovers"},
+    {Promise::StaysUp, "stays-up"},
+}};
+
+struct Violation
+{
+    Promise promise_ = Promise::OwnAnswer;
+    std::string what_;
+};
+
+class Ledger
+{
+public:
+    void onSent(const std::string &id, Kind kind);
+    /** An endpoint began to work on the request. */
+    void onRun(const std::string &id, const std::string &endpoint);
+    /** The caller was told that the request has not run and never will. */
+    void onNotRunTold(const std::string &id);
+    void onServed(const std::string &id);
+    void onOrder(const std::string &engine, const std::string &holder, std::uint64_t fence);
+    void violate(Promise promise, std::string what);
+
+    std::uint64_t sent() const noexcept { return sent_; }
+    std::uint64_t served() const noexcept { return served_; }
+    std::uint64_t notRun() const noexcept { return notRun_; }
+    const std::vector<Violation> &violations() const noexcept { return violations_; }
+
+private:
+    struct Entry
+    {
+        Kind kind_ = Kind::Safe;
+        int runs_ = 0;
+        bool notRunTold_ = false;
+    };
+
+    std::map<std::string, Entry> entries_;
+    std::map<std::string, std::uint64_t> fences_;     ///< The highest that each engine saw.
+    std::map<std::uint64_t, std::string> holders_; ///< Who used a fence first.
+    std::vector<Violation> violations_;
+    std::uint64_t sent_ = 0;
+    std::uint64_t served_ = 0;
+    std::uint64_t notRun_ = 0;
+};
+
+} // namespace almondridge::soak
--- /dev/null
+++ b/soak/storestandin.cpp
@@ -0,0 +1,237 @@
+#include "storestandin.h"
+
+#include "later.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace almondridge::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration TickInterval = millis(20);
+constexpr Duration SlowAnswer = millis(240);
+/** Every so many answers one is lost, while the store loses answers. */
+constexpr std::uint64_t LostEvery = 3;
+constexpr std::size_t LengthBytes = 4;
+
+std::string parameter(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const std::size_t begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+std::string bigEndian(std::uint64_t number, std::size_t bytes)
+{
+    std::string text(bytes, '\0');
+    for (std::size_t index = 0; index < bytes; ++index) {
+        text[bytes - 1 - index] = static_cast<char>(number >> (8U * index) & 0xffU);
+    }
+    return text;
+}
+
+std::string base64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                       reinterpret_cast<const unsigned char *>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+bool isKeyed(const std::string &topic)
+{
+    return topic.starts_with("keyed.");
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(async::EventLoop &loop)
+    : loop_(loop)
+    , server_(loop,
+              {[this](const async::ServerCall &call) { onCall(call); },
+               [this](const async::CallId &id) {
+                   waiting_.remove_if([&](const Waiting &one) { return one.id_ == id; });
+               },
+               {}})
+    , tick_(loop)
+{
+    server_.listen({"127.0.0.1", 0}).value();
+    answerWaiting();
+}
+
+void StoreStandIn::setFault(StoreFault fault)
+{
+    fault_ = fault;
+    if (fault == StoreFault::Silent || fault == StoreFault::Reset) {
+        for (const Waiting &one : std::exchange(waiting_, {})) {
+            if (fault == StoreFault::Reset) {
+                server_.abort(one.id_);
+            }
+        }
+    }
+}
+
+void StoreStandIn::onCall(const async::ServerCall &call)
+{
+    ++calls_;
+    switch (fault_) {
+    case StoreFault::Silent:
+        return;
+    case StoreFault::Busy:
+        server_.respond(call.id_, {503, {}, ""});
+        return;
+    case StoreFault::Reset:
+        server_.abort(call.id_);
+        return;
+    case StoreFault::Slow:
+        later(loop_, SlowAnswer, [this, call] { serve(call); });
+        return;
+    case StoreFault::LosesAnswers:
+        if (calls_ % LostEvery == 0) {
+            // Done, and the answer is lost with its connection.
+            if (call.head_.method_ == "POST") {
+                append(parameter(call.head_.target_, "topic"), call.body_);
+            }
+            return;
+        }
+        break;
+    case StoreFault::None:
+        break;
+    }
+    serve(call);
+}
+
+void StoreStandIn::serve(const async::ServerCall &call)
+{
+    const std::string &target = call.head_.target_;
+    const std::string topic = parameter(target, "topic");
+    if (target.starts_with("/almondridge/log-append")) {
+        server_.respond(call.id_, append(topic, call.body_));
+    } else if (target.starts_with("/almondridge/log-newest")) {
+        server_.respond(call.id_, newest(topic));
+    } else if (target.starts_with("/almondridge/log-join")) {
+        server_.respond(call.id_, join(call.body_));
+    } else if (target.starts_with("/almondridge/log-read")) {
+        const LogOffset from = numberOf(parameter(target, "from"));
+        const Log &log = logs_[topic];
+        if (from < log.first_ || from < log.first_ + log.records_.size()) {
+            server_.respond(call.id_, records(log, from));
+            return;
+        }
+        const auto wait = static_cast<std::int64_t>(numberOf(parameter(target, "wait-ms")));
+        waiting_.push_back({call.id_, topic, from, BootClock::now() + millis(wait)});
+    } else {
+        server_.respond(call.id_, {200, {}, "{}"});
+    }
+}
+
+void StoreStandIn::answerWaiting()
+{
+    const TimePoint now = BootClock::now();
+    tick_.startAt(now + TickInterval, [this] { answerWaiting(); });
+    for (auto one = waiting_.begin(); one != waiting_.end();) {
+        const Log &log = logs_[one->topic_];
+        const bool due = one->until_ <= now || one->from_ < log.first_ + log.records_.size();
+        if (due) {
+            server_.respond(one->id_, records(log, one->from_));
+        }
+        one = due ? waiting_.erase(one) : std::next(one);
+    }
+}
+
+net::Response StoreStandIn::records(const Log &log, LogOffset from) const
+{
+    if (from < log.first_) {
+        return {410, {}, Json {{"first", log.first_}}.dump()};
+    }
+    const LogOffset end = log.first_ + log.records_.size();
+    std::string body = bigEndian(end, 8) + bigEndian(log.first_, 8);
+    for (LogOffset offset = from; offset < end; ++offset) {
+        const std::string &record = log.records_[offset - log.first_];
+        body += bigEndian(record.size(), LengthBytes) + record;
+    }
+    return {200, {}, body};
+}
+
+net::Response StoreStandIn::append(const std::string &topic, const std::string &body)
+{
+    if (topic.empty() || body.size() < LengthBytes) {
+        return {400, {}, "{}"};
+    }
+    Log &log = logs_[topic];
+    const LogOffset offset = log.first_ + log.records_.size();
+    const std::string record = body.substr(LengthBytes);
+    log.records_.push_back(record);
+    if (isKeyed(topic)) {
+        const auto keyLength = static_cast<unsigned char>(record.at(0));
+        newest_[topic][record.substr(1, keyLength)] = {record.substr(1 + keyLength), offset};
+    }
+    return {200, {}, Json {{"offset", offset}, {"end", offset + 1}}.dump()};
+}
+
+void StoreStandIn::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    const std::string record = static_cast<char>(key.size()) + key + value;
+    append(topic, bigEndian(record.size(), LengthBytes) + record);
+}
+
+void StoreStandIn::dropHistory()
+{
+    for (auto &[topic, log] : logs_) {
+        log.first_ += log.records_.size();
+        log.records_.clear();
+    }
+}
+
+net::Response StoreStandIn::newest(const std::string &topic)
+{
+    Json items = Json::array();
+    for (const auto &[key, entry] : newest_[topic]) {
+        if (!entry.first.empty()) {
+            items.push_back(
+                {{"key", key}, {"value", base64(entry.first)}, {"offset", entry.second}});
+        }
+    }
+    const Log &log = logs_[topic];
+    return {200,
+            {},
+            Json {{"items", items}, {"more", false}, {"end", log.first_ + log.records_.size()}}
+                .dump()};
+}
+
+net::Response StoreStandIn::join(const std::string &body)
+{
+    const Json json = Json::parse(body);
+    const std::string name = json.at("member");
+    const TimePoint now = BootClock::now();
+    const std::size_t before = members_.size();
+    members_.remove_if([&](const GroupMember &one) { return one.until_ <= now; });
+    auto member = std::find_if(members_.begin(), members_.end(),
+                               [&](const GroupMember &one) { return one.name_ == name; });
+    if (member == members_.end()) {
+        member = members_.insert(members_.end(), {name, {}});
+        ++generation_;
+    }
+    generation_ += before != members_.size() ? 1 : 0;
+    member->until_ = now + millis(json.at("ttl-ms").get<std::int64_t>());
+    Json parts = Json::array();
+    if (member == members_.begin()) {
+        parts.push_back({json.at("topics").at(0), 0, 0});
+    }
+    return {200, {}, Json {{"generation", generation_}, {"parts", parts}}.dump()};
+}
+
+} // namespace almondridge::soak
