--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -125,12 +125,13 @@
     if (failure == async::ExchangeFailure::Garbled) {
         ledger_.violate(Promise::OwnAnswer, asked->id_ + " got bytes that are no answer");
     }
-    if (asked->status_ == 200 && (asked->kind_ == Kind::Stream
-                                  || asked->kind_ == Kind::ResumableStream)) {
+    if (asked->status_ == 200
+        && (asked->kind_ == Kind::Stream || asked->kind_ == Kind::ResumableStream)) {
         checkStream(*asked, false);
     }
     const bool sent = failure != async::ExchangeFailure::NotSent;
-    const bool stopped = asked->instance_->stopping() || asked->instance_->lifetime() != asked->lifetime_;
+    const bool stopped =
+        asked->instance_->stopping() || asked->instance_->lifetime() != asked->lifetime_;
     if (sent && stopped && calm_) {
         ledger_.violate(Promise::StopCutsNothing,
                         asked->id_ + " was cut by the stop of " + asked->instance_->name());
@@ -156,9 +157,9 @@
     events.onEnd_ = [this, status, version, lifetime] {
         int &seen = seenVersion_[lifetime];
         if (*status == 404 && (calm_ || seen >= version)) {
-            ledger_.violate(Promise::ConfigKept,
-                            fmt::format("{} does not know version {}, has shown {}", lifetime,
-                                        version, seen));
+            ledger_.violate(
+                Promise::ConfigKept,
+                fmt::format("{} does not know version {}, has shown {}", lifetime, version, seen));
         }
         if (*status != 404 && *status != 503) {
             seen = std::max(seen, version);
--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -28,7 +28,7 @@
 std::string streamEvent(const std::string &requestId, int number)
 {
     return "id: " + std::to_string(number) + "\ndata: " + requestId + " token "
-        + std::to_string(number) + "\n\n";
+           + std::to_string(number) + "\n\n";
 }
 
 EndpointStandIn::EndpointStandIn(async::EventLoop &loop, StoreStandIn &store, Ledger &ledger,
@@ -40,10 +40,9 @@
     , id_(std::move(id))
     , service_(std::move(service))
     , stage_(std::move(stage))
-    , server_(loop,
-              {[this](const async::ServerCall &call) { onCall(call); },
-               [this](const async::CallId &call) { streams_.erase(call.call_); },
-               {}})
+    , server_(loop, {[this](const async::ServerCall &call) { onCall(call); },
+                     [this](const async::CallId &call) { streams_.erase(call.call_); },
+                     {}})
     , random_(seed)
     , heartbeat_(loop)
 {
@@ -60,12 +59,9 @@
 void EndpointStandIn::beat()
 {
     heartbeat_.startAt(BootClock::now() + HeartbeatInterval, [this] { beat(); });
-    Json entry {{"service", service_},
-                {"address", net::toString(proxy_->address())},
-                {"zone", "z"},
-                {"version", "v1"},
-                {"slots", 16},
-                {"state", draining() ? "draining" : "ready"},
+    Json entry {{"service", service_}, {"address", net::toString(proxy_->address())},
+                {"zone", "z"},         {"version", "v1"},
+                {"slots", 16},         {"state", draining() ? "draining" : "ready"},
                 {"seq", random_()}};
     if (!stage_.empty()) {
         entry["stage"] = stage_;
@@ -98,13 +94,12 @@
 {
     const std::string &target = call.head_.target_;
     if (target == "/almondridge/report") {
-        server_.respond(call.id_,
-                        {200,
-                         {},
-                         Json {{"stage", stage_},
-                               {"busy", changingUntil_ > BootClock::now()},
-                               {"seq", orders_}}
-                             .dump()});
+        server_.respond(
+            call.id_,
+            {200,
+             {},
+             Json {{"stage", stage_}, {"busy", changingUntil_ > BootClock::now()}, {"seq", orders_}}
+                 .dump()});
     } else if (target == "/almondridge/order") {
         onOrder(call);
     } else if (call.head_.method_ == "DELETE") {
@@ -191,8 +186,7 @@
 void EndpointStandIn::runService(const async::ServerCall &call, const std::string &requestId)
 {
     const bool garbled = fault_ == EndpointFault::Garble && strikes();
-    later(loop_, WorkTime, [this, call, requestId,
-                                                                      garbled] {
+    later(loop_, WorkTime, [this, call, requestId, garbled] {
         if (!garbled) {
             server_.respond(call.id_, {200, signedHeaders(requestId), serviceBody(requestId)});
             return;
@@ -210,8 +204,8 @@
     const std::string handle = id_ + "-" + std::to_string(nextHandle_++);
     handles_.insert(handle);
     later(loop_, WorkTime, [this, call, handle] {
-        server_.respond(call.id_,
-                        {200, {}, Json {{"handle", handle}, {"tokens", 10}, {"version", 1}}.dump()});
+        server_.respond(
+            call.id_, {200, {}, Json {{"handle", handle}, {"tokens", 10}, {"version", 1}}.dump()});
     });
 }
 
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -16,8 +16,8 @@
 /** A port that nobody listens on now. */
 std::uint16_t freePort(async::EventLoop &loop)
 {
-    boost::asio::ip::tcp::acceptor probe(
-        loop.context(), {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+    boost::asio::ip::tcp::acceptor probe(loop.context(),
+                                         {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
     return probe.local_endpoint().port();
 }
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -24,16 +24,16 @@
 
 /** The promises that are checked while the soak runs. */
 enum class Promise {
-    OwnAnswer,     ///< A whole answer to the caller's own request.
-    AtMostOnce,    ///< What may not be repeated runs once at most.
-    TruthfulNotRun, ///< What was called not run did not run and does not run later.
-    StreamInOrder, ///< No event is missing or doubled, and a cut stream does not look whole.
-    DrainKept,     ///< A leaving endpoint gets nothing after the bound.
-    ConfigKept,    ///< A configuration is in force in time and never goes back.
-    OneHolder,     ///< Fencing numbers of orders never fall, and no two instances share one.
+    OwnAnswer,       ///< A whole answer to the caller's own request.
+    AtMostOnce,      ///< What may not be repeated runs once at most.
+    TruthfulNotRun,  ///< What was called not run did not run and does not run later.
+    StreamInOrder,   ///< No event is missing or doubled, and a cut stream does not look whole.
+    DrainKept,       ///< A leaving endpoint gets nothing after the bound.
+    ConfigKept,      ///< A configuration is in force in time and never goes back.
+    OneHolder,       ///< Fencing numbers of orders never fall, and no two instances share one.
     StopCutsNothing, ///< A planned stop cuts no request that was sent before it ended.
-    Recovers,      ///< After the last fault requests are served again.
-    StaysUp,       ///< No instance ends by itself.
+    Recovers,        ///< After the last fault requests are served again.
+    StaysUp,         ///< No instance ends by itself.
 };
 
 inline constexpr std::array<EnumName<Promise>, 10> PromiseNames {{
@@ -81,7 +81,7 @@
     };
 
     std::map<std::string, Entry> entries_;
-    std::map<std::string, std::uint64_t> fences_;     ///< The highest that each engine saw.
+    std::map<std::string, std::uint64_t> fences_;  ///< The highest that each engine saw.
     std::map<std::uint64_t, std::string> holders_; ///< Who used a fence first.
     std::vector<Violation> violations_;
     std::uint64_t sent_ = 0;
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,536 @@
+/**
+ * A randomized soak: real entry instances as processes, stand-ins of the store and the endpoints
+ * in this one, faults from outside in overlapping series, and the promises checked all the while.
+ *
+ *     soak --program PATH --directory DIR [--seed N] [--seconds S] [--instances N] [--break
+ * PROMISE]
+ */
+#include "callers.h"
+#include "endpointstandin.h"
+#include "instances.h"
+#include "later.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <getopt.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+namespace almondridge::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration RoundInterval = millis(40);
+constexpr Duration WatchInterval = millis(100);
+constexpr Duration ReadyInterval = millis(500);
+constexpr Duration FaultInterval = millis(900);
+constexpr Duration ConfigInterval = millis(5'000);
+constexpr Duration SettleTime = millis(6'000);
+/** What the settings of the instances promise, and a little for the probe's own way. */
+constexpr Duration ConfigBound = millis(2'300);
+/** After the last fault everything works again within this time. */
+constexpr Duration RecoverTime = millis(8'000);
+constexpr int EndpointsOfAKind = 4;
+
+struct Options
+{
+    std::string program_;
+    std::string directory_;
+    std::uint64_t seed_ = 1;
+    int seconds_ = 30;
+    int instances_ = 4;
+};
+
+class Soak
+{
+public:
+    explicit Soak(Options options);
+    int run();
+
+private:
+    struct FaultKind
+    {
+        std::string_view name_;
+        void (Soak::*strike_)();
+    };
+    static const std::array<FaultKind, 13> FaultKinds;
+
+    void startEndpoints();
+    void writeConfig();
+    void callerRound();
+    void watchInstances();
+    void askReady();
+    void strikeOnce();
+    void finishFaults();
+    int report();
+
+    void killOne();
+    void killMost();
+    void stopOne();
+    void pauseOne();
+    void reloadOne();
+    void breakStore();
+    void cutStoreLink();
+    void breakEndpoint();
+    void cutEndpointLink();
+    void replaceEndpoint();
+    void dropHistory();
+    void changeConfig();
+    void stopAndKill();
+
+    InstanceProcess &anyInstance();
+    EndpointStandIn &anyEndpoint();
+    Duration span(std::int64_t least, std::int64_t most);
+    /** Marks a time in which cuts and late configurations are excused. */
+    void unplanned(Duration length);
+    bool calm() const { return BootClock::now() > unplannedUntil_; }
+    void restartLater(InstanceProcess &instance, Duration after);
+    template <typename Enum, std::size_t size>
+    Enum anyFault(const std::array<EnumName<Enum>, size> &names);
+    void addEndpoint(const std::string &service, const std::string &stage);
+
+    Options options_;
+    async::EventLoop loop_;
+    Ledger ledger_;
+    StoreStandIn store_;
+    std::mt19937_64 random_;
+    std::list<EndpointStandIn> endpoints_; ///< Those that left stay: requests may still be there.
+    std::vector<std::unique_ptr<InstanceProcess>> instances_;
+    Callers callers_;
+    async::HttpClient health_;
+    async::Timer rounds_;
+    async::Timer watch_;
+    async::Timer readiness_;
+    async::Timer faults_;
+    async::Timer end_;
+    std::map<std::string, int> struck_;
+    std::map<std::string, int> missed_; ///< Answers to readiness in a row, by instance.
+    TimePoint unplannedUntil_ {};
+    TimePoint faultsEnd_ {};
+    int version_ = 0;
+    int nextEndpoint_ = 1;
+    std::uint64_t servedBeforeEnd_ = 0;
+};
+
+const std::array<Soak::FaultKind, 13> Soak::FaultKinds {{
+    {"kill one", &Soak::killOne},
+    {"kill most", &Soak::killMost},
+    {"planned stop", &Soak::stopOne},
+    {"pause", &Soak::pauseOne},
+    {"reload", &Soak::reloadOne},
+    {"store fault", &Soak::breakStore},
+    {"store link", &Soak::cutStoreLink},
+    {"endpoint fault", &Soak::breakEndpoint},
+    {"endpoint link", &Soak::cutEndpointLink},
+    {"endpoint replaced", &Soak::replaceEndpoint},
+    {"history dropped", &Soak::dropHistory},
+    {"configuration", &Soak::changeConfig},
+    {"stop, then kill another", &Soak::stopAndKill},
+}};
+
+Soak::Soak(Options options)
+    : options_(std::move(options))
+    , store_(loop_)
+    , random_(options_.seed_)
+    , callers_(loop_, ledger_, instances_, options_.seed_)
+    , health_(loop_)
+    , rounds_(loop_)
+    , watch_(loop_)
+    , readiness_(loop_)
+    , faults_(loop_)
+    , end_(loop_)
+{
+    std::filesystem::create_directories(options_.directory_);
+    writeConfig();
+    startEndpoints();
+    for (int number = 0; number < options_.instances_; ++number) {
+        instances_.push_back(std::make_unique<InstanceProcess>(
+            loop_, ledger_, options_.program_, options_.directory_, number, store_.address()));
+        instances_.back()->start();
+    }
+}
+
+int Soak::run()
+{
+    faultsEnd_ = BootClock::now() + SettleTime + millis(options_.seconds_ * 1'000LL);
+    watchInstances();
+    askReady();
+    callerRound();
+    faults_.startAt(BootClock::now() + SettleTime, [this] { strikeOnce(); });
+    end_.startAt(faultsEnd_, [this] { finishFaults(); });
+    loop_.run();
+    return report();
+}
+
+void Soak::addEndpoint(const std::string &service, const std::string &stage)
+{
+    endpoints_.emplace_back(loop_, store_, ledger_, fmt::format("e-{}", nextEndpoint_++), service,
+                            stage, random_());
+}
+
+void Soak::startEndpoints()
+{
+    for (int number = 0; number < EndpointsOfAKind; ++number) {
+        addEndpoint("desk", "");
+        addEndpoint("llm", number % 2 == 0 ? "prefill" : "decode");
+        addEndpoint("llm", number % 2 == 0 ? "decode" : "prefill");
+    }
+}
+
+/** Every version adds a route of its own, so that a probe shows which one is in force. */
+void Soak::writeConfig()
+{
+    ++version_;
+    Json routes = Json::array();
+    for (const EnumName<Kind> &kind : KindNames) {
+        const bool stream = kind.value_ == Kind::Stream || kind.value_ == Kind::ResumableStream;
+        const bool resumable = kind.value_ == Kind::ResumableStream;
+        routes.push_back({{"name", kind.name_},
+                          {"host", "h"},
+                          {"path-prefix", fmt::format("/{}/", kind.name_)},
+                          {"kind", stream ? "streaming" : std::string(kind.name_)},
+                          {"service", stream ? "llm" : "desk"},
+                          {"timeout-ms", 3'000},
+                          {"target-latency-ms", 300},
+                          {"gap-aim-ms", 200},
+                          {"priority", 1},
+                          {"max-attempts", kind.value_ == Kind::Safe || resumable ? 2 : 1},
+                          {"resumable", resumable}});
+    }
+    for (int version = 1; version <= version_; ++version) {
+        routes.push_back({{"name", fmt::format("v{}", version)},
+                          {"host", "h"},
+                          {"path-prefix", fmt::format("/v{}/", version)},
+                          {"kind", "safe"},
+                          {"service", "desk"},
+                          {"timeout-ms", 3'000},
+                          {"target-latency-ms", 300},
+                          {"max-attempts", 2}});
+    }
+    const Json config {
+        {"version", version_},
+        {"routes", routes},
+        {"services",
+         {{{"name", "desk"}, {"max-conns", 200}},
+          {{"name", "llm"},
+           {"max-conns", 200},
+           {"engine",
+            {{"slots", 16}, {"kv-tokens", 100'000}, {"handle-s", 5.0}, {"switch-s", 1.0}}}}}},
+        {"limits",
+         {{"max-header-bytes", 16'384},
+          {"max-body-bytes", 100'000},
+          {"header-timeout-ms", 3'000},
+          {"idle-timeout-ms", 15'000}}}};
+    store_.put("keyed.op", "config", config.dump());
+}
+
+void Soak::callerRound()
+{
+    rounds_.startAt(BootClock::now() + RoundInterval, [this] { callerRound(); });
+    callers_.setCalm(calm());
+    callers_.sendRound();
+}
+
+void Soak::watchInstances()
+{
+    watch_.startAt(BootClock::now() + WatchInterval, [this] { watchInstances(); });
+    for (const auto &instance : instances_) {
+        instance->watch();
+    }
+}
+
+/** As the platform's balancer: two misses in a row take an instance out. */
+void Soak::askReady()
+{
+    readiness_.startAt(BootClock::now() + ReadyInterval, [this] { askReady(); });
+    for (const auto &instance : instances_) {
+        if (!instance->running()) {
+            continue;
+        }
+        async::ExchangeRequest request;
+        request.peer_ = instance->name() + "-health";
+        request.address_ = instance->health();
+        request.text_ = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+        request.fresh_ = true;
+        request.connectBy_ = BootClock::now() + ReadyInterval;
+        InstanceProcess *raw = instance.get();
+        const auto answered = [this, raw](bool ready) {
+            int &missed = missed_[raw->name()];
+            missed = ready ? 0 : missed + 1;
+            if (ready || missed >= 2) {
+                raw->setReady(ready);
+            }
+        };
+        auto status = std::make_shared<int>(0);
+        async::ExchangeEvents events;
+        events.onHead_ = [status](async::ResponseHead &head) { *status = head.status_; };
+        events.onBody_ = [](const std::string &) {};
+        events.onEnd_ = [status, answered] { answered(*status == 200); };
+        events.onFailed_ = [answered](async::ExchangeFailure) { answered(false); };
+        health_.start(std::move(request), std::move(events));
+    }
+}
+
+InstanceProcess &Soak::anyInstance()
+{
+    return *instances_[random_() % instances_.size()];
+}
+
+EndpointStandIn &Soak::anyEndpoint()
+{
+    std::vector<EndpointStandIn *> staying;
+    for (EndpointStandIn &endpoint : endpoints_) {
+        if (!endpoint.draining()) {
+            staying.push_back(&endpoint);
+        }
+    }
+    return *staying[random_() % staying.size()];
+}
+
+Duration Soak::span(std::int64_t least, std::int64_t most)
+{
+    return millis(least + static_cast<std::int64_t>(random_() % (most - least + 1)));
+}
+
+void Soak::unplanned(Duration length)
+{
+    // Connections that were cut or silenced are still found out a while later.
+    constexpr Duration Aftermath = millis(5'000);
+    unplannedUntil_ = std::max(unplannedUntil_, BootClock::now() + length + Aftermath);
+    callers_.setCalm(false);
+}
+
+template <typename Enum, std::size_t size>
+Enum Soak::anyFault(const std::array<EnumName<Enum>, size> &names)
+{
+    return names[1 + random_() % (size - 1)].value_;
+}
+
+void Soak::strikeOnce()
+{
+    if (BootClock::now() + FaultInterval > faultsEnd_) {
+        return;
+    }
+    faults_.startAt(BootClock::now() + span(300, 2 * toMillis(FaultInterval)),
+                    [this] { strikeOnce(); });
+    const FaultKind &kind = FaultKinds[random_() % FaultKinds.size()];
+    ++struck_[std::string(kind.name_)];
+    (this->*kind.strike_)();
+}
+
+void Soak::restartLater(InstanceProcess &instance, Duration after)
+{
+    later(loop_, after, [this, &instance] {
+        instance.watch();
+        if (instance.running()) {
+            restartLater(instance, millis(200));
+        } else {
+            instance.start();
+        }
+    });
+}
+
+void Soak::killOne()
+{
+    unplanned(millis(1'000));
+    InstanceProcess &instance = anyInstance();
+    instance.kill();
+    restartLater(instance, span(200, 1'500));
+}
+
+void Soak::killMost()
+{
+    unplanned(millis(2'000));
+    for (std::size_t index = 1; index < instances_.size(); ++index) {
+        instances_[index]->kill();
+        restartLater(*instances_[index], span(300, 1'500));
+    }
+}
+
+void Soak::stopOne()
+{
+    InstanceProcess &instance = anyInstance();
+    if (instance.running() && !instance.paused() && !instance.stopping()) {
+        instance.terminate();
+        restartLater(instance, millis(500));
+    }
+}
+
+void Soak::stopAndKill()
+{
+    stopOne();
+    killOne();
+}
+
+void Soak::pauseOne()
+{
+    InstanceProcess &instance = anyInstance();
+    const Duration length = span(500, 4'000);
+    unplanned(length);
+    instance.pause();
+    later(loop_, length, [&instance] { instance.resume(); });
+}
+
+void Soak::reloadOne()
+{
+    anyInstance().reload();
+}
+
+void Soak::breakStore()
+{
+    const Duration length = span(500, 3'000);
+    unplanned(length);
+    store_.setFault(anyFault(StoreFaultNames));
+    later(loop_, length, [this] { store_.setFault(StoreFault::None); });
+}
+
+void Soak::cutStoreLink()
+{
+    const Duration length = span(500, 4'000);
+    unplanned(length);
+    InstanceProcess &instance = anyInstance();
+    instance.storeLink().setFault(anyFault(LinkFaultNames));
+    later(loop_, length, [&instance] { instance.storeLink().setFault(LinkFault::None); });
+}
+
+void Soak::breakEndpoint()
+{
+    const Duration length = span(500, 4'000);
+    unplanned(length);
+    EndpointStandIn &endpoint = anyEndpoint();
+    endpoint.setFault(anyFault(EndpointFaultNames));
+    later(loop_, length, [&endpoint] { endpoint.setFault(EndpointFault::None); });
+}
+
+void Soak::cutEndpointLink()
+{
+    const Duration length = span(500, 4'000);
+    unplanned(length);
+    EndpointStandIn &endpoint = anyEndpoint();
+    endpoint.link().setFault(anyFault(LinkFaultNames));
+    later(loop_, length, [&endpoint] { endpoint.link().setFault(LinkFault::None); });
+}
+
+/** The new one comes first; the bound of a leaving one holds while the store is sound. */
+void Soak::replaceEndpoint()
+{
+    if (!calm()) {
+        return;
+    }
+    const bool plain = random_() % 2 == 0;
+    addEndpoint(plain ? "desk" : "llm", plain ? "" : "decode");
+    anyEndpoint().drain();
+}
+
+void Soak::dropHistory()
+{
+    store_.dropHistory();
+}
+
+void Soak::changeConfig()
+{
+    writeConfig();
+    const int version = version_;
+    later(loop_, ConfigBound, [this, version] {
+        callers_.setCalm(calm());
+        for (const auto &instance : instances_) {
+            if (instance->ready() && !instance->stopping()) {
+                callers_.probeConfig(*instance, version);
+            }
+        }
+    });
+}
+
+void Soak::finishFaults()
+{
+    faults_.stop();
+    store_.setFault(StoreFault::None);
+    for (const auto &instance : instances_) {
+        instance->storeLink().setFault(LinkFault::None);
+        instance->resume();
+    }
+    for (EndpointStandIn &endpoint : endpoints_) {
+        endpoint.setFault(EndpointFault::None);
+        endpoint.link().setFault(LinkFault::None);
+    }
+    later(loop_, RecoverTime, [this] {
+        servedBeforeEnd_ = ledger_.served();
+        const std::uint64_t sent = ledger_.sent();
+        later(loop_, millis(3'000), [this, sent] {
+            const auto served = static_cast<double>(ledger_.served() - servedBeforeEnd_);
+            const auto asked = static_cast<double>(ledger_.sent() - sent);
+            constexpr double LeastShare = 0.8;
+            if (asked < 1 || served < LeastShare * asked) {
+                ledger_.violate(Promise::Recovers,
+                                fmt::format("{} of {} served after the last fault", served, asked));
+            }
+            loop_.stop();
+        });
+    });
+}
+
+int Soak::report()
+{
+    fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={}\n", options_.seed_,
+               options_.seconds_, options_.instances_, ledger_.sent(), ledger_.served(),
+               ledger_.notRun());
+    for (const auto &[name, count] : struck_) {
+        fmt::print("  {:24} {}\n", name, count);
+    }
+    for (const Violation &violation : ledger_.violations()) {
+        fmt::print("BROKEN {}: {}\n", nameOf(PromiseNames, violation.promise_), violation.what_);
+    }
+    fmt::print("{} promises broken\n", ledger_.violations().size());
+    return ledger_.violations().empty() ? 0 : 1;
+}
+
+Options readOptions(int argc, char **argv)
+{
+    const std::array<option, 6> specs {{{"program", required_argument, nullptr, 'p'},
+                                        {"directory", required_argument, nullptr, 'd'},
+                                        {"seed", required_argument, nullptr, 's'},
+                                        {"seconds", required_argument, nullptr, 't'},
+                                        {"instances", required_argument, nullptr, 'i'},
+                                        {nullptr, 0, nullptr, 0}}};
+    Options options;
+    for (int letter = 0; (letter = ::getopt_long(argc, argv, "", specs.data(), nullptr)) != -1;) {
+        switch (letter) {
+        case 'p':
+            options.program_ = optarg;
+            break;
+        case 'd':
+            options.directory_ = optarg;
+            break;
+        case 's':
+            options.seed_ = std::stoull(optarg);
+            break;
+        case 't':
+            options.seconds_ = std::stoi(optarg);
+            break;
+        case 'i':
+            options.instances_ = std::stoi(optarg);
+            break;
+        default:
+            std::exit(2);
+        }
+    }
+    return options;
+}
+
+} // namespace
+} // namespace almondridge::soak
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    spdlog::set_level(spdlog::level::err);
+    const almondridge::soak::Options options = almondridge::soak::readOptions(argc, argv);
+    if (options.program_.empty() || options.directory_.empty()) {
+        fmt::print(stderr, "usage: soak --program PATH --directory DIR [--seed N] [--seconds S] "
+                           "[--instances N]\n");
+        return 2;
+    }
+    return almondridge::soak::Soak(options).run();
+}
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -28,8 +28,8 @@
             }
             auto pair = std::make_shared<Pair>();
             pair->near_ = async::Connection::adopt(loop_, std::move(socket), {});
-            pair->far_ = async::Connection::connect(loop_, target_,
-                                                    BootClock::now() + ConnectTime, {}, {});
+            pair->far_ =
+                async::Connection::connect(loop_, target_, BootClock::now() + ConnectTime, {}, {});
             join(pair);
             accept();
         });
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -60,12 +60,11 @@
 
 StoreStandIn::StoreStandIn(async::EventLoop &loop)
     : loop_(loop)
-    , server_(loop,
-              {[this](const async::ServerCall &call) { onCall(call); },
-               [this](const async::CallId &id) {
-                   waiting_.remove_if([&](const Waiting &one) { return one.id_ == id; });
-               },
-               {}})
+    , server_(loop, {[this](const async::ServerCall &call) { onCall(call); },
+                     [this](const async::CallId &id) {
+                         waiting_.remove_if([&](const Waiting &one) { return one.id_ == id; });
+                     },
+                     {}})
     , tick_(loop)
 {
     server_.listen({"127.0.0.1", 0}).value();
@@ -206,10 +205,10 @@
         }
     }
     const Log &log = logs_[topic];
-    return {200,
-            {},
-            Json {{"items", items}, {"more", false}, {"end", log.first_ + log.records_.size()}}
-                .dump()};
+    return {
+        200,
+        {},
+        Json {{"items", items}, {"more", false}, {"end", log.first_ + log.records_.size()}}.dump()};
 }
 
 net::Response StoreStandIn::join(const std::string &body)
