--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -13,12 +13,27 @@
 namespace almondridge::soak {
 namespace {
 
-/** A port that nobody listens on now. */
+/**
+ * A port that nobody uses now. Below those that the system gives to outgoing connections: one of
+ * those was taken by a connection while its instance was down, and the instance could not start.
+ */
 std::uint16_t freePort(async::EventLoop &loop)
 {
-    boost::asio::ip::tcp::acceptor probe(loop.context(),
-                                         {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
-    return probe.local_endpoint().port();
+    constexpr int First = 12'000;
+    constexpr int Count = 20'000;
+    static int next = ::getpid() * 61 % Count;
+    for (int tries = 0; tries < Count; ++tries) {
+        next = (next + 1) % Count;
+        const auto port = static_cast<std::uint16_t>(First + next);
+        boost::system::error_code taken;
+        boost::asio::ip::tcp::acceptor probe(loop.context());
+        probe.open(boost::asio::ip::tcp::v4(), taken);
+        probe.bind({boost::asio::ip::make_address_v4("127.0.0.1"), port}, taken);
+        if (!taken) {
+            return port;
+        }
+    }
+    return 0;
 }
 
 } // namespace
