--- a/spec/authority.pml
+++ b/spec/authority.pml
@@ -159,6 +159,7 @@
 
 active [2] proctype Instance() {
     byte self = _pid;
+end:
     do
     :: atomic { (askedAt[self] == Never && lastAsk[self] < now && now < MAX_TIME) -> ask(self) }
     :: atomic { (askedAt[self] != Never) -> hear(self) }
@@ -173,6 +174,7 @@
 /* Hands the right on without a word, at any moment: the holder before goes on until it asks again,
  * or until its term ends by its own clock when it cannot ask. */
 active proctype Store() {
+end:
     do
     :: atomic { (holder != Nobody && handOvers < 1 && now < MAX_TIME && named[holder] && namedUntil[holder] > now) ->
         d_step {
