--- a/benchmarks/herd.cpp
+++ b/benchmarks/herd.cpp
@@ -30,7 +30,7 @@
     MakePolicy make_;
 };
 
-NamedPolicy ours(std::string name, std::function<void(Router::Builder &)> change)
+NamedPolicy ours(std::string name, const std::function<void(Router::Builder &)> &change)
 {
     return {std::move(name),
             [change](const Scenario &scenario) { return makeRouters(scenario, change); }};
@@ -62,6 +62,7 @@
 std::string spread(const std::vector<Outcome> &outcomes, double Outcome::*figure, double unit)
 {
     std::vector<double> values;
+    values.reserve(outcomes.size());
     for (const Outcome &outcome : outcomes) {
         values.push_back(outcome.*figure * unit);
     }
--- a/benchmarks/mix/compare.cpp
+++ b/benchmarks/mix/compare.cpp
@@ -14,6 +14,7 @@
 {
     std::atomic<std::size_t> next {0};
     std::vector<std::jthread> workers;
+    workers.reserve(static_cast<std::size_t>(threads));
     for (int index = 0; index < threads; ++index) {
         workers.emplace_back([&] {
             for (std::size_t mine = next++; mine < count; mine = next++) {
--- a/benchmarks/mix/roles.cpp
+++ b/benchmarks/mix/roles.cpp
@@ -149,6 +149,7 @@
                                   TimePoint now) override
     {
         std::vector<planner::EngineView> views;
+        views.reserve(engines.size());
         for (const EngineSight &sight : engines) {
             views.push_back({EndpointId(std::to_string(sight.index_)), model_, sight.role_,
                              sight.available_, sight.lastChange_});
--- a/benchmarks/mix/routed.cpp
+++ b/benchmarks/mix/routed.cpp
@@ -201,7 +201,9 @@
             tellCapacity(entries_[entry], now);
         }
         for (int domain = 0; domain < world_.day_->domains_ && setup_.spillOver_; ++domain) {
-            const double spare = entries_[domain * perDomain].router_.spareShare(model_, now);
+            const double spare =
+                entries_[static_cast<std::size_t>(domain) * perDomain].router_.spareShare(model_,
+                                                                                          now);
             for (int entry = 0; entry < static_cast<int>(entries_.size()); ++entry) {
                 if (world_.reachable(entry / perDomain, domain) && entry / perDomain != domain) {
                     entries_[entry].router_.onDomainRoom(domainId(domain), spare,
--- a/libs/news/tests/newstest.cpp
+++ b/libs/news/tests/newstest.cpp
@@ -24,6 +24,7 @@
 std::vector<Member> members(int count, double linkMbps = 10)
 {
     std::vector<Member> entries;
+    entries.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         entries.push_back({InstanceId("instance-" + std::to_string(number)), linkMbps});
     }
--- a/libs/observe/src/logstory.cpp
+++ b/libs/observe/src/logstory.cpp
@@ -171,6 +171,7 @@
     shown.insert(shown.end(), dependencies.begin(), dependencies.end());
     std::stable_sort(shown.begin(), shown.end(), earlier);
     std::vector<std::string> story;
+    story.reserve(shown.size() + 1);
     for (const LogLine *line : shown) {
         story.push_back(line->text_);
     }
--- a/libs/planner/src/modelplan.cpp
+++ b/libs/planner/src/modelplan.cpp
@@ -30,6 +30,7 @@
                          return left.lastChange_ > right.lastChange_;
                      });
     std::vector<EndpointId> ids;
+    ids.reserve(fitting.size());
     for (const EngineView &engine : fitting) {
         ids.push_back(engine.engine_);
     }
--- a/libs/routing/include/almondridge/routing/router.h
+++ b/libs/routing/include/almondridge/routing/router.h
@@ -76,7 +76,7 @@
     class Builder;
 
     /** What may get work changes with each file in force. */
-    void setFleet(std::shared_ptr<const fleet::Fleet> fleet);
+    void setFleet(const std::shared_ptr<const fleet::Fleet> &fleet);
     void onReport(const LoadReport &report, TimePoint now);
     void onCacheEvent(const CacheEvent &event, TimePoint now);
     void onReachability(const EndpointId &endpoint, Reachability reachability, TimePoint now);
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -51,7 +51,7 @@
     return std::clamp(1 - slot.load_.writingShare(now, table_.rules(), typical), 0.0, 1.0);
 }
 
-void Router::setFleet(std::shared_ptr<const fleet::Fleet> fleet)
+void Router::setFleet(const std::shared_ptr<const fleet::Fleet> &fleet)
 {
     state_->table_.setFleet(*fleet);
     state_->settings_.firstTokenAimSeconds_ = toSeconds(millis(fleet->policy_.firstTokenMillis_));
--- a/libs/routing/tests/availabilitytest.cpp
+++ b/libs/routing/tests/availabilitytest.cpp
@@ -113,6 +113,7 @@
     Router router = TestFleet().engines(2).router();
     dispatch(router, engine(1), prompt(1'000), at(0));
     std::vector<AttemptId> attempts;
+    attempts.reserve(30);
     for (int stream = 0; stream < 30; ++stream) {
         attempts.push_back(dispatch(router, engine(0), prompt(10), at(0)));
     }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -26,7 +26,6 @@
 constexpr Duration WatchInterval = millis(100);
 constexpr Duration ReadyInterval = millis(500);
 constexpr Duration FaultInterval = millis(900);
-constexpr Duration ConfigInterval = millis(5'000);
 constexpr Duration SettleTime = millis(6'000);
 /** What the settings of the instances promise, and a little for the probe's own way. */
 constexpr Duration ConfigBound = millis(2'300);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -48,6 +48,7 @@
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     std::vector<char *> argv;
+    argv.reserve(arguments.size() + 1);
     for (std::string &argument : arguments) {
         argv.push_back(argument.data());
     }
