--- a/benchmarks/mix/main.cpp
+++ b/benchmarks/mix/main.cpp
@@ -92,7 +92,7 @@
 
 Options parseOptions(int argc, char **argv)
 {
-    static const std::array<option, 11> LongOptions {{
+    static const std::array<option, 11> longOptions {{
         {"quick", no_argument, nullptr, 'q'},
         {"references", no_argument, nullptr, 'r'},
         {"ablate", no_argument, nullptr, 'a'},
@@ -107,7 +107,7 @@
     }};
     Options options;
     for (int letter = 0;
-         (letter = getopt_long(argc, argv, "", LongOptions.data(), nullptr)) != -1;) {
+         (letter = getopt_long(argc, argv, "", longOptions.data(), nullptr)) != -1;) {
         applyOption(options, letter);
     }
     return options;
--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -24,12 +24,7 @@
     std::string healthListen_; ///< For whoever asks whether callers may come.
     int firstPeerPort_ = 0;    ///< Ports from this one on are free for messages between instances.
     std::string store_;
-    bool firstStart_ = false; ///< The whole deployment starts for the first time.
-    int failureDomains_ = 1;
-    std::int64_t heartbeatMillis_ = 1'200;   ///< Between two entries of an endpoint in the store.
-    std::int64_t graceSeconds_ = 8;          ///< Between the signal to stop and the kill.
-    std::int64_t configApplyMillis_ = 2'000; ///< A configuration is in force after this time.
-    std::int64_t drainMillis_ = 2'000; ///< A leaving endpoint gets no request after this time.
+    std::int64_t graceSeconds_ = 8; ///< Between the signal to stop and the kill.
     std::int64_t leaseTermMillis_ = 3'000;
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
--- /dev/null
+++ b/libs/fleet/tests/entrysettingstest.cpp
@@ -0,0 +1,47 @@
+#include "almondridge/fleet/entrysettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace almondridge;
+using namespace almondridge::fleet;
+
+namespace {
+
+const std::string Needed = R"("instance":"i-1","domain":"a","ip":"10.0.0.1",
+    "listen":"10.0.0.1:80","healthListen":"10.0.0.1:81","firstPeerPort":7000,
+    "store":"10.0.0.2:90")";
+
+/** The fields that a settings text is wrong in. */
+std::vector<std::string> wrongFields(const std::string &text)
+{
+    const auto captured = capture([&] { return parseEntrySettings(text); });
+    std::vector<std::string> fields;
+    if (const Error *error = std::get_if<Error>(&captured)) {
+        for (const FieldError &field : error->fields_) {
+            fields.push_back(field.field_);
+        }
+    }
+    return fields;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EntrySettingsFile)
+
+BOOST_AUTO_TEST_CASE(whatIsNotGivenHasItsDefault)
+{
+    const EntrySettings settings = parseEntrySettings("{" + Needed + "}").value();
+    BOOST_TEST(settings.instance_.value() == "i-1");
+    BOOST_TEST(settings.firstPeerPort_ == 7'000);
+    BOOST_TEST(settings.leaseTermMillis_ == 3'000);
+}
+
+BOOST_AUTO_TEST_CASE(everyWrongFieldIsNamedAtOnce)
+{
+    const std::vector<std::string> fields = wrongFields(
+        "{" + Needed + R"(,"leaseTermMillis":0,"secondSendRatio":"much","colour":"red"})");
+    BOOST_TEST(fields.size() == 3U);
+    BOOST_TEST(wrongFields("{}").size() == 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -80,7 +80,6 @@
     DomainId prefillDomain_;
     EventSplitter events_;
     std::int64_t aheadTokens_ = 0; ///< Read before this prompt, where it is read.
-    bool prefillAccepted_ = false; ///< The one prefill that is no attempt was made.
     bool inPlaceOnly_ = false;
     bool begun_ = false;  ///< The answer's head went to the caller.
     bool paused_ = false; ///< The engine is not read, as the caller is slow.
@@ -329,7 +328,6 @@
         return;
     }
     const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
-    prefillAccepted_ = true;
     readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
     gateway_.table_.onReadTime(attempt_.endpoint_, aheadTokens_ + readTokens_,
--- a/libs/observe/tests/logstorytest.cpp
+++ b/libs/observe/tests/logstorytest.cpp
@@ -39,13 +39,13 @@
  */
 BOOST_AUTO_TEST_CASE(aStoryHasTheRequestItsEndpointsAndItsDependencies)
 {
+    const std::string ended = "time=T5 instance=a event=request id=r1 outcome=refused status=503 "
+                              "cause=engine-full endpoints=e1,e2";
     const auto story = tellStory(
         read({"time=T1 instance=a event=endpoint endpoint=e1 state=ready",
               "time=T1 instance=b event=endpoint endpoint=e1 state=ready",
               "time=T2 instance=a event=store_lost topic=keyed.servers",
-              "time=T3 instance=a event=endpoint_trust endpoint=e2 trusted=no request=other",
-              "time=T5 instance=a event=request id=r1 outcome=refused cause=engine-full "
-              "endpoints=e1,e2",
+              "time=T3 instance=a event=endpoint_trust endpoint=e2 trusted=no request=other", ended,
               "time=T4 instance=a event=not_run id=r1 endpoint=e1 status=503",
               "time=T4 instance=a event=request id=r2 outcome=answered cause=\"\" endpoints=e3",
               "time=T6 instance=a event=endpoint endpoint=e1 state=gone"}),
