One piece of code where the change had two

Cause: reading the whole change again found the same logic written twice in several places, some code nothing called, and some work done twice.

- Call: mayRunAgain(), leaveEndpoint() and passOn() stand once; the twins in ServiceCall and ModelCall are gone.
- net::equalWithoutCase() replaces two copies.
- The soak uses the tests' Process and freePort; the stand-ins start their servers through standins/common/startserver.h; reportInvalid() serves the verbs that read a file.
- Placement weighs each engine once, not once for each comparison.

One mend: Connection copies a handler before it runs it; a handler that replaced itself was destroyed while it ran.

--- a/libs/app/src/entryverb.cpp
+++ b/libs/app/src/entryverb.cpp
@@ -8,7 +8,6 @@
 #include "verbs.h"
 
 #include <csignal>
-#include <cstdio>
 
 namespace almondridge::app {
 namespace {
@@ -34,8 +33,7 @@
         return fleet::parseEntrySettings(text);
     });
     if (const Error *error = std::get_if<Error>(&settings)) {
-        std::fprintf(stderr, "%s: %s\n", path.c_str(), describe(*error).c_str());
-        return error->kind_ == ErrorKind::InvalidInput ? ExitCode::Invalid : ExitCode::Failed;
+        return reportInvalid(path, *error);
     }
     const auto &valid = std::get<fleet::EntrySettings>(settings);
     startBoundedLog(valid.logLevel_, valid.instance_.value(), valid.domain_.value());
--- a/libs/app/src/localverbs.cpp
+++ b/libs/app/src/localverbs.cpp
@@ -22,12 +22,6 @@
     {"settings", false, "FILE is a settings file rather than a fleet file"},
 }};
 
-ExitCode reportInvalid(const std::string &path, const Error &error)
-{
-    std::fprintf(stderr, "%s: %s\n", path.c_str(), describe(error).c_str());
-    return error.kind_ == ErrorKind::InvalidInput ? ExitCode::Invalid : ExitCode::Failed;
-}
-
 /** Blocks the stop signals in every thread started from now on; sigwait() takes them. */
 sigset_t blockStopSignals()
 {
--- a/libs/app/src/textfile.cpp
+++ b/libs/app/src/textfile.cpp
@@ -1,5 +1,6 @@
 #include "textfile.h"
 
+#include <cstdio>
 #include <fstream>
 #include <iterator>
 
@@ -27,4 +28,10 @@
     return {};
 }
 
+ExitCode reportInvalid(const std::string &path, const Error &error)
+{
+    std::fprintf(stderr, "%s: %s\n", path.c_str(), describe(error).c_str());
+    return error.kind_ == ErrorKind::InvalidInput ? ExitCode::Invalid : ExitCode::Failed;
+}
+
 } // namespace almondridge::app
--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -36,12 +36,11 @@
 
     static std::shared_ptr<Connection> adopt(EventLoop &loop, Socket socket,
                                              const SilenceLimits &limits);
-    /** onConnected is called once established; else onClosed with ConnectFailed. */
+    /** onClosed with ConnectFailed follows when it is not established until the deadline. */
     static std::shared_ptr<Connection> connect(EventLoop &loop, const net::Address &address,
-                                               TimePoint deadline, const SilenceLimits &limits,
-                                               std::function<void()> onConnected);
+                                               TimePoint deadline, const SilenceLimits &limits);
 
-    Connection(EventLoop &loop, Socket socket, const SilenceLimits &limits);
+    Connection(EventLoop &loop, Socket socket);
 
     /** Called when bytes were added to input(). */
     void onInput(std::function<void()> handler) { onInput_ = std::move(handler); }
@@ -79,9 +78,7 @@
 
     EventLoop &loop_;
     Socket socket_;
-    SilenceLimits limits_;
     Timer deadline_;
-    std::function<void()> onConnected_;
     std::function<void()> onInput_;
     std::function<void()> onWritten_;
     std::function<void(CloseCause)> onClosed_;
--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -43,6 +44,17 @@
     std::function<void(ExchangeFailure)> onFailed_;
 };
 
+/** What came of an exchange whose answer is taken whole. */
+struct ExchangeResult
+{
+    std::optional<ExchangeFailure> failure_; ///< None: the answer is whole.
+    int status_ = 0;
+    std::string body_;
+};
+
+/** Events that gather the answer and call done once, at the end or on failure. */
+ExchangeEvents gatherAnswer(std::function<void(const ExchangeResult &)> done);
+
 struct ExchangeRequest
 {
     std::string peer_; ///< Connections are only shared between requests with the same name here.
--- a/libs/async/include/almondridge/async/parser.h
+++ b/libs/async/include/almondridge/async/parser.h
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -84,7 +83,6 @@
     ResponseHead &head() noexcept;
     /** Body bytes that were not taken yet. */
     std::string takeBody();
-    std::optional<std::uint64_t> contentLength() const;
 
 private:
     struct State;
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -40,28 +40,25 @@
 
 } // namespace
 
-Connection::Connection(EventLoop &loop, Socket socket, const SilenceLimits &limits)
+Connection::Connection(EventLoop &loop, Socket socket)
     : loop_(loop)
     , socket_(std::move(socket))
-    , limits_(limits)
     , deadline_(loop)
 { }
 
 std::shared_ptr<Connection> Connection::adopt(EventLoop &loop, Socket socket,
                                               const SilenceLimits &limits)
 {
-    auto connection = std::make_shared<Connection>(loop, std::move(socket), limits);
+    auto connection = std::make_shared<Connection>(loop, std::move(socket));
     applyLimits(connection->socket_, limits);
     return connection;
 }
 
 std::shared_ptr<Connection> Connection::connect(EventLoop &loop, const net::Address &address,
-                                                TimePoint deadline, const SilenceLimits &limits,
-                                                std::function<void()> onConnected)
+                                                TimePoint deadline, const SilenceLimits &limits)
 {
-    auto connection = std::make_shared<Connection>(loop, Socket(loop.context()), limits);
+    auto connection = std::make_shared<Connection>(loop, Socket(loop.context()));
     connection->established_ = false;
-    connection->onConnected_ = std::move(onConnected);
     error_code failure;
     const auto ip = asio::ip::make_address_v4(address.ip_, failure);
     connection->socket_.open(asio::ip::tcp::v4(), failure);
@@ -93,9 +90,6 @@
     established_ = true;
     deadline_.stop();
     startReading();
-    if (onConnected_) {
-        std::exchange(onConnected_, {})();
-    }
     flush();
 }
 
@@ -144,8 +138,9 @@
     }
     if (!lingering_) {
         input_.append(sharedReadBuffer().data(), got);
-        if (onInput_) {
-            onInput_();
+        // A copy: what it calls may set another handler, and so destroy this one while it runs.
+        if (const auto handler = onInput_) {
+            handler();
         }
     }
     if (!open_) {
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -35,6 +35,20 @@
 
 } // namespace
 
+ExchangeEvents gatherAnswer(std::function<void(const ExchangeResult &)> done)
+{
+    const auto result = std::make_shared<ExchangeResult>();
+    ExchangeEvents events;
+    events.onHead_ = [result](const ResponseHead &head) { result->status_ = head.status_; };
+    events.onBody_ = [result](const std::string &bytes) { result->body_ += bytes; };
+    events.onEnd_ = [result, done] { done(*result); };
+    events.onFailed_ = [result, done = std::move(done)](ExchangeFailure failure) {
+        result->failure_ = failure;
+        done(*result);
+    };
+    return events;
+}
+
 struct HttpClient::Exchange
 {
     Exchange(ExchangeId id, ExchangeRequest request, ExchangeEvents events)
@@ -83,7 +97,7 @@
         ++counters_.connects_;
         ++connections_[exchange->request_.peer_];
         exchange->connection_ = Connection::connect(loop_, exchange->request_.address_,
-                                                    exchange->request_.connectBy_, silence_, {});
+                                                    exchange->request_.connectBy_, silence_);
     }
     attach(*exchange);
     exchange->connection_->write(exchange->request_.text_);
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -1,7 +1,6 @@
 #include "almondridge/async/httpserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
@@ -20,11 +19,6 @@
 /** Callers are told half of a second less than we wait, so that their request crosses no close. */
 constexpr SilenceLimits CallerSilence {10'000, 10, 3};
 
-bool sameName(std::string_view one, std::string_view other)
-{
-    return boost::beast::iequals({one.data(), one.size()}, {other.data(), other.size()});
-}
-
 struct Rejection
 {
     ParseStatus status_;
@@ -186,7 +180,8 @@
     }
     if (peer.parser_->headDone() && !peer.continued_) {
         peer.continued_ = true;
-        if (sameName(net::headerValue(peer.parser_->head().headers_, "Expect"), "100-continue")) {
+        if (net::equalWithoutCase(net::headerValue(peer.parser_->head().headers_, "Expect"),
+                                  "100-continue")) {
             peer.connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
         }
     }
--- a/libs/async/src/parser.cpp
+++ b/libs/async/src/parser.cpp
@@ -202,10 +202,4 @@
     return std::exchange(state_->collector_.body_, {});
 }
 
-std::optional<std::uint64_t> ResponseParser::contentLength() const
-{
-    const auto length = state_->collector_.content_length();
-    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
-}
-
 } // namespace almondridge::async
--- a/libs/async/tests/loopsupport.h
+++ b/libs/async/tests/loopsupport.h
@@ -104,8 +104,8 @@
 public:
     RawClient(EventLoop &loop, std::uint16_t port)
     {
-        connection_ = Connection::connect(loop, {"127.0.0.1", port},
-                                          BootClock::now() + millis(10'000), {}, {});
+        connection_ =
+            Connection::connect(loop, {"127.0.0.1", port}, BootClock::now() + millis(10'000), {});
         connection_->onInput([this] {
             received_ += connection_->input();
             connection_->input().clear();
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -119,8 +119,6 @@
     bool list(const ListedEndpoint &listed, TimePoint now);
     /** Its entry is gone. It is forgotten once nothing is outstanding. */
     bool unlist(const EndpointId &id);
-    /** Drops all that are not in ids: the list was read anew. */
-    std::vector<EndpointId> keepOnly(const std::vector<EndpointId> &ids);
 
     Endpoint *find(const EndpointId &id);
     const Endpoint *find(const EndpointId &id) const;
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -29,17 +29,6 @@
     std::size_t maxKeptConnections_ = 512;
 };
 
-/** Counts since the start, by outcome. */
-struct GatewayCounters
-{
-    std::uint64_t requests_ = 0;
-    std::uint64_t answered_ = 0;
-    std::uint64_t refused_ = 0;
-    std::uint64_t failed_ = 0;
-    std::uint64_t abandoned_ = 0; ///< The caller left.
-    std::uint64_t secondSends_ = 0;
-};
-
 class Gateway
 {
 public:
@@ -56,14 +45,12 @@
     const std::shared_ptr<const Config> &config() const noexcept;
     void listEndpoint(const ListedEndpoint &listed);
     void unlistEndpoint(const EndpointId &id);
-    void keepOnlyEndpoints(const std::vector<EndpointId> &ids);
     /** How many instances may share the allowance for second sends and the endpoints' connections.
      */
     void setInstances(int count);
     EndpointTable &endpoints() noexcept;
     /** What callers asked of each service's engines since the last call. */
     std::map<ServiceId, StageDemand> takeDemand();
-    const GatewayCounters &counters() const noexcept;
     /** What requests came to, for the metrics page; the owner adds its own. */
     observe::Metrics &metrics() noexcept;
     /** Second sends that are left now, for each service. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -36,8 +36,6 @@
     /** An engine carries out an order of this instance's until about then: peers are told at once.
      */
     void onOrder(const EndpointId &engine, TimePoint until);
-    std::uint64_t sent() const noexcept { return sent_; }
-    std::uint64_t received() const noexcept { return received_; }
 
 private:
     void waitForNotes();
@@ -59,8 +57,6 @@
     TimePoint lastSentAt_ {};
     std::uint64_t lifetime_;
     std::uint64_t number_ = 0;
-    std::uint64_t sent_ = 0;
-    std::uint64_t received_ = 0;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -49,7 +49,6 @@
      * out alike. A hint that keeps the others from asking for the lease; it gives no right.
      */
     bool leads(const InstanceId &self) const;
-    std::size_t peers() const noexcept { return peers_.size(); }
 
 private:
     struct Peer
--- a/libs/gateway/include/almondridge/gateway/promptmemory.h
+++ b/libs/gateway/include/almondridge/gateway/promptmemory.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <list>
+#include <string_view>
 #include <unordered_map>
 
 namespace almondridge::gateway {
@@ -33,7 +34,10 @@
     std::unordered_map<Key, std::list<Key>::iterator> entries_;
 };
 
-/** The place of an engine in a part's order: the highest goes first. */
-std::uint64_t rendezvousWeight(const EndpointId &engine, std::uint64_t part);
+/**
+ * The place of a name in a key's order: the highest goes first. All instances and builds agree on
+ * it, so that they choose alike without talking.
+ */
+std::uint64_t rendezvousWeight(std::string_view name, std::uint64_t key);
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -43,9 +43,6 @@
     const Endpoint *target = gateway_.table_.find(endpoint);
     order.endpoint_ = endpoint;
     order.patienceMillis_ = patienceMillis();
-    if (sends_ > 0) {
-        ++gateway_.counters_.secondSends_;
-    }
     ++sends_;
     attempt_ = {};
     attempt_.endpoint_ = endpoint;
@@ -136,6 +133,12 @@
     closeAttempt(evidence);
 }
 
+void Call::leaveEndpoint(Evidence evidence)
+{
+    excluded_.push_back(attempt_.endpoint_);
+    cancelAttempt(evidence);
+}
+
 void Call::watchSilence(TimePoint until)
 {
     silence_.startAt(until, [this] { attemptSilent(); });
@@ -147,6 +150,11 @@
     return sends_ < MaxSends && now < deadline_ && gateway_.budget(input_.service_).take(now);
 }
 
+bool Call::mayRunAgain()
+{
+    return route().idempotent() && runs_ < route().maxAttempts_ && maySendAgain();
+}
+
 void Call::onCallerGone()
 {
     abandonEndpoints();
@@ -159,14 +167,13 @@
     failCall(504, "deadline");
 }
 
-void Call::answer(const WholeAnswer &answer)
+void Call::passOn()
 {
-    net::Response response;
-    response.status_ = answer.head_.status_;
-    response.headers_ = gateway_.dialect_.callerHeaders(answer.head_.headers_);
-    response.body_ = answer.body_;
-    gateway_.server_.respond(input_.request_.id_, response);
-    finish(Outcome::Answered, answer.head_.status_, "");
+    const int status = attempt_.head_.status_;
+    gateway_.server_.respond(
+        input_.request_.id_,
+        {status, gateway_.dialect_.callerHeaders(attempt_.head_.headers_), attempt_.body_});
+    finish(Outcome::Answered, status, "");
 }
 
 void Call::refuse(std::string_view cause)
@@ -193,10 +200,6 @@
     finished_ = true;
     deadlineTimer_.stop();
     silence_.stop();
-    GatewayCounters &counters = gateway_.counters_;
-    const std::array<std::uint64_t *, 4> byOutcome {&counters.answered_, &counters.refused_,
-                                                    &counters.failed_, &counters.abandoned_};
-    ++*byOutcome[static_cast<std::size_t>(outcome)];
     const TimePoint now = BootClock::now();
     const TimePoint began = input_.request_.startedAt_;
     const LogLevel level = outcome == Outcome::Answered ? LogLevel::Info : LogLevel::Warning;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -27,14 +27,6 @@
     ServiceId service_;
 };
 
-/** An endpoint's answer, whole. */
-struct WholeAnswer
-{
-    async::ResponseHead head_;
-    AnswerFacts facts_;
-    std::string body_;
-};
-
 class Call
 {
 public:
@@ -81,6 +73,8 @@
     Evidence refusalEvidence() const;
     /** The endpoint said that it did not run the request: one line with its words. */
     void logNotRun() const;
+    /** The attempt came to nothing: this request does not go to its endpoint again. */
+    void leaveEndpoint(Evidence evidence);
     void promptWasRead();
     /** Calls attemptSilent() then, unless the attempt is over before. */
     void watchSilence(TimePoint until);
@@ -88,8 +82,11 @@
 
     /** Whether one more send is allowed: by the shared allowance, and by this call's own bound. */
     bool maySendAgain();
+    /** The same after a send that may have run: its route must allow another run as well. */
+    bool mayRunAgain();
 
-    void answer(const WholeAnswer &answer);
+    /** Gives the caller the attempt's answer, which was taken whole. */
+    void passOn();
     /** The request was not run: 503 with the time to come back. */
     void refuse(std::string_view cause);
     /** The request may have run: 502, or 504 at the deadline. */
@@ -100,7 +97,6 @@
     const CallFacts &facts() const noexcept { return input_.facts_; }
     TimePoint deadline() const noexcept { return deadline_; }
     std::int64_t patienceMillis() const;
-    bool finished() const noexcept { return finished_; }
 
     GatewayState &gateway_;
     CallInput input_;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -1,7 +1,6 @@
 #include "almondridge/gateway/endpoints.h"
 
 #include <algorithm>
-#include <set>
 
 namespace almondridge::gateway {
 namespace {
@@ -119,21 +118,6 @@
     return true;
 }
 
-std::vector<EndpointId> EndpointTable::keepOnly(const std::vector<EndpointId> &ids)
-{
-    const std::set<EndpointId> kept(ids.begin(), ids.end());
-    std::vector<EndpointId> gone;
-    for (const auto &[id, endpoint] : endpoints_) {
-        if (endpoint.listedNow_ && !kept.contains(id)) {
-            gone.push_back(id);
-        }
-    }
-    for (const EndpointId &id : gone) {
-        unlist(id);
-    }
-    return gone;
-}
-
 Endpoint *EndpointTable::find(const EndpointId &id)
 {
     const auto found = endpoints_.find(id);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -48,11 +48,6 @@
     return std::exchange(state_->demand_, {});
 }
 
-const GatewayCounters &Gateway::counters() const noexcept
-{
-    return state_->counters_;
-}
-
 observe::Metrics &Gateway::metrics() noexcept
 {
     return state_->metrics_;
@@ -140,14 +135,6 @@
     }
 }
 
-void Gateway::keepOnlyEndpoints(const std::vector<EndpointId> &ids)
-{
-    for (const EndpointId &id : state_->table_.keepOnly(ids)) {
-        logEvent(LogLevel::Info, "endpoint", {{"endpoint", id.value()}, {"state", "gone"}});
-        state_->client_.dropKept(id.value());
-    }
-}
-
 void Gateway::setInstances(int count)
 {
     state_->instances_ = std::max(1, count);
@@ -190,7 +177,6 @@
 
 void GatewayState::onCall(async::ServerCall request)
 {
-    ++counters_.requests_;
     if (config_ == nullptr) {
         refuse(request.id_, 503, "no-config");
         return;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -40,7 +40,6 @@
     std::shared_ptr<const Config> config_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
     std::map<ServiceId, StageDemand> demand_;
-    GatewayCounters counters_;
     observe::Metrics metrics_;
     std::mt19937_64 random_;
     int instances_ = 1;
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -92,7 +92,6 @@
         }
         const auto note = decodeNote({buffer.data(), got});
         if (note && note->sender_ != self_) {
-            ++received_;
             loads_.onNote(*note, gateway_.endpoints(), now);
         }
     }
@@ -162,7 +161,6 @@
     for (const Udp::endpoint &peer : peers_) {
         boost::system::error_code lost; // A note that does not leave is made good by the next.
         socket_.send_to(asio::buffer(bytes), peer, 0, lost);
-        ++sent_;
     }
     last_ = std::move(note);
     lastSentAt_ = now;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -61,7 +61,7 @@
     void abandonEndpoints() override;
 
     void prefillEnded();
-    void prefillFailed(std::optional<Evidence> evidence);
+    void prefillFailed(Evidence evidence);
     void notRun();
     void streamEnded();
     void streamBroke(async::ExchangeFailure failure, Evidence evidence);
@@ -71,7 +71,6 @@
     void giveUp(std::string_view cause);
     void watchStream();
     bool isStream() const;
-    bool mayRunAgain();
     const Prompt &prompt() const { return *facts().prompt_; }
 
     ModelPhase phase_ = ModelPhase::Idle;
@@ -90,11 +89,6 @@
     return attempt_.head_.status_ == 200;
 }
 
-bool ModelCall::mayRunAgain()
-{
-    return route().idempotent() && runs_ < route().maxAttempts_ && maySendAgain();
-}
-
 void ModelCall::place()
 {
     const TimePoint now = BootClock::now();
@@ -302,10 +296,8 @@
     }
     const Evidence evidence =
         attempt_.head_.status_ >= 500 ? Evidence::ServerError : Evidence::Sound;
-    const WholeAnswer whole {attempt_.head_, attempt_.facts_, attempt_.body_};
     if (evidence == Evidence::ServerError && mayRunAgain()) {
-        excluded_.push_back(attempt_.endpoint_);
-        closeAttempt(evidence);
+        leaveEndpoint(evidence);
         sendResume();
         return;
     }
@@ -314,7 +306,7 @@
         giveUp("not-resumed");
         return;
     }
-    answer(whole);
+    passOn();
 }
 
 void ModelCall::prefillEnded()
@@ -337,10 +329,9 @@
 }
 
 /** The prompt was not read, or not for us: it is read where it is generated. */
-void ModelCall::prefillFailed(std::optional<Evidence> evidence)
+void ModelCall::prefillFailed(Evidence evidence)
 {
-    excluded_.push_back(attempt_.endpoint_);
-    cancelAttempt(evidence);
+    leaveEndpoint(evidence);
     inPlaceOnly_ = true;
     if (!maySendAgain()) {
         giveUp("prefill-failed");
@@ -353,9 +344,8 @@
 void ModelCall::notRun()
 {
     retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
-    excluded_.push_back(attempt_.endpoint_);
     logNotRun();
-    closeAttempt(refusalEvidence());
+    leaveEndpoint(refusalEvidence());
     if (!maySendAgain()) {
         giveUp("engine-full");
         return;
@@ -388,8 +378,7 @@
     if (failure == async::ExchangeFailure::NotSent) {
         --runs_;
         attempt_.facts_ = {};
-        excluded_.push_back(attempt_.endpoint_);
-        closeAttempt(Evidence::Broken);
+        leaveEndpoint(Evidence::Broken);
         maySendAgain() ? sendResume() : giveUp("engine-unreachable");
         return;
     }
@@ -399,8 +388,7 @@
 void ModelCall::streamBroke(async::ExchangeFailure failure, Evidence evidence)
 {
     mayHaveRun_ = true;
-    excluded_.push_back(attempt_.endpoint_);
-    cancelAttempt(evidence);
+    leaveEndpoint(evidence);
     if (mayRunAgain()) {
         sendResume();
         return;
@@ -436,8 +424,7 @@
     if (mayRunAgain()) {
         trail_ += ":silent";
         mayHaveRun_ = true;
-        excluded_.push_back(attempt_.endpoint_);
-        cancelAttempt(Evidence::Silent);
+        leaveEndpoint(Evidence::Silent);
         sendResume();
     }
 }
@@ -463,9 +450,9 @@
     request.text_ = gateway_.dialect_.dropHandleText(handle_->source_, handle_->handle_);
     request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectMillis_);
     handle_.reset();
-    async::ExchangeEvents ignored {[](async::ResponseHead &) {}, [](const std::string &) {}, [] {},
-                                   [](async::ExchangeFailure) {}};
-    gateway_.client_.start(std::move(request), std::move(ignored));
+    // Whatever comes of it: the handle lapses by itself.
+    gateway_.client_.start(std::move(request),
+                           async::gatherAnswer([](const async::ExchangeResult &) {}));
 }
 
 } // namespace
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -127,7 +127,7 @@
 bool PeerLoads::leads(const InstanceId &self) const
 {
     const auto rank = [](const InstanceId &id) {
-        return rendezvousWeight(EndpointId(id.value()), LeaderOrder);
+        return rendezvousWeight(id.value(), LeaderOrder);
     };
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto &entry) {
         const LoadNote &note = entry.second.note_;
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -169,10 +169,16 @@
     removeExcluded(engines, query.excluded_);
     const PromptPart *leading = leadingPart(*query.prompt_);
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
-    std::sort(engines.begin(), engines.end(), [&](const Endpoint *one, const Endpoint *other) {
-        return rendezvousWeight(one->listed_.id_, part)
-               > rendezvousWeight(other->listed_.id_, part);
-    });
+    // Each weight once: comparing would hash two names each time.
+    std::vector<std::pair<std::uint64_t, const Endpoint *>> weighed;
+    weighed.reserve(engines.size());
+    for (const Endpoint *engine : engines) {
+        weighed.emplace_back(rendezvousWeight(engine->listed_.id_.value(), part), engine);
+    }
+    std::sort(weighed.begin(), weighed.end(),
+              [](const auto &one, const auto &other) { return one.first > other.first; });
+    std::transform(weighed.begin(), weighed.end(), engines.begin(),
+                   [](const auto &entry) { return entry.second; });
     return engines;
 }
 
--- a/libs/gateway/src/promptmemory.cpp
+++ b/libs/gateway/src/promptmemory.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-std::uint64_t rendezvousWeight(const EndpointId &engine, std::uint64_t part)
+std::uint64_t rendezvousWeight(std::string_view name, std::uint64_t key)
 {
-    return mix(stableHash(engine.value()) ^ mix(part));
+    return mix(stableHash(name) ^ mix(key));
 }
 
 PromptMemory::PromptMemory(std::size_t capacity)
@@ -37,7 +37,7 @@
 
 PromptMemory::Key PromptMemory::keyOf(const EndpointId &engine, std::uint64_t part)
 {
-    return rendezvousWeight(engine, part);
+    return rendezvousWeight(engine.value(), part);
 }
 
 void PromptMemory::remember(const EndpointId &engine, std::uint64_t part)
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -18,17 +18,9 @@
     void attemptEnd() override;
     void attemptFailed(async::ExchangeFailure failure) override;
     void attemptSilent() override;
-    bool mayRunAgain();
     void giveUp();
-    void passOn() { answer({attempt_.head_, attempt_.facts_, attempt_.body_}); }
 };
 
-/** Whether the request may be sent once more after a send that may have run. */
-bool ServiceCall::mayRunAgain()
-{
-    return route().idempotent() && runs_ < route().maxAttempts_ && maySendAgain();
-}
-
 void ServiceCall::sendNext()
 {
     const auto endpoint = gateway_.placement_.chooseService(
@@ -60,8 +52,7 @@
     if (facts.notRun_) {
         --runs_;
         retryAfterMillis_ = facts.retryAfterMillis_;
-        excluded_.push_back(attempt_.endpoint_);
-        closeAttempt(Evidence::Overloaded);
+        leaveEndpoint(Evidence::Overloaded);
         maySendAgain() ? sendNext() : giveUp();
         return;
     }
@@ -72,8 +63,7 @@
         return;
     }
     if (status >= 500) {
-        excluded_.push_back(attempt_.endpoint_);
-        closeAttempt(Evidence::ServerError);
+        leaveEndpoint(Evidence::ServerError);
         mayRunAgain() ? sendNext() : passOn();
         return;
     }
@@ -83,8 +73,7 @@
 
 void ServiceCall::attemptFailed(async::ExchangeFailure failure)
 {
-    excluded_.push_back(attempt_.endpoint_);
-    closeAttempt(Evidence::Broken);
+    leaveEndpoint(Evidence::Broken);
     if (failure == async::ExchangeFailure::NotSent) {
         --runs_;
         maySendAgain() ? sendNext() : giveUp();
@@ -104,8 +93,7 @@
         return;
     }
     mayHaveRun_ = true;
-    excluded_.push_back(attempt_.endpoint_);
-    cancelAttempt(Evidence::Silent);
+    leaveEndpoint(Evidence::Silent);
     sendNext();
 }
 
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -115,23 +115,15 @@
 void StageKeeper::ask(const EndpointId &engine, std::string text,
                       const std::function<void(int, const std::string &)> &done)
 {
-    struct Answer
-    {
-        int status_ = 0;
-        std::string body_;
-    };
     async::ExchangeRequest request;
     request.peer_ = engine.value();
     request.address_ = gateway_.endpoints().find(engine)->listed_.address_;
     request.text_ = std::move(text);
     request.connectBy_ = BootClock::now() + millis(OrderConnectMillis);
-    auto answer = std::make_shared<Answer>();
-    async::ExchangeEvents events;
-    events.onHead_ = [answer](async::ResponseHead &head) { answer->status_ = head.status_; };
-    events.onBody_ = [answer](const std::string &bytes) { answer->body_ += bytes; };
-    events.onEnd_ = [answer, done] { done(answer->status_, answer->body_); };
-    events.onFailed_ = [done](async::ExchangeFailure) { done(0, ""); };
-    client_.start(std::move(request), std::move(events));
+    client_.start(std::move(request),
+                  async::gatherAnswer([done](const async::ExchangeResult &result) {
+                      done(result.failure_ ? 0 : result.status_, result.body_);
+                  }));
 }
 
 /** How many orders the engine took is only known from itself, and an order has to name it. */
--- a/libs/net/include/almondridge/net/http.h
+++ b/libs/net/include/almondridge/net/http.h
@@ -35,6 +35,9 @@
 
 using Headers = std::vector<Header>;
 
+/** Whether two names are equal but for the case of their letters, as names of headers are. */
+bool equalWithoutCase(std::string_view left, std::string_view right) noexcept;
+
 /** The value of the first header called name, compared without case; empty when there is none. */
 std::string_view headerValue(const Headers &headers, std::string_view name) noexcept;
 
--- a/libs/net/src/http.cpp
+++ b/libs/net/src/http.cpp
@@ -12,14 +12,14 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
-bool equalWithoutCase(std::string_view left, std::string_view right)
+} // namespace
+
+bool equalWithoutCase(std::string_view left, std::string_view right) noexcept
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                       [](char a, char b) { return lower(a) == lower(b); });
 }
 
-} // namespace
-
 Result<Address> parseAddress(std::string_view text)
 {
     const auto refuse = [&] {
--- a/libs/news/src/readers.cpp
+++ b/libs/news/src/readers.cpp
@@ -25,7 +25,7 @@
 {
     const auto rank = [](const Member &member) {
         return std::make_pair(member.linkMbps_,
-                              gateway::rendezvousWeight(EndpointId(member.id_.value()), OrderSeed));
+                              gateway::rendezvousWeight(member.id_.value(), OrderSeed));
     };
     std::sort(members.begin(), members.end(),
               [&](const Member &one, const Member &other) { return rank(one) > rank(other); });
@@ -59,8 +59,7 @@
         return std::nullopt;
     }
     // The followers of a domain are spread over its readers.
-    return readers[gateway::rendezvousWeight(EndpointId(self_.value()), OrderSeed)
-                   % readers.size()];
+    return readers[gateway::rendezvousWeight(self_.value(), OrderSeed) % readers.size()];
 }
 
 } // namespace almondridge::news
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -187,18 +187,10 @@
     request.connectBy_ = now + millis(ConnectMillis);
     request.text_ = fmt::format("GET /news?lifetime={}&from={} HTTP/1.1\r\nHost: {}\r\n\r\n",
                                 lifetime_, from_, net::toString(*peer_));
-    struct Answer
-    {
-        int status_ = 0;
-        std::string body_;
-    };
-    auto answer = std::make_shared<Answer>();
-    async::ExchangeEvents events;
-    events.onHead_ = [answer](async::ResponseHead &head) { answer->status_ = head.status_; };
-    events.onBody_ = [answer](const std::string &bytes) { answer->body_ += bytes; };
-    events.onEnd_ = [this, answer] { onAnswer(answer->status_, answer->body_); };
-    events.onFailed_ = [this](async::ExchangeFailure) { giveUp(); };
-    exchange_ = client_.start(std::move(request), std::move(events));
+    exchange_ = client_.start(std::move(request),
+                              async::gatherAnswer([this](const async::ExchangeResult &result) {
+                                  onAnswer(result.failure_ ? 0 : result.status_, result.body_);
+                              }));
 }
 
 void RelayClient::onAnswer(int status, const std::string &body)
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -150,23 +150,21 @@
                                 "X-Deadline-Ms: {}\r\n\r\n",
                                 version, id, PatienceMillis);
     request.connectBy_ = BootClock::now() + ConnectTime;
-    auto status = std::make_shared<int>(0);
-    async::ExchangeEvents events;
-    events.onHead_ = [status](async::ResponseHead &head) { *status = head.status_; };
-    events.onBody_ = [](const std::string &) {};
-    events.onEnd_ = [this, status, version, lifetime] {
+    const auto onAnswer = [this, version, lifetime](const async::ExchangeResult &result) {
+        if (result.failure_) {
+            return;
+        }
         int &seen = seenVersion_[lifetime];
-        if (*status == 404 && (calm_ || seen >= version)) {
+        if (result.status_ == 404 && (calm_ || seen >= version)) {
             ledger_.violate(
                 Promise::ConfigKept,
                 fmt::format("{} does not know version {}, has shown {}", lifetime, version, seen));
         }
-        if (*status != 404 && *status != 503) {
+        if (result.status_ != 404 && result.status_ != 503) {
             seen = std::max(seen, version);
         }
     };
-    events.onFailed_ = [](async::ExchangeFailure) {};
-    client_.start(std::move(request), std::move(events));
+    client_.start(std::move(request), async::gatherAnswer(onAnswer));
 }
 
 } // namespace almondridge::soak
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -1,66 +1,25 @@
 #include "instances.h"
 
 #include <csignal>
-#include <fcntl.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-extern char **environ;
 
 namespace almondridge::soak {
-namespace {
-
-/**
- * A port that nobody uses now. Below those that the system gives to outgoing connections: one of
- * those was taken by a connection while its instance was down, and the instance could not start.
- */
-std::uint16_t freePort(async::EventLoop &loop)
-{
-    constexpr int First = 12'000;
-    constexpr int Count = 20'000;
-    static int next = ::getpid() * 61 % Count;
-    for (int tries = 0; tries < Count; ++tries) {
-        next = (next + 1) % Count;
-        const auto port = static_cast<std::uint16_t>(First + next);
-        boost::system::error_code taken;
-        boost::asio::ip::tcp::acceptor probe(loop.context());
-        probe.open(boost::asio::ip::tcp::v4(), taken);
-        probe.bind({boost::asio::ip::make_address_v4("127.0.0.1"), port}, taken);
-        if (!taken) {
-            return port;
-        }
-    }
-    return 0;
-}
-
-} // namespace
 
 InstanceProcess::InstanceProcess(async::EventLoop &loop, Ledger &ledger, std::string program,
                                  std::string directory, int number, const net::Address &store)
-    : loop_(loop)
-    , ledger_(ledger)
+    : ledger_(ledger)
     , program_(std::move(program))
     , directory_(std::move(directory))
     , name_("instance-" + std::to_string(number))
-    , callers_ {"127.0.0.1", freePort(loop)}
-    , health_ {"127.0.0.1", freePort(loop)}
-    , peerPort_(freePort(loop))
+    , callers_ {"127.0.0.1", testing::freePort()}
+    , health_ {"127.0.0.1", testing::freePort()}
+    , peerPort_(testing::freePort())
     , storeLink_(loop, store)
 {
     writeSettings();
 }
 
-InstanceProcess::~InstanceProcess()
-{
-    if (pid_ > 0) {
-        ::kill(pid_, SIGKILL);
-        ::waitpid(pid_, nullptr, 0);
-    }
-}
-
 void InstanceProcess::writeSettings() const
 {
     const nlohmann::json settings {{"instance", name_},
@@ -77,24 +36,10 @@
 
 void InstanceProcess::start()
 {
-    const std::string log = directory_ + "/" + name_ + ".log";
-    const std::string settings = directory_ + "/" + name_ + ".json";
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    constexpr mode_t LogMode = 0644;
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, LogMode);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    std::string verb = "entry";
-    std::string option = "--settings=" + settings;
-    std::array<char *, 4> arguments {program_.data(), verb.data(), option.data(), nullptr};
-    pid_t started = 0;
-    if (::posix_spawn(&started, program_.c_str(), &files, nullptr, arguments.data(), environ)
-        == 0) {
-        pid_ = started;
-        ++lifetime_;
-    }
-    posix_spawn_file_actions_destroy(&files);
+    process_.emplace(std::vector<std::string> {program_, "entry",
+                                               "--settings=" + directory_ + "/" + name_ + ".json"},
+                     directory_ + "/" + name_ + ".log");
+    ++lifetime_;
     expectedEnd_ = false;
     paused_ = false;
     stopping_ = false;
@@ -105,7 +50,7 @@
 {
     if (running()) {
         expectedEnd_ = true;
-        ::kill(pid_, SIGKILL);
+        process_->signal(SIGKILL);
         ready_ = false;
     }
 }
@@ -115,7 +60,7 @@
     if (running()) {
         expectedEnd_ = true;
         stopping_ = true;
-        ::kill(pid_, SIGTERM);
+        process_->signal(SIGTERM);
     }
 }
 
@@ -123,7 +68,7 @@
 {
     if (running()) {
         paused_ = true;
-        ::kill(pid_, SIGSTOP);
+        process_->signal(SIGSTOP);
     }
 }
 
@@ -131,28 +76,27 @@
 {
     if (running()) {
         paused_ = false;
-        ::kill(pid_, SIGCONT);
+        process_->signal(SIGCONT);
     }
 }
 
 void InstanceProcess::reload()
 {
     if (running()) {
-        ::kill(pid_, SIGHUP);
+        process_->signal(SIGHUP);
     }
 }
 
 void InstanceProcess::watch()
 {
-    int status = 0;
-    if (!running() || ::waitpid(pid_, &status, WNOHANG) != pid_) {
+    if (!running() || process_->running()) {
         return;
     }
     if (!expectedEnd_) {
         ledger_.violate(Promise::StaysUp,
-                        name_ + " ended by itself with status " + std::to_string(status));
+                        name_ + " ended by itself with status " + std::to_string(process_->wait()));
     }
-    pid_ = 0;
+    process_.reset();
     ready_ = false;
 }
 
--- a/soak/instances.h
+++ b/soak/instances.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include "ledger.h"
+#include "process.h"
 #include "proxy.h"
 
 #include <optional>
-#include <sys/types.h>
 
 namespace almondridge::soak {
 
@@ -16,9 +16,6 @@
 public:
     InstanceProcess(async::EventLoop &loop, Ledger &ledger, std::string program,
                     std::string directory, int number, const net::Address &store);
-    ~InstanceProcess();
-    InstanceProcess(const InstanceProcess &) = delete;
-    InstanceProcess &operator=(const InstanceProcess &) = delete;
 
     void start();
     void kill();
@@ -30,7 +27,7 @@
     /** Looks whether the process has ended. One that ends by itself breaks a promise. */
     void watch();
 
-    bool running() const noexcept { return pid_ > 0; }
+    bool running() const noexcept { return process_.has_value(); }
     bool paused() const noexcept { return paused_; }
     bool stopping() const noexcept { return stopping_; }
     /** Callers may be sent here, as its own answer was when last asked. */
@@ -46,7 +43,6 @@
 private:
     void writeSettings() const;
 
-    async::EventLoop &loop_;
     Ledger &ledger_;
     std::string program_;
     std::string directory_;
@@ -55,7 +51,7 @@
     net::Address health_;
     int peerPort_;
     Proxy storeLink_;
-    pid_t pid_ = 0;
+    std::optional<testing::Process> process_ {};
     int lifetime_ = 0;
     bool expectedEnd_ = false;
     bool paused_ = false;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -262,13 +262,10 @@
                 raw->setReady(ready);
             }
         };
-        auto status = std::make_shared<int>(0);
-        async::ExchangeEvents events;
-        events.onHead_ = [status](async::ResponseHead &head) { *status = head.status_; };
-        events.onBody_ = [](const std::string &) {};
-        events.onEnd_ = [status, answered] { answered(*status == 200); };
-        events.onFailed_ = [answered](async::ExchangeFailure) { answered(false); };
-        health_.start(std::move(request), std::move(events));
+        health_.start(std::move(request),
+                      async::gatherAnswer([answered](const async::ExchangeResult &result) {
+                          answered(!result.failure_ && result.status_ == 200);
+                      }));
     }
 }
 
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -21,18 +21,17 @@
 
 void Proxy::accept()
 {
-    acceptor_.async_accept(
-        [this](const boost::system::error_code &failure, async::Connection::Socket socket) {
-            if (failure) {
-                return;
-            }
-            auto pair = std::make_shared<Pair>();
-            pair->near_ = async::Connection::adopt(loop_, std::move(socket), {});
-            pair->far_ =
-                async::Connection::connect(loop_, target_, BootClock::now() + ConnectTime, {}, {});
-            join(pair);
-            accept();
-        });
+    acceptor_.async_accept([this](const boost::system::error_code &failure,
+                                  async::Connection::Socket socket) {
+        if (failure) {
+            return;
+        }
+        auto pair = std::make_shared<Pair>();
+        pair->near_ = async::Connection::adopt(loop_, std::move(socket), {});
+        pair->far_ = async::Connection::connect(loop_, target_, BootClock::now() + ConnectTime, {});
+        join(pair);
+        accept();
+    });
 }
 
 void Proxy::join(const std::shared_ptr<Pair> &pair)
--- a/standins/engine/engineprocess.cpp
+++ b/standins/engine/engineprocess.cpp
@@ -1,6 +1,7 @@
 #include "engine/engineprocess.h"
 
 #include "common/jsonhttp.h"
+#include "common/startserver.h"
 
 namespace almondridge::standins {
 namespace {
@@ -82,12 +83,8 @@
         schedulers[index]->start(std::move(shards[index]));
     }
     constexpr int ControlWorkers = 4;
-    BOOST_LEAF_AUTO(control,
-                    net::HttpServer::Builder()
-                        .listen(settings.control_)
-                        .workers(ControlWorkers)
-                        .handler([this](net::ServerExchange &exchange) { handleControl(exchange); })
-                        .start());
+    BOOST_LEAF_AUTO(control, startServer(settings.control_, ControlWorkers, this,
+                                         &EngineProcess::handleControl));
     control_.emplace(std::move(control));
     return {};
 }
--- a/standins/list/listserver.cpp
+++ b/standins/list/listserver.cpp
@@ -1,6 +1,7 @@
 #include "list/listserver.h"
 
 #include "common/jsonhttp.h"
+#include "common/startserver.h"
 #include "list/laggedlist.h"
 
 #include <mutex>
@@ -93,12 +94,7 @@
 {
     auto state = std::make_unique<State>();
     State *const self = state.get();
-    BOOST_LEAF_AUTO(server,
-                    net::HttpServer::Builder()
-                        .listen(listen)
-                        .workers(workers)
-                        .handler([self](net::ServerExchange &exchange) { self->handle(exchange); })
-                        .start());
+    BOOST_LEAF_AUTO(server, startServer(listen, workers, self, &State::handle));
     state->server_.emplace(std::move(server));
     return ListServer(std::move(state));
 }
--- a/standins/log/logserver.cpp
+++ b/standins/log/logserver.cpp
@@ -1,6 +1,7 @@
 #include "log/logserver.h"
 
 #include "common/jsonhttp.h"
+#include "common/startserver.h"
 #include "log/logstore.h"
 
 #include <condition_variable>
@@ -183,12 +184,7 @@
 {
     auto state = std::make_unique<State>();
     State *const self = state.get();
-    BOOST_LEAF_AUTO(server,
-                    net::HttpServer::Builder()
-                        .listen(listen)
-                        .workers(workers)
-                        .handler([self](net::ServerExchange &exchange) { self->handle(exchange); })
-                        .start());
+    BOOST_LEAF_AUTO(server, startServer(listen, workers, self, &State::handle));
     state->server_.emplace(std::move(server));
     return LogServer(std::move(state));
 }
--- a/standins/service/serviceprocess.cpp
+++ b/standins/service/serviceprocess.cpp
@@ -1,6 +1,7 @@
 #include "service/serviceprocess.h"
 
 #include "common/jsonhttp.h"
+#include "common/startserver.h"
 
 #include <thread>
 
@@ -70,12 +71,8 @@
         BOOST_LEAF_CHECK(entry->second.start());
     }
     constexpr int ControlWorkers = 4;
-    BOOST_LEAF_AUTO(control,
-                    net::HttpServer::Builder()
-                        .listen(settings.control_)
-                        .workers(ControlWorkers)
-                        .handler([this](net::ServerExchange &exchange) { handleControl(exchange); })
-                        .start());
+    BOOST_LEAF_AUTO(control, startServer(settings.control_, ControlWorkers, this,
+                                         &ServiceProcess::handleControl));
     control_.emplace(std::move(control));
     return {};
 }
