A request that reached no engine goes to another one of its stage, without the allowance

A handle whose engine never took it was thrown away. Answers 421 of a busy engine counted as overload, so the old entries of restarted engines kept getting work. Ruled out: lapsed handles (76 refusals in all), readers' queues (read in 60 ms all the while). Change: not arrived means another engine of the same stage, handle kept, no allowance (nothing arrived); no connection stops new work at the first time; 421 always counts as unwilling.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -64,8 +64,9 @@
 /** What the head of an endpoint's answer says beside its status. */
 struct AnswerFacts
 {
-    bool notRun_ = false; ///< The endpoint promises that it did not run the request.
-    bool signed_ = false; ///< It vouches for the answer as its own.
+    bool notRun_ = false;      ///< The endpoint promises that it did not run the request.
+    bool misdirected_ = false; ///< And that it takes no such requests, or is another one.
+    bool signed_ = false;      ///< It vouches for the answer as its own.
     std::optional<LoadSample> load_;
     std::optional<std::int64_t> retryAfterMillis_;
 };
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -99,16 +99,18 @@
     Overloaded,  ///< It refused for want of room.
     Unwilling,   ///< It refused though it has room: it changes, or is another one than listed.
     ServerError, ///< An answer 5xx of its own.
-    Broken,      ///< Connection refused, reset or cut, or bytes that are no answer.
+    Broken,      ///< Connection reset or cut, or bytes that are no answer.
+    Unreachable, ///< No connection could be made.
     Silent,      ///< No answer in the time that any sound endpoint needs.
 };
 
-inline constexpr std::array<EnumName<Evidence>, 6> EvidenceNames {{
+inline constexpr std::array<EnumName<Evidence>, 7> EvidenceNames {{
     {Evidence::Sound, "sound"},
     {Evidence::Overloaded, "overloaded"},
     {Evidence::Unwilling, "unwilling"},
     {Evidence::ServerError, "server-error"},
     {Evidence::Broken, "broken"},
+    {Evidence::Unreachable, "unreachable"},
     {Evidence::Silent, "silent"},
 }};
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -81,6 +81,9 @@
 
 Evidence Call::refusalEvidence() const
 {
+    if (attempt_.facts_.misdirected_) {
+        return Evidence::Unwilling;
+    }
     if (!attempt_.facts_.load_) {
         return Evidence::Overloaded;
     }
@@ -144,10 +147,19 @@
     silence_.startAt(until, [this] { attemptSilent(); });
 }
 
+/**
+ * The allowance bounds what second sends add to an endpoint's work, and what never arrived adds
+ * none. Taken from it, a crash of a quarter of the engines used it up within a second, and sound
+ * engines stood idle while callers were refused.
+ */
+bool Call::mayTryAnother() const
+{
+    return sends_ < MaxSends && BootClock::now() < deadline_;
+}
+
 bool Call::maySendAgain()
 {
-    const TimePoint now = BootClock::now();
-    return sends_ < MaxSends && now < deadline_ && gateway_.budget(input_.service_).take(now);
+    return mayTryAnother() && gateway_.budget(input_.service_).take(BootClock::now());
 }
 
 bool Call::mayRunAgain()
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -80,6 +80,8 @@
     void watchSilence(TimePoint until);
     void stopWatching() { silence_.stop(); }
 
+    /** Whether another endpoint may be tried after one that the request never reached. */
+    bool mayTryAnother() const;
     /** Whether one more send is allowed: by the shared allowance, and by this call's own bound. */
     bool maySendAgain();
     /** The same after a send that may have run: its route must allow another run as well. */
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -14,16 +14,17 @@
 };
 
 /**
- * A broken connection or silence speaks for itself: the second one stops new work, as a single
- * one is also what a lost packet or a planned stop looks like. Errors need more of them: a sound
- * service fails some of its calls for reasons of its own.
+ * Silence and a connection that cannot be made speak for themselves. Of broken connections the
+ * second one stops new work, as a single one is also what a planned stop looks like. Errors need
+ * more of them: a sound service fails some of its calls for reasons of its own.
  */
-constexpr std::array<EvidenceRule, 6> EvidenceRules {{
+constexpr std::array<EvidenceRule, 7> EvidenceRules {{
     {Evidence::Sound, 0, 0},
     {Evidence::Overloaded, 0, 0},
     {Evidence::Unwilling, 8, 8},
     {Evidence::ServerError, 1, 8},
     {Evidence::Broken, 4, 8},
+    {Evidence::Unreachable, 8, 8},
     {Evidence::Silent, 8, 8},
 }};
 
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -52,6 +52,7 @@
     void sendInPlace(const PromptPlan &plan);
     void sendToDecode();
     void sendResume();
+    void goOn();
     void attemptHead() override;
     void attemptBody(std::string bytes) override;
     void attemptEnd() override;
@@ -62,6 +63,7 @@
 
     void prefillEnded();
     void prefillFailed(Evidence evidence);
+    void neverArrived();
     void notRun();
     void streamEnded();
     void streamBroke(async::ExchangeFailure failure, Evidence evidence);
@@ -74,7 +76,7 @@
     const Prompt &prompt() const { return *facts().prompt_; }
 
     ModelPhase phase_ = ModelPhase::Idle;
-    std::optional<PromptHandle> handle_; ///< Read, and not fetched by an engine yet.
+    std::optional<PromptHandle> handle_; ///< Read, and not fetched by an engine as far as we know.
     EndpointId prefillEngine_;
     DomainId prefillDomain_;
     EventSplitter events_;
@@ -205,7 +207,7 @@
     ++runs_;
     SendOrder order;
     order.urgency_ = std::clamp(route().priority_, 0, Urgencies - 1);
-    order.prompt_ = std::exchange(handle_, std::nullopt);
+    order.prompt_ = handle_;
     send(*engine, order, 0);
     watchStream();
 }
@@ -232,7 +234,14 @@
 
 void ModelCall::attemptHead()
 {
-    if (phase_ == ModelPhase::Waiting && isStream()) {
+    if (phase_ != ModelPhase::Waiting) {
+        return;
+    }
+    if (!attempt_.facts_.misdirected_) {
+        // The engine took the request as its own, and a handle can be fetched only once.
+        handle_.reset();
+    }
+    if (isStream()) {
         promptWasRead();
     }
 }
@@ -346,11 +355,13 @@
     retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
     logNotRun();
     leaveEndpoint(refusalEvidence());
-    if (!maySendAgain()) {
-        giveUp("engine-full");
-        return;
-    }
-    sendResume();
+    maySendAgain() ? goOn() : giveUp("engine-full");
+}
+
+/** At another engine: with the prompt as it was read, if no engine has fetched it. */
+void ModelCall::goOn()
+{
+    handle_ ? sendToDecode() : sendResume();
 }
 
 void ModelCall::streamEnded()
@@ -371,18 +382,32 @@
 
 void ModelCall::attemptFailed(async::ExchangeFailure failure)
 {
+    if (failure == async::ExchangeFailure::NotSent) {
+        neverArrived();
+        return;
+    }
     if (phase_ == ModelPhase::Prefilling) {
         prefillFailed(Evidence::Broken);
         return;
     }
-    if (failure == async::ExchangeFailure::NotSent) {
-        --runs_;
-        attempt_.facts_ = {};
-        leaveEndpoint(Evidence::Broken);
-        maySendAgain() ? sendResume() : giveUp("engine-unreachable");
+    streamBroke(failure, Evidence::Broken);
+}
+
+/**
+ * No connection could be made, so the engine knows nothing of the request. Another one of the
+ * same stage takes it: prompts that are read on generating engines instead go at half the speed
+ * and delay every stream there.
+ */
+void ModelCall::neverArrived()
+{
+    const bool wasPrefill = phase_ == ModelPhase::Prefilling;
+    runs_ -= wasPrefill ? 0 : 1;
+    leaveEndpoint(Evidence::Unreachable);
+    if (!mayTryAnother()) {
+        giveUp("engine-unreachable");
         return;
     }
-    streamBroke(failure, Evidence::Broken);
+    wasPrefill ? place() : goOn();
 }
 
 void ModelCall::streamBroke(async::ExchangeFailure failure, Evidence evidence)
@@ -390,6 +415,7 @@
     mayHaveRun_ = true;
     leaveEndpoint(evidence);
     if (mayRunAgain()) {
+        abandonEndpoints(); // Whether the handle was fetched is not known: it is not used again.
         sendResume();
         return;
     }
@@ -425,6 +451,7 @@
         trail_ += ":silent";
         mayHaveRun_ = true;
         leaveEndpoint(Evidence::Silent);
+        abandonEndpoints();
         sendResume();
     }
 }
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -52,7 +52,7 @@
     if (facts.notRun_) {
         --runs_;
         retryAfterMillis_ = facts.retryAfterMillis_;
-        leaveEndpoint(Evidence::Overloaded);
+        leaveEndpoint(refusalEvidence());
         maySendAgain() ? sendNext() : giveUp();
         return;
     }
@@ -73,12 +73,13 @@
 
 void ServiceCall::attemptFailed(async::ExchangeFailure failure)
 {
-    leaveEndpoint(Evidence::Broken);
     if (failure == async::ExchangeFailure::NotSent) {
         --runs_;
-        maySendAgain() ? sendNext() : giveUp();
+        leaveEndpoint(Evidence::Unreachable);
+        mayTryAnother() ? sendNext() : giveUp();
         return;
     }
+    leaveEndpoint(Evidence::Broken);
     mayHaveRun_ = true;
     if (mayRunAgain()) {
         sendNext();
