A prompt that a reader refused goes to another reader

Ruled out: unanswered prefills (13 a second at most), slow moves of memory (over by then). Change: a refused prefill, which read nothing, is sent to another engine that reads, from the same allowance. Unanswered ones are still read in place: a second reading could count as a run.

--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -62,6 +62,7 @@
     void abandonEndpoints() override;
 
     void prefillEnded();
+    void prefillRefused();
     void prefillFailed(Evidence evidence);
     void neverArrived();
     void notRun();
@@ -325,7 +326,7 @@
                                    : std::string();
     if (handle.empty()) {
         retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
-        prefillFailed(attempt_.facts_.notRun_ ? refusalEvidence() : Evidence::ServerError);
+        attempt_.facts_.notRun_ ? prefillRefused() : prefillFailed(Evidence::ServerError);
         return;
     }
     const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
@@ -337,16 +338,23 @@
     sendToDecode();
 }
 
-/** The prompt was not read, or not for us: it is read where it is generated. */
+/** The engine read nothing and says so: another one that reads takes the prompt. */
+void ModelCall::prefillRefused()
+{
+    logNotRun();
+    leaveEndpoint(refusalEvidence());
+    maySendAgain() ? place() : giveUp("prefill-refused");
+}
+
+/**
+ * The prompt may have been read, but not for us: it is read where it is generated, as a second
+ * reading apart could count as another run of the request.
+ */
 void ModelCall::prefillFailed(Evidence evidence)
 {
     leaveEndpoint(evidence);
     inPlaceOnly_ = true;
-    if (!maySendAgain()) {
-        giveUp("prefill-failed");
-        return;
-    }
-    place();
+    maySendAgain() ? place() : giveUp("prefill-failed");
 }
 
 /** The engine promises that it did not run the request: the handle may be gone, or it is full. */
