Prompts that wait for their first event count at the engine that generates, told to all

Ruled out: slow sources (their medians were 20 to 40 ms). Change: a prompt that is handed over counts in the engine's queue until its first event, with a sixteenth of its tokens; the notes between instances carry it, and the choice weighs it. Test: anEngineWherePromptsWaitForTheirFirstEventGetsNoMore.

--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -66,6 +66,8 @@
                                            const DomainId &source,
                                            const std::vector<EndpointId> &excluded,
                                            std::uint64_t ticket, TimePoint now) const;
+    /** What a read prompt adds to the queue of the engine that fetches it, in tokens to read. */
+    static std::int64_t handoverTokens(const Prompt &prompt);
     /** A plain service's endpoint. ticket: any number. */
     std::optional<EndpointId> chooseService(const EndpointTable &table, const ServiceId &service,
                                             const std::vector<EndpointId> &excluded,
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -209,7 +209,7 @@
     SendOrder order;
     order.urgency_ = std::clamp(route().priority_, 0, Urgencies - 1);
     order.prompt_ = handle_;
-    send(*engine, order, 0);
+    send(*engine, order, Placement::handoverTokens(prompt()));
     watchStream();
 }
 
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/gateway/placement.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace almondridge::gateway {
 namespace {
@@ -64,18 +65,17 @@
 }
 
 /**
- * The endpoint with most room. Among equals the ticket decides: in the order of their ids all
+ * The endpoint that costs least. Among equals the ticket decides: in the order of their ids all
  * instances would send to the first idle one.
  */
-const Endpoint *leastFull(const std::vector<const Endpoint *> &endpoints, TimePoint now,
-                          const DomainId &preferred, double otherDomainCost, std::uint64_t ticket)
+const Endpoint *cheapest(const std::vector<const Endpoint *> &endpoints, std::uint64_t ticket,
+                         const std::function<double(const Endpoint &)> &costOf)
 {
     const Endpoint *best = nullptr;
     double bestCost = 0;
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
         const Endpoint *one = endpoints[(index + ticket) % endpoints.size()];
-        const double cost =
-            fullness(*one, now) + (one->listed_.domain_ == preferred ? 0.0 : otherDomainCost);
+        const double cost = costOf(*one);
         if (best == nullptr || cost < bestCost) {
             best = one;
             bestCost = cost;
@@ -256,11 +256,19 @@
     // Moving a prompt between failure domains takes twice as long and is dearer: another domain's
     // engine is taken when ours is fuller by a quarter of its slots.
     constexpr double OtherDomainCost = 0.25;
+    // Prompts that wait for their first event there count like a full engine from this wait on,
+    // in milliseconds: an engine whose links are slow has few requests, and each takes a second.
+    constexpr double WaitOfAFullEngine = 100;
     std::vector<const Endpoint *> engines = table.usable(service, now);
     removeExcluded(engines, excluded);
     std::erase_if(engines,
                   [](const Endpoint *one) { return one->listed_.stage_ == Stage::Prefill; });
-    const Endpoint *best = leastFull(engines, now, source, OtherDomainCost, ticket);
+    const Endpoint *best = cheapest(engines, ticket, [&](const Endpoint &one) {
+        const double waitMillis = static_cast<double>(one.queued_.all() + one.foreignQueued_.all())
+                                  / readingRate(table, one);
+        return fullness(one, now) + waitMillis / WaitOfAFullEngine
+               + (one.listed_.domain_ == source ? 0 : OtherDomainCost);
+    });
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
@@ -273,10 +281,21 @@
     constexpr double OtherDomainCost = 0.1;
     std::vector<const Endpoint *> endpoints = table.usable(service, now);
     removeExcluded(endpoints, excluded);
-    const Endpoint *best = leastFull(endpoints, now, settings_.domain_, OtherDomainCost, ticket);
+    const Endpoint *best = cheapest(endpoints, ticket, [&](const Endpoint &one) {
+        return fullness(one, now)
+               + (one.listed_.domain_ == settings_.domain_ ? 0 : OtherDomainCost);
+    });
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
+std::int64_t Placement::handoverTokens(const Prompt &prompt)
+{
+    // Moving a prompt of some thousand tokens and its first step take as long as reading a
+    // sixteenth of them where it is generated.
+    constexpr std::int64_t MovedPerRead = 16;
+    return prompt.tokens_ / MovedPerRead;
+}
+
 void Placement::onPromptRead(const EndpointId &engine, const Prompt &prompt)
 {
     for (const PromptPart &part : prompt.parts_) {
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -376,6 +376,31 @@
 }
 
 /** All engines are idle: instances that each take the first one would all take the same one. */
+/**
+ * A fifth of the generating engines moves memory eight times as slowly. They run few requests, so
+ * they look empty, and each instance meets one of them only every few seconds: their callers
+ * waited a second for the first event. What the others have waiting there tells it at once.
+ */
+BOOST_AUTO_TEST_CASE(anEngineWherePromptsWaitForTheirFirstEventGetsNoMore)
+{
+    EndpointTable table = fleet(0, 3);
+    Placement placement({DomainId("a")});
+    PeerLoads loads;
+    const Prompt prompt = promptWith(1);
+    for (int peer = 0; peer < 8; ++peer) {
+        LoadNote note;
+        note.sender_ = InstanceId("peer-" + std::to_string(peer));
+        note.number_ = 1;
+        note.queued_[EndpointId("engine-0")].add(1, Placement::handoverTokens(prompt));
+        loads.onNote(note, table, at(0));
+    }
+    for (std::uint64_t ticket = 0; ticket < 30; ++ticket) {
+        const auto chosen = placement.chooseDecode(table, Models, DomainId("a"), {}, ticket, at(0));
+        BOOST_REQUIRE(chosen.has_value());
+        BOOST_TEST(chosen->value() != "engine-0");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(idleEnginesAreTakenInAnyOrder)
 {
     const EndpointTable table = fleet(0, 9);
