Endpoints that could not be reached are tested by connections, and peers are told of them

Ruled out: the allowance (such sends take none any more). Change: an endpoint without a connection gets no request until a connection to it stands; tries come after 150 ms, doubling up to 1.2 s. Notes name endpoints that the sender's requests found away or silent in the last second; a peer tests these at once, unless one answered it within 300 ms. Tests: two in endpointtest, two of the client.

--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -44,6 +44,8 @@
 
     /** Called when bytes were added to input(). */
     void onInput(std::function<void()> handler) { onInput_ = std::move(handler); }
+    /** Called once a connection made by connect() stands. */
+    void onEstablished(std::function<void()> handler) { onEstablished_ = std::move(handler); }
     /** Called once, and not after close(). */
     void onClosed(std::function<void(CloseCause)> handler) { onClosed_ = std::move(handler); }
     /** Called whenever all bytes written so far were handed to the kernel. */
@@ -79,6 +81,7 @@
     EventLoop &loop_;
     Socket socket_;
     Timer deadline_;
+    std::function<void()> onEstablished_;
     std::function<void()> onInput_;
     std::function<void()> onWritten_;
     std::function<void(CloseCause)> onClosed_;
--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -86,6 +86,12 @@
 
     /** No event comes before this returns. */
     ExchangeId start(ExchangeRequest request, ExchangeEvents events);
+    /**
+     * Opens a connection that is kept for the next exchange with peer. done tells whether it was
+     * established until connectBy.
+     */
+    void open(const std::string &peer, const net::Address &address, TimePoint connectBy,
+              std::function<void(bool)> done);
     /** Closes the exchange's connection, which tells the peer to stop. No event follows. */
     void cancel(ExchangeId id);
     /** Stops reading the answer until resume(). */
@@ -119,6 +125,7 @@
     SilenceLimits silence_;
     std::unordered_map<ExchangeId, std::shared_ptr<Exchange>> exchanges_;
     KeptList kept_; ///< Oldest first.
+    std::unordered_map<ExchangeId, std::shared_ptr<Connection>> opening_;
     std::unordered_map<std::string, std::size_t> connections_;
     std::size_t maxKept_ = 512;
     ExchangeId nextId_ = 1;
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -91,6 +91,9 @@
     deadline_.stop();
     startReading();
     flush();
+    if (const auto handler = std::exchange(onEstablished_, nullptr)) {
+        handler();
+    }
 }
 
 void Connection::startReading()
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -105,6 +105,26 @@
     return id;
 }
 
+void HttpClient::open(const std::string &peer, const net::Address &address, TimePoint connectBy,
+                      std::function<void(bool)> done)
+{
+    const ExchangeId id = nextId_++;
+    ++counters_.connects_;
+    ++connections_[peer];
+    const auto connection = Connection::connect(loop_, address, connectBy, silence_);
+    opening_[id] = connection;
+    connection->onEstablished([this, id, peer, done] {
+        const auto opened = opening_.extract(id).mapped();
+        keep(peer, opened, BootClock::now() + KeptByDefault);
+        done(true);
+    });
+    connection->onClosed([this, id, peer, done](CloseCause) {
+        opening_.erase(id);
+        countDown(peer);
+        done(false);
+    });
+}
+
 void HttpClient::attach(Exchange &exchange)
 {
     const ExchangeId id = exchange.id_;
--- a/libs/async/tests/httpclienttest.cpp
+++ b/libs/async/tests/httpclienttest.cpp
@@ -134,6 +134,37 @@
     BOOST_TEST((finish(free).failure_ == ExchangeFailure::NotSent));
 }
 
+BOOST_AUTO_TEST_CASE(anOpenedConnectionServesTheNextExchange)
+{
+    RawServer server(loop_, [](const RawServer::Peer &peer, const std::string &) {
+        peer->write(responseText(200, "", "x"));
+    });
+    std::optional<bool> opened;
+    const std::string peer = net::toString(server.address());
+    client_.open(peer, server.address(), BootClock::now() + millis(5'000),
+                 [&](bool stands) { opened = stands; });
+    runUntil(loop_, [&] { return opened.has_value(); });
+    BOOST_TEST(*opened);
+    BOOST_TEST(finish(server.address()).ended_);
+    BOOST_TEST(server.connections() == 1);
+    BOOST_TEST(client_.connections(peer) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(anOpeningThatIsRefusedLeavesNothingBehind)
+{
+    net::Address free;
+    {
+        RawServer server(loop_, [](const RawServer::Peer &, const std::string &) {});
+        free = server.address();
+    }
+    std::optional<bool> opened;
+    client_.open("gone", free, BootClock::now() + millis(5'000),
+                 [&](bool stands) { opened = stands; });
+    runUntil(loop_, [&] { return opened.has_value(); });
+    BOOST_TEST(!*opened);
+    BOOST_TEST(client_.connections("gone") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(brokenAnswersAreToldApart)
 {
     const std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab";
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -91,6 +91,17 @@
     std::string_view stateName(TimePoint now) const noexcept;
 
     bool probing_ = false; ///< The one request that tests it again is on its way.
+
+    /**
+     * It could not be reached, or a peer said so. It gets no request until a connection to it
+     * stands: with requests as tests, each instance loses one at each of the engines that a cut
+     * or a crash took away, again and again.
+     */
+    bool awaitsTest_ = false;
+    TimePoint testAt_ {}; ///< When a connection is tried; far away while one is.
+    int failedTests_ = 0;
+    TimePoint unreachedAt_ {}; ///< When a request of ours last found it away or silent.
+    TimePoint soundAt_ {};     ///< When it last answered one.
 };
 
 /** What an answer, or its absence, says of an endpoint. */
@@ -140,11 +151,19 @@
     void onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds);
     void onClosed(const EndpointId &id);
     void onLoad(const EndpointId &id, const LoadSample &load, TimePoint now);
+    /** A peer could not reach it: it is tested, unless it has answered us a moment ago. */
+    void onUnreachedByPeer(const EndpointId &id, TimePoint now);
+    /** Endpoints to try a connection to now. The result of each is told by onTested(). */
+    std::vector<EndpointId> takeTests(TimePoint now);
+    void onTested(const EndpointId &id, bool reached, TimePoint now);
+    /** Endpoints that requests of this instance found away or silent a moment ago. */
+    std::vector<EndpointId> unreached(TimePoint now) const;
     /** True when it was trusted and is not any more, or the other way round. */
     bool onEvidence(const EndpointId &id, Evidence evidence, TimePoint now);
 
 private:
     void forgetIfDone(const EndpointId &id);
+    static void awaitTest(Endpoint &endpoint, TimePoint testAt);
 
     std::map<EndpointId, Endpoint> endpoints_;
     double usualRate_ = 0;
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -30,6 +30,8 @@
     bool mayLead_ = false; ///< The sender could give orders: it reaches the store.
     bool leads_ = false;   ///< It has the right to give orders.
     std::map<EndpointId, PromptQueue> queued_ {};
+    /** Endpoints that the sender could not reach a moment ago. */
+    std::vector<EndpointId> unreached_ {};
 };
 
 /** The note as a datagram. */
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -24,7 +24,7 @@
     {Evidence::Unwilling, 8, 8},
     {Evidence::ServerError, 1, 8},
     {Evidence::Broken, 4, 8},
-    {Evidence::Unreachable, 8, 8},
+    {Evidence::Unreachable, 0, 0}, // A connection of its own tests it.
     {Evidence::Silent, 8, 8},
 }};
 
@@ -32,6 +32,14 @@
 constexpr Duration FirstDistrust = millis(300);
 constexpr Duration LongestDistrust = millis(2'000);
 
+/** First time until an endpoint that was not reached is tried; doubles with each failed test. */
+constexpr Duration FirstTest = millis(150);
+constexpr Duration LongestTest = millis(1'200);
+/** Peers are told of an endpoint for this long: three notes of a large fleet, or more. */
+constexpr Duration UnreachedIsNews = millis(1'000);
+/** An endpoint that answered us within this time is sound, whatever a peer met before. */
+constexpr Duration SoundIsFresh = millis(300);
+
 /** How much a new measurement counts for the usual rate, and for one engine's own speed. */
 constexpr double UsualRateWeight = 0.02;
 constexpr double SpeedWeight = 0.1;
@@ -89,6 +97,9 @@
     if (changingUntil_ > now) {
         return "changing";
     }
+    if (awaitsTest_) {
+        return "unreachable";
+    }
     return distrustedUntil_ > now || probing_ ? "distrusted" : "usable";
 }
 
@@ -147,7 +158,7 @@
     std::vector<const Endpoint *> found = listed(service);
     std::erase_if(found, [&](const Endpoint *endpoint) {
         // Distrusted until a time, and then until the one request that tests it was answered.
-        return endpoint->distrustedUntil_ > now || endpoint->probing_
+        return endpoint->distrustedUntil_ > now || endpoint->probing_ || endpoint->awaitsTest_
                || endpoint->changingUntil_ > now;
     });
     return found;
@@ -224,15 +235,89 @@
     }
 }
 
+void EndpointTable::awaitTest(Endpoint &endpoint, TimePoint testAt)
+{
+    if (!endpoint.awaitsTest_) {
+        endpoint.awaitsTest_ = true;
+        endpoint.testAt_ = testAt;
+    }
+}
+
+void EndpointTable::onUnreachedByPeer(const EndpointId &id, TimePoint now)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint != nullptr && endpoint->soundAt_ + SoundIsFresh < now) {
+        awaitTest(*endpoint, now);
+    }
+}
+
+std::vector<EndpointId> EndpointTable::takeTests(TimePoint now)
+{
+    std::vector<EndpointId> due;
+    for (auto &[id, endpoint] : endpoints_) {
+        if (endpoint.awaitsTest_ && endpoint.listedNow_ && endpoint.testAt_ <= now) {
+            endpoint.testAt_ = TimePoint::max();
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+void EndpointTable::onTested(const EndpointId &id, bool reached, TimePoint now)
+{
+    Endpoint *endpoint = find(id);
+    if (endpoint == nullptr || !endpoint->awaitsTest_) {
+        return;
+    }
+    if (reached) {
+        endpoint->awaitsTest_ = false;
+        endpoint->failedTests_ = 0;
+        return;
+    }
+    ++endpoint->failedTests_;
+    constexpr int MostDoublings = 3;
+    const Duration pause = FirstTest * (1 << std::min(endpoint->failedTests_, MostDoublings));
+    endpoint->testAt_ = now + std::min(pause, LongestTest);
+}
+
+std::vector<EndpointId> EndpointTable::unreached(TimePoint now) const
+{
+    std::vector<EndpointId> found;
+    for (const auto &[id, endpoint] : endpoints_) {
+        const bool isNews = endpoint.unreachedAt_ != TimePoint {}
+                            && endpoint.unreachedAt_ + UnreachedIsNews > now
+                            && endpoint.unreachedAt_ > endpoint.soundAt_;
+        if (isNews && endpoint.listedNow_) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 bool EndpointTable::onEvidence(const EndpointId &id, Evidence evidence, TimePoint now)
 {
     Endpoint *endpoint = find(id);
     if (endpoint == nullptr) {
         return false;
     }
-    const bool wasTrusted = endpoint->distrustedUntil_ == TimePoint {};
+    const bool wasTrusted = endpoint->distrustedUntil_ == TimePoint {} && !endpoint->awaitsTest_;
     const EvidenceRule &rule = ruleFor(evidence);
     endpoint->probing_ = false;
+    if (evidence == Evidence::Unreachable || evidence == Evidence::Silent) {
+        endpoint->unreachedAt_ = now;
+    }
+    if (evidence == Evidence::Unreachable) {
+        awaitTest(*endpoint, now + FirstTest);
+        return wasTrusted;
+    }
+    if (evidence == Evidence::Silent) {
+        awaitTest(*endpoint, now); // Hung or gone: a connection tells in a moment.
+    }
+    if (evidence == Evidence::Sound) {
+        endpoint->soundAt_ = now;
+        endpoint->awaitsTest_ = false;
+        endpoint->failedTests_ = 0;
+    }
     if (rule.weight_ == 0) {
         endpoint->failures_ = 0;
         endpoint->distrustedUntil_ = {};
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -6,6 +6,13 @@
 
 namespace almondridge::gateway {
 
+namespace {
+
+/** Between two looks whether a test is due: short against the shortest pause between two tests. */
+constexpr Duration TestInterval = millis(50);
+
+} // namespace
+
 GatewayState::GatewayState(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings)
     : loop_(loop)
     , dialect_(dialect)
@@ -16,8 +23,10 @@
     , client_(loop)
     , placement_({settings_.domain_})
     , random_(std::random_device {}())
+    , tests_(loop)
 {
     client_.setMaxKept(settings_.maxKeptConnections_);
+    testEndpoints();
 }
 
 GatewayState::~GatewayState() = default;
@@ -220,6 +229,31 @@
     }
 }
 
+void GatewayState::testEndpoints()
+{
+    const TimePoint now = BootClock::now();
+    for (const EndpointId &id : table_.takeTests(now)) {
+        const net::Address address = table_.find(id)->listed_.address_;
+        client_.dropKept(id.value());
+        client_.open(id.value(), address, now + millis(settings_.connectMillis_),
+                     [this, id](bool reached) { onTested(id, reached); });
+    }
+    tests_.startAt(now + TestInterval, [this] { testEndpoints(); });
+}
+
+void GatewayState::onTested(const EndpointId &id, bool reached)
+{
+    const Endpoint *endpoint = table_.find(id);
+    if (endpoint == nullptr) {
+        return;
+    }
+    if (reached || endpoint->failedTests_ == 0) {
+        logEvent(LogLevel::Info, "endpoint_test",
+                 {{"endpoint", id.value()}, {"reached", reached ? "yes" : "no"}});
+    }
+    table_.onTested(id, reached, BootClock::now());
+}
+
 void GatewayState::release(std::uint64_t call)
 {
     loop_.post([this, call] { calls_.erase(call); });
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -26,6 +26,9 @@
     void refuse(const async::CallId &id, int status, std::string_view reason);
     const ServiceId &pickService(const Route &route);
     SendBudget &budget(const ServiceId &service);
+    /** Tries connections to endpoints that could not be reached, when they are due. */
+    void testEndpoints();
+    void onTested(const EndpointId &id, bool reached);
     /** Forgets a call once the stack that it is on has unwound. */
     void release(std::uint64_t call);
 
@@ -42,6 +45,7 @@
     std::map<ServiceId, StageDemand> demand_;
     observe::Metrics metrics_;
     std::mt19937_64 random_;
+    async::Timer tests_; ///< Of endpoints that could not be reached.
     int instances_ = 1;
 };
 
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -21,6 +21,8 @@
 constexpr Duration QuietInterval = millis(1'000);
 /** A change of a queue that is worth a note: less is read before the note is used. */
 constexpr std::int64_t WorthTelling = 2'000;
+/** Endpoints that a note names as not reached: a note stays small whatever is cut off. */
+constexpr std::size_t MostUnreachedTold = 48;
 /** More than any note: some hundred engines. */
 constexpr std::size_t DatagramBytes = 16'384;
 
@@ -121,13 +123,17 @@
             note.queued_[id] = endpoint.queued_;
         }
     }
+    note.unreached_ = gateway_.endpoints().unreached(now);
+    if (note.unreached_.size() > MostUnreachedTold) {
+        note.unreached_.resize(MostUnreachedTold);
+    }
     return note;
 }
 
 bool LoadExchange::worthSending(const LoadNote &note, TimePoint now) const
 {
     if (now >= lastSentAt_ + QuietInterval || note.mayLead_ != last_.mayLead_
-        || note.leads_ != last_.leads_) {
+        || note.leads_ != last_.leads_ || note.unreached_ != last_.unreached_) {
         return true;
     }
     const auto differs = [](const auto &one, const auto &other) {
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -56,8 +56,12 @@
     for (const auto &[endpoint, left] : note.changingMillis_) {
         changing[endpoint.value()] = left;
     }
+    Json unreached = Json::array();
+    for (const EndpointId &endpoint : note.unreached_) {
+        unreached.push_back(endpoint.value());
+    }
     const Json json = Json::array({note.sender_.value(), note.lifetime_, note.number_,
-                                   note.mayLead_, note.leads_, queued, changing});
+                                   note.mayLead_, note.leads_, queued, changing, unreached});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -66,11 +70,11 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 7;
+    constexpr std::size_t Fields = 8;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
                         && json[3].is_boolean() && json[4].is_boolean() && json[5].is_object()
-                        && json[6].is_object();
+                        && json[6].is_object() && json[7].is_array();
     if (!shaped) {
         return std::nullopt;
     }
@@ -93,6 +97,12 @@
         }
         note.changingMillis_[EndpointId(endpoint)] = left.get<std::int64_t>();
     }
+    for (const Json &endpoint : json[7]) {
+        if (!endpoint.is_string()) {
+            return std::nullopt;
+        }
+        note.unreached_.emplace_back(endpoint.get<std::string>());
+    }
     return note;
 }
 
@@ -122,6 +132,9 @@
     for (const auto &[endpoint, left] : note.changingMillis_) {
         table.onChanging(endpoint, now + millis(std::min(left, LongestChangeMillis)));
     }
+    for (const EndpointId &endpoint : note.unreached_) {
+        table.onUnreachedByPeer(endpoint, now);
+    }
 }
 
 bool PeerLoads::leads(const InstanceId &self) const
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -126,6 +126,55 @@
     BOOST_TEST(table.usable(Models, at(1'100)).size() == 1U);
 }
 
+/**
+ * A failure domain is cut off with a third of the engines. Requests as tests would lose one at
+ * each of them, at each instance, every two seconds: a connection tests them instead, less and
+ * less often.
+ */
+BOOST_AUTO_TEST_CASE(anEndpointThatWasNotReachedIsTestedByConnectionsOnly)
+{
+    EndpointTable table = fleet(0, 2);
+    const EndpointId id("engine-0");
+    BOOST_TEST(table.onEvidence(id, Evidence::Unreachable, at(0)));
+    BOOST_TEST(table.takeTests(at(100)).empty());
+    std::vector<int> triedAt;
+    for (int now = 0; now < 6'000; now += 50) {
+        BOOST_TEST(table.usable(Models, at(now)).size() == 1U);
+        for (const EndpointId &due : table.takeTests(at(now))) {
+            BOOST_TEST((due == id));
+            triedAt.push_back(now);
+            table.onTested(id, false, at(now));
+        }
+    }
+    BOOST_TEST(triedAt.size() >= 5U);
+    BOOST_TEST(triedAt.size() <= 8U);
+    table.takeTests(at(9'000));
+    table.onTested(id, true, at(9'000));
+    BOOST_TEST(table.usable(Models, at(9'000)).size() == 2U);
+}
+
+/**
+ * A crash takes engines away that each instance would have to find out about by itself, with one
+ * request each. What a peer says is checked, not believed: it may be the one that is cut off.
+ */
+BOOST_AUTO_TEST_CASE(whatAPeerDidNotReachIsTestedBeforeTheNextRequest)
+{
+    EndpointTable table = fleet(0, 3);
+    PeerLoads loads;
+    LoadNote note {InstanceId("peer"), 1, 1};
+    note.unreached_ = {EndpointId("engine-0"), EndpointId("engine-1"), EndpointId("unknown")};
+    table.onEvidence(EndpointId("engine-1"), Evidence::Sound, at(900));
+    loads.onNote(*decodeNote(encodeNote(note)), table, at(1'000));
+    BOOST_TEST(table.usable(Models, at(1'000)).size() == 2U);
+    BOOST_TEST((table.takeTests(at(1'000)) == std::vector {EndpointId("engine-0")}));
+    table.onTested(EndpointId("engine-0"), true, at(1'004));
+    BOOST_TEST(table.usable(Models, at(1'004)).size() == 3U);
+    BOOST_TEST(table.unreached(at(1'004)).empty()); // Hearsay is not passed on.
+    table.onEvidence(EndpointId("engine-2"), Evidence::Silent, at(2'000));
+    BOOST_TEST((table.unreached(at(2'500)) == std::vector {EndpointId("engine-2")}));
+    BOOST_TEST(table.unreached(at(4'000)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(errorsOfItsOwnTakeAnEndpointOutOnlyInARow)
 {
     EndpointTable table = fleet(0, 1);
