--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -76,6 +76,15 @@
         TimePoint until_ {};
     };
 
+    /** How long prompts wait at the engines of a stage, smoothed. */
+    struct Wait
+    {
+        double millis_ = 0;
+        void add(double sample, double weight) { millis_ += weight * (sample - millis_); }
+    };
+
+    void watchWaits(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
+                    TimePoint now);
     bool settled(int count, TimePoint now);
     std::optional<EndpointId> pick(const std::vector<const Endpoint *> &engines, Stage from) const;
 
@@ -83,6 +92,9 @@
     Window shortWindow_;
     Window longWindow_;
     std::map<EndpointId, Ordered> ordered_;
+    Wait prefillWait_;
+    Wait decodeWait_;
+    TimePoint watchedAt_ {};
     int lastCount_ = 0;
     TimePoint countedAt_ {}; ///< Since when there are so many engines.
 };
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -24,11 +24,39 @@
 constexpr double UsablePrefill = 0.5;
 constexpr double UsableDecode = 0.3;
 
+/**
+ * While there is traffic engines change only for a stage whose prompts wait this long on average:
+ * half of the tightest objective. A change takes an engine away for seconds, throws its cached
+ * parts away and moves others' homes: 45 changes of 90 engines after a release, for a share that
+ * was only off the expected one, cost a sixth of the day (worth 0.593 against 0.766).
+ */
+constexpr double WaitWorthAnOrder = 150;
+/** Waits are smoothed over this time: a burst of a second is over before a change is. */
+constexpr double WaitWindowSeconds = 2;
+/** Reads per millisecond until it is measured, as placements assume it. */
+constexpr double AssumedTokensPerMilli = 50;
+
 double decay(double lengthSeconds, TimePoint from, TimePoint now)
 {
     return std::exp(-toSeconds(now - from) / lengthSeconds);
 }
 
+/** Until an engine of the stage has read what it has queued, on average. */
+double meanWaitMillis(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
+                      Stage stage)
+{
+    const double rate = table.usualRate() > 0 ? table.usualRate() : AssumedTokensPerMilli;
+    std::int64_t queued = 0;
+    int count = 0;
+    for (const Endpoint *engine : engines) {
+        if (engine->listed_.stage_ == stage) {
+            queued += engine->queued_.all() + engine->foreignQueued_.all();
+            ++count;
+        }
+    }
+    return count > 0 ? static_cast<double>(queued) / rate / count : 0;
+}
+
 int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
 {
     return static_cast<int>(
@@ -108,6 +136,16 @@
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
+void StagePlan::watchWaits(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
+                           TimePoint now)
+{
+    const double weight =
+        watchedAt_ == TimePoint {} ? 1 : 1 - decay(WaitWindowSeconds, watchedAt_, now);
+    watchedAt_ = now;
+    prefillWait_.add(meanWaitMillis(table, engines, Stage::Prefill), weight);
+    decodeWait_.add(meanWaitMillis(table, engines, Stage::Decode), weight);
+}
+
 bool StagePlan::settled(int count, TimePoint now)
 {
     if (count != lastCount_) {
@@ -128,6 +166,7 @@
         return engine == nullptr || entry.second.until_ <= now
                || engine->listed_.stage_ == entry.second.stage_;
     });
+    watchWaits(table, engines, now);
     const int count = static_cast<int>(engines.size());
     if (count < 2 || !settled(count, now)) {
         return {};
@@ -144,6 +183,11 @@
     if (difference == 0 || (!idle && difference < least && ordered_.empty())) {
         return {};
     }
+    const double wait = wanted > prefill ? prefillWait_.millis_ : decodeWait_.millis_;
+    const bool stageIsEmpty = prefill == 0 || prefill == count;
+    if (!idle && !stageIsEmpty && wait < WaitWorthAnOrder) {
+        return {};
+    }
     const int room = idle ? count : std::max(1, static_cast<int>(settings_.awayShare_ * count));
     std::vector<StageChange> changes;
     const Stage to = wanted > prefill ? Stage::Prefill : Stage::Decode;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -472,6 +472,30 @@
     BOOST_TEST(obey(table, plan, at(1'000)) == 0);
 }
 
+/**
+ * Half of the engines are replaced during the day, and most come back as engines that generate.
+ * The share is far from the expected one, but nobody waits for a reader: changing them would take
+ * each away for seconds and have their prompts read again. Once prompts wait, engines change.
+ */
+BOOST_AUTO_TEST_CASE(enginesChangeUnderTrafficOnlyForAStageWherePromptsWait)
+{
+    EndpointTable table = fleet(24, 36);
+    StagePlan plan({0.78});
+    for (int now = 0; now < 4'000; now += 500) {
+        plan.onDemand({3, 0.2}, at(now));
+        BOOST_TEST(plan.plan(table, Models, at(now)).empty());
+    }
+    for (int number = 0; number < 24; ++number) {
+        table.onSent(EndpointId("engine-" + std::to_string(number)), 1, 20'000);
+    }
+    std::size_t changes = 0;
+    for (int now = 4'000; now < 6'500; now += 500) {
+        plan.onDemand({3, 0.2}, at(now));
+        changes += plan.plan(table, Models, at(now)).size();
+    }
+    BOOST_TEST(changes == 7U); // As many as may be away at once.
+}
+
 /** Engines to change come from all failure domains alike, so that a cut leaves both stages. */
 BOOST_AUTO_TEST_CASE(changesAreSpreadOverFailureDomains)
 {
