Engines change under traffic only for a stage whose prompts wait

A change takes an engine away for 3 s, throws its cache away and moves the homes of other parts. Change: the plan smooths how long prompts wait at the usable engines of each stage, and a stage gets engines under traffic when that is over 150 ms, half of the tightest objective, or when it is empty.

--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -41,7 +41,10 @@
     return std::exp(-toSeconds(now - from) / lengthSeconds);
 }
 
-/** Until an engine of the stage has read what it has queued, on average. */
+/**
+ * Until an engine of the stage has read what it has queued, on average. Of engines that get no
+ * work at the moment the queue says nothing: what is stuck there would ask for changes elsewhere.
+ */
 double meanWaitMillis(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
                       Stage stage)
 {
@@ -166,7 +169,7 @@
         return engine == nullptr || entry.second.until_ <= now
                || engine->listed_.stage_ == entry.second.stage_;
     });
-    watchWaits(table, engines, now);
+    watchWaits(table, table.usable(service, now), now);
     const int count = static_cast<int>(engines.size());
     if (count < 2 || !settled(count, now)) {
         return {};
