Endpoints that fail far more than the others, by all instances' counts, are left out

Failures in a row never came together at one of 80 instances, and 100 streams a second were lost. Ruled out: engines that are away (tested by connections by now). Change: notes carry each instance's recent failures by endpoint; an endpoint whose sum is over four, a fifth of the requests that it is expected to get, and three times the median of its group is left out, three in ten of a group at most, until the count has faded. Tests: anEngineThatFailsFarMoreThanTheOthersIsLeftOutByAllInstances, failuresThatAllHaveAlikeTakeNobodyOut.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -8,6 +8,7 @@
 #include "almondridge/base/enumnames.h"
 #include "almondridge/base/ids.h"
 #include "almondridge/base/time.h"
+#include "almondridge/gateway/failurerates.h"
 #include "almondridge/net/http.h"
 
 #include <array>
@@ -57,6 +58,8 @@
     void add(int urgency, std::int64_t tokens);
     /** Never below zero: what was told twice or late must not hide what is queued. */
     void remove(int urgency, std::int64_t tokens);
+    void add(const PromptQueue &other);
+    void remove(const PromptQueue &other);
     /** What is read before a new request of this urgency. */
     std::int64_t ahead(int urgency) const noexcept;
     std::int64_t all() const noexcept { return ahead(Urgencies - 1); }
@@ -84,7 +87,10 @@
     LoadSample load_;
     TimePoint loadAt_ {};
 
-    int failures_ = 0; ///< In a row.
+    int failures_ = 0;           ///< In a row.
+    RecentCount recentSends_;    ///< Requests of ours.
+    RecentCount recentFailures_; ///< Of these, those that came to nothing.
+    double toldFailures_ = 0;    ///< The other instances' recent ones, as they told.
     TimePoint distrustedUntil_ {};
     TimePoint changingUntil_ {}; ///< It carries out an order until about then, and refuses work.
     /** In a word, for metrics. */
@@ -137,6 +143,8 @@
     const Endpoint *find(const EndpointId &id) const;
     /** Those of a service that may get new work, in the order of their ids. */
     std::vector<const Endpoint *> usable(const ServiceId &service, TimePoint now) const;
+    /** How many instances send to these endpoints, about as much each. */
+    void setInstances(int count) { instances_ = count; }
     /** Those of a service that are listed and not draining, trusted or not. */
     std::vector<const Endpoint *> listed(const ServiceId &service) const;
     /** Prompt tokens that an engine usually reads in a millisecond; 0: not measured yet. */
@@ -145,7 +153,7 @@
 
     /** An order was given to it, or a peer said so. */
     void onChanging(const EndpointId &id, TimePoint until);
-    void onSent(const EndpointId &id, int urgency, std::int64_t promptTokens);
+    void onSent(const EndpointId &id, int urgency, std::int64_t promptTokens, TimePoint now);
     void onRead(const EndpointId &id, int urgency, std::int64_t promptTokens);
     /** It read this many tokens, its queue included, in the time. */
     void onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds);
@@ -164,9 +172,11 @@
 private:
     void forgetIfDone(const EndpointId &id);
     static void awaitTest(Endpoint &endpoint, TimePoint testAt);
+    void removeFailing(std::vector<const Endpoint *> &endpoints, Stage stage, TimePoint now) const;
 
     std::map<EndpointId, Endpoint> endpoints_;
     double usualRate_ = 0;
+    int instances_ = 1;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -30,6 +30,8 @@
     bool mayLead_ = false; ///< The sender could give orders: it reaches the store.
     bool leads_ = false;   ///< It has the right to give orders.
     std::map<EndpointId, PromptQueue> queued_ {};
+    /** Requests of the sender that came to nothing lately, a count that fades, by endpoint. */
+    std::map<EndpointId, double> failures_ {};
     /** Endpoints that the sender could not reach a moment ago. */
     std::vector<EndpointId> unreached_ {};
 };
@@ -59,8 +61,9 @@
         TimePoint heardAt_ {};
     };
 
-    using Change = void (PromptQueue::*)(int urgency, std::int64_t tokens);
-    static void count(const LoadNote &note, EndpointTable &table, Change change);
+    /** Adds what a note says to the endpoints, or takes it out again. */
+    static void add(const LoadNote &note, EndpointTable &table);
+    static void takeOut(const LoadNote &note, EndpointTable &table);
 
     std::map<InstanceId, Peer> peers_;
 };
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -57,7 +57,7 @@
     request.requestId_ = facts().requestId_;
     request.bodyless_ = input_.request_.head_.method_ == "HEAD";
     request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectMillis_);
-    gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens);
+    gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens, attempt_.sentAt_);
     trail_ += (trail_.empty() ? "" : ",") + endpoint.value();
 
     async::ExchangeEvents events;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -77,6 +77,20 @@
     queued = std::max<std::int64_t>(0, queued - tokens);
 }
 
+void PromptQueue::add(const PromptQueue &other)
+{
+    for (int urgency = 0; urgency < Urgencies; ++urgency) {
+        add(urgency, other.tokens_[static_cast<std::size_t>(urgency)]);
+    }
+}
+
+void PromptQueue::remove(const PromptQueue &other)
+{
+    for (int urgency = 0; urgency < Urgencies; ++urgency) {
+        remove(urgency, other.tokens_[static_cast<std::size_t>(urgency)]);
+    }
+}
+
 std::int64_t PromptQueue::ahead(int urgency) const noexcept
 {
     std::int64_t sum = 0;
@@ -161,9 +175,35 @@
         return endpoint->distrustedUntil_ > now || endpoint->probing_ || endpoint->awaitsTest_
                || endpoint->changingUntil_ > now;
     });
+    for (const auto &[stage, name] : StageNames) {
+        removeFailing(found, stage, now);
+    }
     return found;
 }
 
+/** Takes out those of a stage that fail far more often than the others of that stage. */
+void EndpointTable::removeFailing(std::vector<const Endpoint *> &endpoints, Stage stage,
+                                  TimePoint now) const
+{
+    std::vector<const Endpoint *> group;
+    std::vector<double> failures;
+    double sends = 0;
+    for (const Endpoint *endpoint : endpoints) {
+        if (endpoint->listed_.stage_ == stage) {
+            group.push_back(endpoint);
+            failures.push_back(endpoint->recentFailures_.at(now) + endpoint->toldFailures_);
+            sends += endpoint->recentSends_.at(now);
+        }
+    }
+    if (group.empty()) {
+        return;
+    }
+    const double expected = sends * instances_ / static_cast<double>(group.size());
+    for (const std::size_t index : failingFarMore(failures, expected)) {
+        std::erase(endpoints, group[index]);
+    }
+}
+
 void EndpointTable::onChanging(const EndpointId &id, TimePoint until)
 {
     Endpoint *endpoint = find(id);
@@ -172,13 +212,15 @@
     }
 }
 
-void EndpointTable::onSent(const EndpointId &id, int urgency, std::int64_t promptTokens)
+void EndpointTable::onSent(const EndpointId &id, int urgency, std::int64_t promptTokens,
+                           TimePoint now)
 {
     Endpoint *endpoint = find(id);
     if (endpoint == nullptr) {
         return;
     }
     ++endpoint->outstanding_;
+    endpoint->recentSends_.add(1, now);
     endpoint->queued_.add(urgency, promptTokens);
     if (endpoint->distrustedUntil_ != TimePoint {}) {
         endpoint->probing_ = true;
@@ -324,6 +366,7 @@
         return !wasTrusted;
     }
     endpoint->failures_ += rule.weight_;
+    endpoint->recentFailures_.add(1, now);
     if (endpoint->failures_ < rule.distrustAt_) {
         return false;
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -147,6 +147,7 @@
 void Gateway::setInstances(int count)
 {
     state_->instances_ = std::max(1, count);
+    state_->table_.setInstances(state_->instances_);
     for (auto &[service, budget] : state_->budgets_) {
         budget.setInstances(state_->instances_);
     }
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -23,6 +23,10 @@
 constexpr std::int64_t WorthTelling = 2'000;
 /** Endpoints that a note names as not reached: a note stays small whatever is cut off. */
 constexpr std::size_t MostUnreachedTold = 48;
+/** What is left of one failure after a second and a half; less says nothing any more. */
+constexpr double LeastFailuresTold = 0.5;
+/** A failure that peers do not know of yet. */
+constexpr double FailureWorthTelling = 0.9;
 /** More than any note: some hundred engines. */
 constexpr std::size_t DatagramBytes = 16'384;
 
@@ -122,6 +126,10 @@
         if (endpoint.queued_.all() > 0) {
             note.queued_[id] = endpoint.queued_;
         }
+        const double failures = endpoint.recentFailures_.at(now);
+        if (failures >= LeastFailuresTold) {
+            note.failures_[id] = failures;
+        }
     }
     note.unreached_ = gateway_.endpoints().unreached(now);
     if (note.unreached_.size() > MostUnreachedTold) {
@@ -136,6 +144,14 @@
         || note.leads_ != last_.leads_ || note.unreached_ != last_.unreached_) {
         return true;
     }
+    const auto isNewFailure = [&](const auto &entry) {
+        const auto found = last_.failures_.find(entry.first);
+        const double before = found != last_.failures_.end() ? found->second : 0;
+        return entry.second - before >= FailureWorthTelling;
+    };
+    if (std::any_of(note.failures_.begin(), note.failures_.end(), isNewFailure)) {
+        return true;
+    }
     const auto differs = [](const auto &one, const auto &other) {
         return std::any_of(one.begin(), one.end(), [&](const auto &entry) {
             const auto found = other.find(entry.first);
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -3,6 +3,7 @@
 #include "almondridge/gateway/promptmemory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace almondridge::gateway {
@@ -17,6 +18,9 @@
 /** Any fixed number: it gives the instances one order. */
 constexpr std::uint64_t LeaderOrder = 2;
 
+/** Counts of failures fade and are no whole numbers: they are told in tenths. */
+constexpr double FailureParts = 10;
+
 /** Tokens by urgency, without the zeros at the end. */
 Json encodeQueue(const PromptQueue &queue)
 {
@@ -56,12 +60,17 @@
     for (const auto &[endpoint, left] : note.changingMillis_) {
         changing[endpoint.value()] = left;
     }
+    Json failures = Json::object();
+    for (const auto &[endpoint, count] : note.failures_) {
+        failures[endpoint.value()] = std::llround(count * FailureParts);
+    }
     Json unreached = Json::array();
     for (const EndpointId &endpoint : note.unreached_) {
         unreached.push_back(endpoint.value());
     }
-    const Json json = Json::array({note.sender_.value(), note.lifetime_, note.number_,
-                                   note.mayLead_, note.leads_, queued, changing, unreached});
+    const Json json =
+        Json::array({note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, note.leads_,
+                     queued, changing, unreached, failures});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -70,11 +79,11 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 8;
+    constexpr std::size_t Fields = 9;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
                         && json[3].is_boolean() && json[4].is_boolean() && json[5].is_object()
-                        && json[6].is_object() && json[7].is_array();
+                        && json[6].is_object() && json[7].is_array() && json[8].is_object();
     if (!shaped) {
         return std::nullopt;
     }
@@ -103,16 +112,40 @@
         }
         note.unreached_.emplace_back(endpoint.get<std::string>());
     }
+    for (const auto &[endpoint, count] : json[8].items()) {
+        if (!count.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        note.failures_[EndpointId(endpoint)] = count.get<double>() / FailureParts;
+    }
     return note;
 }
 
-void PeerLoads::count(const LoadNote &note, EndpointTable &table, Change change)
+void PeerLoads::add(const LoadNote &note, EndpointTable &table)
 {
     for (const auto &[id, queue] : note.queued_) {
-        Endpoint *endpoint = table.find(id);
-        for (int urgency = 0; endpoint != nullptr && urgency < Urgencies; ++urgency) {
-            (endpoint->foreignQueued_.*change)(urgency,
-                                               queue.tokens_[static_cast<std::size_t>(urgency)]);
+        if (Endpoint *endpoint = table.find(id)) {
+            endpoint->foreignQueued_.add(queue);
+        }
+    }
+    for (const auto &[id, failures] : note.failures_) {
+        if (Endpoint *endpoint = table.find(id)) {
+            endpoint->toldFailures_ += failures;
+        }
+    }
+}
+
+void PeerLoads::takeOut(const LoadNote &note, EndpointTable &table)
+{
+    for (const auto &[id, queue] : note.queued_) {
+        if (Endpoint *endpoint = table.find(id)) {
+            endpoint->foreignQueued_.remove(queue);
+        }
+    }
+    for (const auto &[id, failures] : note.failures_) {
+        if (Endpoint *endpoint = table.find(id)) {
+            // Never below zero: the endpoint may have been listed after the note.
+            endpoint->toldFailures_ = std::max(0.0, endpoint->toldFailures_ - failures);
         }
     }
 }
@@ -126,9 +159,9 @@
     if (older && peer.heardAt_ != TimePoint {}) {
         return;
     }
-    count(peer.note_, table, &PromptQueue::remove);
+    takeOut(peer.note_, table);
     peer = {note, now};
-    count(peer.note_, table, &PromptQueue::add);
+    add(peer.note_, table);
     for (const auto &[endpoint, left] : note.changingMillis_) {
         table.onChanging(endpoint, now + millis(std::min(left, LongestChangeMillis)));
     }
@@ -153,7 +186,7 @@
     std::erase_if(peers_, [&](const auto &entry) {
         const bool silent = entry.second.heardAt_ + SilentAfter < now;
         if (silent) {
-            count(entry.second.note_, table, &PromptQueue::remove);
+            takeOut(entry.second.note_, table);
         }
         return silent;
     });
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -101,7 +101,7 @@
 {
     EndpointTable table = fleet(0, 1);
     const EndpointId id("engine-0");
-    table.onSent(id, 0, 0);
+    table.onSent(id, 0, 0, at(0));
     table.unlist(id);
     BOOST_TEST((table.find(id) != nullptr));
     table.onClosed(id);
@@ -120,7 +120,7 @@
     BOOST_TEST(table.onEvidence(id, Evidence::Broken, at(0)));
     BOOST_TEST(table.usable(Models, at(100)).empty());
     BOOST_TEST(table.usable(Models, at(1'000)).size() == 1U);
-    table.onSent(id, 0, 0);
+    table.onSent(id, 0, 0, at(0));
     BOOST_TEST(table.usable(Models, at(1'000)).empty());
     BOOST_TEST(table.onEvidence(id, Evidence::Sound, at(1'100)));
     BOOST_TEST(table.usable(Models, at(1'100)).size() == 1U);
@@ -175,6 +175,53 @@
     BOOST_TEST(table.unreached(at(4'000)).empty());
 }
 
+/**
+ * A sixth of the engines resets four requests in ten and answers the others, and each of eighty
+ * instances meets one of them every three seconds. No instance sees failures in a row, and a
+ * hundred streams a second were lost for six seconds. Together the instances see them at once.
+ */
+BOOST_AUTO_TEST_CASE(anEngineThatFailsFarMoreThanTheOthersIsLeftOutByAllInstances)
+{
+    EndpointTable table = fleet(0, 12);
+    table.setInstances(8);
+    PeerLoads loads;
+    for (int number = 0; number < 12; ++number) {
+        const EndpointId id("engine-" + std::to_string(number));
+        for (int request = 0; request < 2; ++request) {
+            table.onSent(id, 0, 0, at(0));
+            table.onEvidence(id, Evidence::Sound, at(0));
+            table.onClosed(id);
+        }
+    }
+    for (int peer = 0; peer < 7; ++peer) {
+        LoadNote note {InstanceId("peer-" + std::to_string(peer)), 1, 1};
+        note.failures_[EndpointId("engine-1")] = 0.9; // 6 of some 16 requests.
+        note.failures_[EndpointId("engine-2")] = 0.5; // 3.5: as any endpoint may have.
+        loads.onNote(*decodeNote(encodeNote(note)), table, at(10));
+    }
+    const auto usable = table.usable(Models, at(20));
+    BOOST_TEST(usable.size() == 11U);
+    BOOST_TEST(std::none_of(usable.begin(), usable.end(), [](const Endpoint *one) {
+        return one->listed_.id_.value() == "engine-1";
+    }));
+    for (int peer = 0; peer < 7; ++peer) {
+        loads.onNote({InstanceId("peer-" + std::to_string(peer)), 1, 2}, table, at(3'000));
+    }
+    BOOST_TEST(table.usable(Models, at(3'000)).size() == 12U);
+}
+
+/** Errors that all endpoints of a service have alike are its own: nobody is left out for them. */
+BOOST_AUTO_TEST_CASE(failuresThatAllHaveAlikeTakeNobodyOut)
+{
+    BOOST_TEST(failingFarMore({9, 8, 10, 9, 11, 9}, 20).empty());
+    BOOST_TEST((failingFarMore({9, 0, 1, 0, 1, 0}, 20) == std::vector<std::size_t> {0}));
+    BOOST_TEST(failingFarMore({9, 0, 1, 0, 1, 0}, 60).empty()); // A seventh of its requests.
+    BOOST_TEST(failingFarMore({9, 0}, 20).empty());
+    BOOST_TEST(failingFarMore({}, 20).empty());
+    // At most three in ten: the others have to carry the load.
+    BOOST_TEST(failingFarMore({9, 8, 7, 6, 0, 0, 0, 0, 0, 0}, 20).size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(errorsOfItsOwnTakeAnEndpointOutOnlyInARow)
 {
     EndpointTable table = fleet(0, 1);
@@ -235,9 +282,9 @@
     EndpointTable table = fleet(12, 6);
     const Placement placement({DomainId("a")});
     const auto home = *planFor(placement, table, promptWith(1))->prefill_;
-    table.onSent(home, 1, 20'000);
+    table.onSent(home, 1, 20'000, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
-    table.onSent(home, 1, 30'000);
+    table.onSent(home, 1, 30'000, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
 }
 
@@ -253,11 +300,11 @@
     const EndpointId reader("engine-0");
     const auto inTime = placement.planPrompt(table, query(prompt, 600, 2), at(0));
     BOOST_TEST(inTime->urgency_ == 2);
-    table.onSent(reader, 2, 60'000);
+    table.onSent(reader, 2, 60'000, at(0));
     const auto late = placement.planPrompt(table, query(prompt, 600, 2), at(0));
     BOOST_TEST(late->urgency_ == 7);
     table.onRead(reader, 2, 60'000);
-    table.onSent(reader, late->urgency_, 60'000);
+    table.onSent(reader, late->urgency_, 60'000, at(0));
     const auto next = placement.planPrompt(table, query(prompt, 600, 2), at(0));
     BOOST_TEST(next->urgency_ == 2);
     BOOST_TEST(next->aheadTokens_ == 0);
@@ -401,7 +448,7 @@
             table.onReadTime(id, 10'000, id == home ? 220 : 180);
         }
     }
-    table.onSent(home, 1, 10'000);
+    table.onSent(home, 1, 10'000, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
     for (int sample = 0; sample < 30; ++sample) {
         table.onReadTime(home, 10'000, 2'000);
@@ -418,8 +465,8 @@
     };
     BOOST_TEST(table.find(choose())->listed_.domain_.value() == "b");
     for (int request = 0; request < 40; ++request) {
-        table.onSent(EndpointId("engine-1"), 0, 0);
-        table.onSent(EndpointId("engine-4"), 0, 0);
+        table.onSent(EndpointId("engine-1"), 0, 0, at(0));
+        table.onSent(EndpointId("engine-4"), 0, 0, at(0));
     }
     BOOST_TEST(table.find(choose())->listed_.domain_.value() != "b");
 }
@@ -486,7 +533,7 @@
         BOOST_TEST(plan.plan(table, Models, at(now)).empty());
     }
     for (int number = 0; number < 24; ++number) {
-        table.onSent(EndpointId("engine-" + std::to_string(number)), 1, 20'000);
+        table.onSent(EndpointId("engine-" + std::to_string(number)), 1, 20'000, at(4'000));
     }
     std::size_t changes = 0;
     for (int now = 4'000; now < 6'500; now += 500) {
