A prompt that could not be fetched counts against the engine that read it

Each engine that came to fetch and had room was distrusted for it, one after the other, and the allowance went into prompts read twice. Ruled out: engines in change (all are told of these). Change: such a refusal counts as a failure of both engines and distrusts neither; the readers that lose what they read stand out by the counts of all instances.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -166,6 +166,8 @@
     void onTested(const EndpointId &id, bool reached, TimePoint now);
     /** Endpoints that requests of this instance found away or silent a moment ago. */
     std::vector<EndpointId> unreached(TimePoint now) const;
+    /** An engine with room could not fetch what another had read: either may be to blame. */
+    void onHandoverRefused(const EndpointId &source, const EndpointId &target, TimePoint now);
     /** True when it was trusted and is not any more, or the other way round. */
     bool onEvidence(const EndpointId &id, Evidence evidence, TimePoint now);
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -136,7 +136,7 @@
     closeAttempt(evidence);
 }
 
-void Call::leaveEndpoint(Evidence evidence)
+void Call::leaveEndpoint(std::optional<Evidence> evidence)
 {
     excluded_.push_back(attempt_.endpoint_);
     cancelAttempt(evidence);
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -74,7 +74,7 @@
     /** The endpoint said that it did not run the request: one line with its words. */
     void logNotRun() const;
     /** The attempt came to nothing: this request does not go to its endpoint again. */
-    void leaveEndpoint(Evidence evidence);
+    void leaveEndpoint(std::optional<Evidence> evidence);
     void promptWasRead();
     /** Calls attemptSilent() then, unless the attempt is over before. */
     void watchSilence(TimePoint until);
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -336,6 +336,16 @@
     return found;
 }
 
+void EndpointTable::onHandoverRefused(const EndpointId &source, const EndpointId &target,
+                                      TimePoint now)
+{
+    for (const EndpointId &id : {source, target}) {
+        if (Endpoint *endpoint = find(id)) {
+            endpoint->recentFailures_.add(1, now);
+        }
+    }
+}
+
 bool EndpointTable::onEvidence(const EndpointId &id, Evidence evidence, TimePoint now)
 {
     Endpoint *endpoint = find(id);
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -82,6 +82,7 @@
     DomainId prefillDomain_;
     EventSplitter events_;
     std::int64_t aheadTokens_ = 0; ///< Read before this prompt, where it is read.
+    bool fetches_ = false;         ///< The attempt is to fetch the prompt that was read elsewhere.
     bool inPlaceOnly_ = false;
     bool begun_ = false;  ///< The answer's head went to the caller.
     bool paused_ = false; ///< The engine is not read, as the caller is slow.
@@ -188,6 +189,7 @@
     ++runs_;
     countRead(plan);
     gateway_.placement_.onPromptRead(plan.decode_, prompt());
+    fetches_ = false;
     SendOrder order;
     order.urgency_ = plan.urgency_;
     order.resumeAfter_ = events_.lastId();
@@ -209,6 +211,7 @@
     SendOrder order;
     order.urgency_ = std::clamp(route().priority_, 0, Urgencies - 1);
     order.prompt_ = handle_;
+    fetches_ = true;
     send(*engine, order, Placement::handoverTokens(prompt()));
     watchStream();
 }
@@ -362,7 +365,15 @@
 {
     retryAfterMillis_ = attempt_.facts_.retryAfterMillis_;
     logNotRun();
-    leaveEndpoint(refusalEvidence());
+    const Evidence evidence = refusalEvidence();
+    if (fetches_ && !attempt_.facts_.misdirected_ && evidence == Evidence::Unwilling) {
+        // It has room: the memory was not there any more, or could not be moved in time. Blamed
+        // alone, sound engines were left out for the lapsed handles of others.
+        gateway_.table_.onHandoverRefused(prefillEngine_, attempt_.endpoint_, BootClock::now());
+        leaveEndpoint(std::nullopt);
+    } else {
+        leaveEndpoint(evidence);
+    }
     maySendAgain() ? goOn() : giveUp("engine-full");
 }
 
