Instances tell each other which shared parts were read where

One that nobody had read yet was estimated at 23 ms and took 509, and what was sent behind it was late as well: nine in ten late prompts of the calm seconds had an estimate under half of their objective. Change: notes carry keys of parts that came to an engine by the sender, each in two notes in a row; what no home is known to hold counts as cached as often as that proved right lately.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "almondridge/gateway/config.h"
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
+#include "almondridge/gateway/promptmemory.h"
 #include "almondridge/gateway/sendbudget.h"
 #include "almondridge/gateway/stageplan.h"
 #include "almondridge/observe/metrics.h"
@@ -49,6 +50,10 @@
      */
     void setInstances(int count);
     EndpointTable &endpoints() noexcept;
+    /** Shared parts that came to engines by this instance since the last call. */
+    std::vector<PromptMemory::Key> takeReadParts();
+    /** The same as another instance told. */
+    void onPartsTold(const std::vector<PromptMemory::Key> &parts);
     /** What callers asked of each service's engines since the last call. */
     std::map<ServiceId, StageDemand> takeDemand();
     /** What requests came to, for the metrics page; the owner adds its own. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -54,6 +54,7 @@
     PeerLoads loads_;
     std::map<EndpointId, TimePoint> changing_;
     LoadNote last_;
+    std::vector<PromptMemory::Key> toldOnce_; ///< Parts of the last note: a lost one is made good.
     TimePoint lastSentAt_ {};
     std::uint64_t lifetime_;
     std::uint64_t number_ = 0;
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -11,6 +11,7 @@
 #include "almondridge/base/ids.h"
 #include "almondridge/base/time.h"
 #include "almondridge/gateway/endpoints.h"
+#include "almondridge/gateway/promptmemory.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,8 @@
     std::map<EndpointId, double> failures_ {};
     /** Endpoints that the sender could not reach a moment ago. */
     std::vector<EndpointId> unreached_ {};
+    /** Shared parts that came to engines by the sender lately. */
+    std::vector<PromptMemory::Key> readParts_ {};
 };
 
 /** The note as a datagram. */
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -14,6 +14,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace almondridge::gateway {
@@ -40,6 +41,7 @@
     int urgency_ = 0;
     std::int64_t newTokens_ = 0;   ///< To be read where it is read first.
     std::int64_t aheadTokens_ = 0; ///< What is read there before it.
+    bool unknown_ = false;         ///< Whether its shared parts are cached there is a guess.
     double readMillis_ = 0;        ///< Estimate until it is read, queue included.
 };
 
@@ -75,6 +77,16 @@
 
     /** A prompt is read there: its parts are in the engine's cache from now on. */
     void onPromptRead(const EndpointId &engine, const Prompt &prompt);
+    /** Shared parts that came to engines by this instance since the last call. */
+    std::vector<PromptMemory::Key> takeReadParts() { return std::exchange(readParts_, {}); }
+    /** The same as another instance told. */
+    void onPartsTold(const std::vector<PromptMemory::Key> &parts);
+    /**
+     * How long it took to read a prompt whose shared parts nobody had told of: tells whether they
+     * were cached all the same, and so how the next such prompt is estimated.
+     */
+    void onUnknownRead(const EndpointTable &table, const Endpoint &engine, const Prompt &prompt,
+                       std::int64_t aheadTokens, double milliseconds);
     /** The rate at which an engine reads prompts. */
     double readingRate(const EndpointTable &table, const Endpoint &engine) const;
 
@@ -83,9 +95,9 @@
 
     std::vector<const Endpoint *> enginesInOrder(const EndpointTable &table,
                                                  const PromptQuery &query, TimePoint now) const;
-    Offer offerOf(const Endpoint &engine, const PromptQuery &query, bool isHome) const;
+    Offer offerOf(const Endpoint &engine, const PromptQuery &query, bool mayHold) const;
     Offer rank(const EndpointTable &table, const Endpoint &engine, const PromptQuery &query,
-               bool isHome, int urgency) const;
+               bool mayHold, int urgency) const;
     Offer bestReader(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
                      const PromptQuery &query, TimePoint now) const;
     Offer bestGenerator(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
@@ -93,6 +105,8 @@
 
     PlacementSettings settings_;
     PromptMemory memory_;
+    std::vector<PromptMemory::Key> readParts_;
+    double unknownCached_ = 0.5; ///< Share of unknown parts that proved to be cached.
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/promptmemory.h
+++ b/libs/gateway/include/almondridge/gateway/promptmemory.h
@@ -1,6 +1,6 @@
 /**
- * Which parts of prompts this instance has sent to which engine lately. Pure and bounded: the
- * oldest entries go first.
+ * Which parts of prompts were sent to which engine lately, by this instance or, as they told, by
+ * the others. Pure and bounded: the oldest entries go first.
  */
 #pragma once
 
@@ -20,15 +20,17 @@
 public:
     explicit PromptMemory(std::size_t capacity);
 
-    void remember(const EndpointId &engine, std::uint64_t part);
+    /** Names a part at an engine; all instances and builds agree on it. */
+    using Key = std::uint64_t;
+    static Key keyOf(const EndpointId &engine, std::uint64_t part);
+
+    /** True when it was not known. */
+    bool remember(Key key);
     bool holds(const EndpointId &engine, std::uint64_t part) const;
     /** Tokens of the prompt's leading parts that the engine has cached. */
     std::int64_t cachedTokens(const EndpointId &engine, const Prompt &prompt) const;
 
 private:
-    using Key = std::uint64_t;
-    static Key keyOf(const EndpointId &engine, std::uint64_t part);
-
     std::size_t capacity_;
     std::list<Key> byUse_; ///< Latest first.
     std::unordered_map<Key, std::list<Key>::iterator> entries_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -52,6 +52,16 @@
     return state_->table_;
 }
 
+std::vector<PromptMemory::Key> Gateway::takeReadParts()
+{
+    return state_->placement_.takeReadParts();
+}
+
+void Gateway::onPartsTold(const std::vector<PromptMemory::Key> &parts)
+{
+    state_->placement_.onPartsTold(parts);
+}
+
 std::map<ServiceId, StageDemand> Gateway::takeDemand()
 {
     return std::exchange(state_->demand_, {});
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -99,6 +99,7 @@
         const auto note = decodeNote({buffer.data(), got});
         if (note && note->sender_ != self_) {
             loads_.onNote(*note, gateway_.endpoints(), now);
+            gateway_.onPartsTold(note->readParts_);
         }
     }
 }
@@ -179,6 +180,9 @@
 void LoadExchange::send(LoadNote note, TimePoint now)
 {
     note.number_ = ++number_;
+    const std::vector<PromptMemory::Key> read = gateway_.takeReadParts();
+    note.readParts_ = std::exchange(toldOnce_, read);
+    note.readParts_.insert(note.readParts_.end(), read.begin(), read.end());
     const std::string bytes = encodeNote(note);
     for (const Udp::endpoint &peer : peers_) {
         boost::system::error_code lost; // A note that does not leave is made good by the next.
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -82,6 +82,7 @@
     DomainId prefillDomain_;
     EventSplitter events_;
     std::int64_t aheadTokens_ = 0; ///< Read before this prompt, where it is read.
+    bool unknown_ = false;         ///< Whether its shared parts were cached there was a guess.
     bool fetches_ = false;         ///< The attempt is to fetch the prompt that was read elsewhere.
     bool inPlaceOnly_ = false;
     bool begun_ = false;  ///< The answer's head went to the caller.
@@ -125,6 +126,7 @@
     readTokens_ = plan.newTokens_;
     readEstimateMillis_ = plan.readMillis_;
     aheadTokens_ = plan.aheadTokens_;
+    unknown_ = plan.unknown_;
     urgency_ = plan.urgency_;
     const Endpoint *engine = gateway_.table_.find(plan.prefill_.value_or(plan.decode_));
     gateway_.demand_[input_.service_].prefillSeconds_ +=
@@ -335,8 +337,13 @@
     const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
     readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
-    gateway_.table_.onReadTime(attempt_.endpoint_, aheadTokens_ + readTokens_,
-                               static_cast<double>(toMillis(readAt_ - attempt_.sentAt_)));
+    const auto tookMillis = static_cast<double>(toMillis(readAt_ - attempt_.sentAt_));
+    if (unknown_) {
+        gateway_.placement_.onUnknownRead(gateway_.table_, *engine, prompt(), aheadTokens_,
+                                          tookMillis);
+    } else {
+        gateway_.table_.onReadTime(attempt_.endpoint_, aheadTokens_ + readTokens_, tookMillis);
+    }
     closeAttempt(Evidence::Sound);
     sendToDecode();
 }
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -70,7 +70,7 @@
     }
     const Json json =
         Json::array({note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, note.leads_,
-                     queued, changing, unreached, failures});
+                     queued, changing, unreached, failures, note.readParts_});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -79,11 +79,12 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 9;
+    constexpr std::size_t Fields = 10;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
                         && json[3].is_boolean() && json[4].is_boolean() && json[5].is_object()
-                        && json[6].is_object() && json[7].is_array() && json[8].is_object();
+                        && json[6].is_object() && json[7].is_array() && json[8].is_object()
+                        && json[9].is_array();
     if (!shaped) {
         return std::nullopt;
     }
@@ -118,6 +119,12 @@
         }
         note.failures_[EndpointId(endpoint)] = count.get<double>() / FailureParts;
     }
+    for (const Json &part : json[9]) {
+        if (!part.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        note.readParts_.push_back(part.get<PromptMemory::Key>());
+    }
     return note;
 }
 
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/gateway/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace almondridge::gateway {
@@ -15,6 +16,13 @@
  */
 constexpr double SlowSpeed = 0.5;
 
+/** Parts that wait to be told: more than an instance sends anew between two notes. */
+constexpr std::size_t MostPartsToTell = 256;
+/** Fewer tokens are read within what a measurement is off by. */
+constexpr double LeastTellingTokens = 4'000;
+/** How much one more prompt counts for the share of unknown parts that are cached. */
+constexpr double UnknownWeight = 0.1;
+
 /** How long a load told by an answer says something of the queue now. */
 constexpr Duration LoadIsFresh = millis(400);
 
@@ -31,7 +39,7 @@
  * copies everything everywhere and reads it again and again. Worth on two sites' calm days at
  * 1, 2, 3 and all engines: 0.607, 0.688, 0.731, 0.717 and 0.593, 0.610, 0.603, 0.595.
  */
-constexpr int HomesOfAPart = 3;
+constexpr std::size_t HomesOfAPart = 3;
 
 /**
  * What reading a part again elsewhere costs beside its own time: the engine reads nothing else
@@ -107,8 +115,9 @@
     int urgency_ = 0;
     std::int64_t newTokens_ = 0;
     std::int64_t aheadTokens_ = 0;
-    double millis_ = 0; ///< Until the prompt is read.
-    double cost_ = 0;   ///< The same, and what it takes from other prompts.
+    bool unknown_ = false; ///< Whether the shared parts are cached is a guess.
+    double millis_ = 0;    ///< Until the prompt is read.
+    double cost_ = 0;      ///< The same, and what it takes from other prompts.
 
     bool betterThan(const Offer &other) const
     {
@@ -131,24 +140,26 @@
 }
 
 Placement::Offer Placement::offerOf(const Endpoint &engine, const PromptQuery &query,
-                                    bool isHome) const
+                                    bool mayHold) const
 {
     const Prompt &prompt = *query.prompt_;
     std::int64_t cached = memory_.cachedTokens(engine.listed_.id_, prompt);
-    if (isHome) {
-        // Other instances send the part there too: it is cached even if we never saw it go.
-        cached = std::max(cached, prompt.tokens_ - prompt.ownTokens());
-    }
+    const std::int64_t shared = prompt.tokens_ - prompt.ownTokens();
     Offer offer;
     offer.engine_ = &engine;
+    if (mayHold && cached < shared) {
+        // Read there before this instance was listening, or never: as often as it proved so.
+        offer.unknown_ = true;
+        cached += std::llround(unknownCached_ * static_cast<double>(shared - cached));
+    }
     offer.newTokens_ = std::max<std::int64_t>(1, prompt.tokens_ - cached);
     return offer;
 }
 
 Placement::Offer Placement::rank(const EndpointTable &table, const Endpoint &engine,
-                                 const PromptQuery &query, bool isHome, int urgency) const
+                                 const PromptQuery &query, bool mayHold, int urgency) const
 {
-    Offer offer = offerOf(engine, query, isHome);
+    Offer offer = offerOf(engine, query, mayHold);
     const double rate = readingRate(table, engine);
     offer.urgency_ = urgency;
     // All that can be in time counts as ahead, also what is less urgent: an engine reads several
@@ -186,15 +197,22 @@
                                        const std::vector<const Endpoint *> &engines,
                                        const PromptQuery &query, TimePoint now) const
 {
+    std::vector<const Endpoint *> homes;
+    for (const Endpoint *engine : engines) {
+        if (engine->listed_.stage_ == Stage::Prefill && homes.size() < HomesOfAPart) {
+            homes.push_back(engine);
+        }
+    }
+    const PromptPart *leading = leadingPart(*query.prompt_);
+    const bool known =
+        leading == nullptr || std::any_of(homes.begin(), homes.end(), [&](const Endpoint *home) {
+            return memory_.holds(home->listed_.id_, leading->id_);
+        });
     const auto bestAt = [&](int urgency) {
         Offer best;
-        int considered = 0;
-        for (const Endpoint *engine : engines) {
-            if (engine->listed_.stage_ != Stage::Prefill || considered >= HomesOfAPart) {
-                continue;
-            }
-            const Offer offer = rank(table, *engine, query, considered == 0, urgency);
-            ++considered;
+        for (const Endpoint *home : homes) {
+            const bool mayHold = !known && home == homes.front();
+            const Offer offer = rank(table, *home, query, mayHold, urgency);
             if (offer.betterThan(best)) {
                 best = offer;
             }
@@ -244,6 +262,7 @@
     plan.urgency_ = reads.urgency_;
     plan.newTokens_ = reads.newTokens_;
     plan.aheadTokens_ = reads.aheadTokens_;
+    plan.unknown_ = reads.unknown_;
     plan.readMillis_ = reads.millis_;
     return plan;
 }
@@ -298,9 +317,33 @@
 
 void Placement::onPromptRead(const EndpointId &engine, const Prompt &prompt)
 {
-    for (const PromptPart &part : prompt.parts_) {
-        memory_.remember(engine, part.id_);
+    for (std::size_t index = 0; index < prompt.parts_.size(); ++index) {
+        const PromptMemory::Key key = PromptMemory::keyOf(engine, prompt.parts_[index].id_);
+        const bool shared = index + 1 < prompt.parts_.size();
+        if (memory_.remember(key) && shared && readParts_.size() < MostPartsToTell) {
+            readParts_.push_back(key);
+        }
+    }
+}
+
+void Placement::onPartsTold(const std::vector<PromptMemory::Key> &parts)
+{
+    for (const PromptMemory::Key part : parts) {
+        memory_.remember(part);
+    }
+}
+
+void Placement::onUnknownRead(const EndpointTable &table, const Endpoint &engine,
+                              const Prompt &prompt, std::int64_t aheadTokens, double milliseconds)
+{
+    const auto shared = static_cast<double>(prompt.tokens_ - prompt.ownTokens());
+    if (shared < LeastTellingTokens) {
+        return;
     }
+    const double read = milliseconds * readingRate(table, engine)
+                        - static_cast<double>(aheadTokens + prompt.ownTokens());
+    const double cached = read < shared / 2 ? 1 : 0;
+    unknownCached_ += UnknownWeight * (cached - unknownCached_);
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/promptmemory.cpp
+++ b/libs/gateway/src/promptmemory.cpp
@@ -40,13 +40,12 @@
     return rendezvousWeight(engine.value(), part);
 }
 
-void PromptMemory::remember(const EndpointId &engine, std::uint64_t part)
+bool PromptMemory::remember(Key key)
 {
-    const Key key = keyOf(engine, part);
     const auto found = entries_.find(key);
     if (found != entries_.end()) {
         byUse_.splice(byUse_.begin(), byUse_, found->second);
-        return;
+        return false;
     }
     byUse_.push_front(key);
     entries_.emplace(key, byUse_.begin());
@@ -54,6 +53,7 @@
         entries_.erase(byUse_.back());
         byUse_.pop_back();
     }
+    return true;
 }
 
 bool PromptMemory::holds(const EndpointId &engine, std::uint64_t part) const
