--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -26,6 +26,8 @@
     std::string store_;
     std::int64_t graceSeconds_ = 8; ///< Between the signal to stop and the kill.
     std::int64_t leaseTermMillis_ = 3'000;
+    /** After it was told to leave, an endpoint must get no new work for longer than this. */
+    std::int64_t leaveBoundMillis_ = 2'000;
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
     std::int64_t secondSendWindowSeconds_ = 10;
--- a/libs/fleet/src/entrysettings.cpp
+++ b/libs/fleet/src/entrysettings.cpp
@@ -23,6 +23,7 @@
     required("store", &EntrySettings::store_, Text {AddressText}),
     optional("graceSeconds", &EntrySettings::graceSeconds_, Seconds),
     optional("leaseTermMillis", &EntrySettings::leaseTermMillis_, Millis),
+    optional("leaveBoundMillis", &EntrySettings::leaveBoundMillis_, Millis),
     optional("secondSendRatio", &EntrySettings::secondSendRatio_, Ratio),
     optional("secondSendSlack", &EntrySettings::secondSendSlack_, Slack),
     optional("secondSendWindowSeconds", &EntrySettings::secondSendWindowSeconds_, Seconds),
--- a/libs/fleet/tests/entrysettingstest.cpp
+++ b/libs/fleet/tests/entrysettingstest.cpp
@@ -34,13 +34,15 @@
     BOOST_TEST(settings.instance_.value() == "i-1");
     BOOST_TEST(settings.firstPeerPort_ == 7'000);
     BOOST_TEST(settings.leaseTermMillis_ == 3'000);
+    BOOST_TEST(settings.leaveBoundMillis_ == 2'000);
 }
 
 BOOST_AUTO_TEST_CASE(everyWrongFieldIsNamedAtOnce)
 {
     const std::vector<std::string> fields = wrongFields(
-        "{" + Needed + R"(,"leaseTermMillis":0,"secondSendRatio":"much","colour":"red"})");
-    BOOST_TEST(fields.size() == 3U);
+        "{" + Needed + R"(,"leaseTermMillis":0,"leaveBoundMillis":-1,"secondSendRatio":"much",
+               "colour":"red"})");
+    BOOST_TEST(fields.size() == 4U);
     BOOST_TEST(wrongFields("{}").size() == 7U);
 }
 
