--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -2,9 +2,9 @@
 #include "eventsplitter.h"
 
 #include "almondridge/base/log.h"
+#include "almondridge/gateway/patience.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace almondridge::gateway {
 namespace {
@@ -17,19 +17,6 @@
 /** A stream that may be resumed is taken elsewhere after this many times its longest pause. */
 constexpr int StalledAfterGaps = 4;
 
-/**
- * How long callers wait for a first event: two seconds, four times the route's objective or eight
- * times its longest pause, whichever is longest. They leave then.
- */
-constexpr std::int64_t LeastPatienceMillis = 2'000;
-constexpr std::int64_t PatientObjectives = 4;
-constexpr std::int64_t PatientGaps = 8;
-/** An estimate is off by some tenths: only a caller that is surely too late is refused. */
-constexpr double SureAt = 1.3;
-/** When a caller that came too late is asked to return: once the excess has been read. */
-constexpr double ShortestReturnMillis = 200;
-constexpr double LongestReturnMillis = 1'000;
-
 enum class ModelPhase {
     Idle,
     Prefilling, ///< One engine reads the prompt.
@@ -150,23 +137,15 @@
         toSeconds(BootClock::now() - attempt_.sentAt_) * std::max(slot, memory);
 }
 
-/**
- * Whether the caller will have left before its first event, as far as the queues are known. It is
- * told at once when to come back, and the engine reads for those that stay.
- */
+/** Tells the caller at once when to come back, and the engine reads for those that stay. */
 bool ModelCall::comesTooLate(const PromptPlan &plan, TimePoint now)
 {
-    const std::int64_t patience =
-        std::max({LeastPatienceMillis, PatientObjectives * route().objectiveMillis_,
-                  PatientGaps * route().gapObjectiveMillis_});
-    const TimePoint leaves = input_.request_.startedAt_ + millis(patience);
-    const auto left = static_cast<double>(toMillis(std::min(leaves, deadline()) - now));
-    if (plan.readMillis_ <= SureAt * left) {
-        return false;
-    }
-    retryAfterMillis_ = std::llround(
-        std::clamp(plan.readMillis_ - left, ShortestReturnMillis, LongestReturnMillis));
-    return true;
+    const TimePoint leaves = callerLeavesAt(route(), input_.request_.startedAt_, deadline());
+    const auto after = returnAfterMillis(plan.readMillis_, leaves, now);
+    if (after) {
+        retryAfterMillis_ = after;
+    }
+    return after.has_value();
 }
 
 void ModelCall::sendPrefill(const PromptPlan &plan)
--- a/libs/gateway/tests/decisiontest.cpp
+++ b/libs/gateway/tests/decisiontest.cpp
@@ -1,6 +1,7 @@
 #include "../src/eventsplitter.h"
 #include "almondridge/gateway/authority.h"
 #include "almondridge/gateway/config.h"
+#include "almondridge/gateway/patience.h"
 #include "almondridge/gateway/sendbudget.h"
 
 #include <boost/test/unit_test.hpp>
@@ -44,6 +45,24 @@
     BOOST_TEST((config->find("", "*") == nullptr));
 }
 
+/**
+ * A burst: engines have seconds of prompts to read. Callers that will have left before their first
+ * event are told when to come back; an estimate that is a little over their time refuses nobody.
+ */
+BOOST_AUTO_TEST_CASE(onlyACallerThatSurelyLeavesFirstIsToldToComeBack)
+{
+    Route chat = route("chat", "h", "/");
+    chat.objectiveMillis_ = 600;
+    chat.gapObjectiveMillis_ = 200;
+    const TimePoint leaves = callerLeavesAt(chat, at(0), at(5'000));
+    BOOST_TEST((leaves == at(2'400)));
+    BOOST_TEST((callerLeavesAt(chat, at(0), at(1'000)) == at(1'000)));
+    BOOST_TEST(!returnAfterMillis(3'000, leaves, at(0)).has_value());
+    BOOST_TEST(*returnAfterMillis(3'200, leaves, at(0)) == 800);
+    BOOST_TEST(*returnAfterMillis(60'000, leaves, at(0)) == 1'000);
+    BOOST_TEST(*returnAfterMillis(50, leaves, at(2'390)) == 200);
+}
+
 BOOST_AUTO_TEST_CASE(eventsAreCutAtTheirEnds)
 {
     EventSplitter splitter;
