Endpoints left out, and why stages change, are in the log

One line when an endpoint is left out for its failures, with the counts that decided it, and one when it is taken back; an order names how long prompts wait at the stage that gets the engine. No decision changes.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -145,6 +145,8 @@
     /** Endpoints to try a connection to now. The result of each is told by onTested(). */
     std::vector<EndpointId> takeTests(TimePoint now);
     void onTested(const EndpointId &id, bool reached, TimePoint now);
+    /** Those that get no work, as they fail far more often than the others of their stage. */
+    std::vector<const Endpoint *> leftOut(TimePoint now) const;
     /** Endpoints that requests of this instance found away or silent a moment ago. */
     std::vector<EndpointId> unreached(TimePoint now) const;
     /** An engine with room could not fetch what another had read: either may be to blame. */
@@ -155,6 +157,8 @@
 private:
     void forgetIfDone(const EndpointId &id);
     static void awaitTest(Endpoint &endpoint, TimePoint testAt);
+    /** Those that may get new work by all that is known of each alone. */
+    std::vector<const Endpoint *> trusted(const ServiceId &service, TimePoint now) const;
     void removeFailing(std::vector<const Endpoint *> &endpoints, Stage stage, TimePoint now) const;
 
     std::map<EndpointId, Endpoint> endpoints_;
--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -56,6 +56,11 @@
     void onRefused(const EndpointId &engine, TimePoint now);
     /** How many engines should read prompts, of count. */
     int wantedPrefill(int count, TimePoint now) const;
+    /** How long prompts wait at the engines of a stage, in milliseconds, as last looked at. */
+    double waitMillis(Stage stage) const noexcept
+    {
+        return stage == Stage::Prefill ? prefillWait_.millis_ : decodeWait_.millis_;
+    }
 
 private:
     /** A decaying sum, so that a window needs no list of samples. */
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/gateway/endpoints.h"
 
 #include <algorithm>
+#include <set>
 
 namespace almondridge::gateway {
 namespace {
@@ -133,7 +134,7 @@
     return found;
 }
 
-std::vector<const Endpoint *> EndpointTable::usable(const ServiceId &service, TimePoint now) const
+std::vector<const Endpoint *> EndpointTable::trusted(const ServiceId &service, TimePoint now) const
 {
     std::vector<const Endpoint *> found = listed(service);
     std::erase_if(found, [&](const Endpoint *endpoint) {
@@ -141,12 +142,36 @@
         return endpoint->distrustedUntil_ > now || endpoint->probing_ || endpoint->awaitsTest_
                || endpoint->changingUntil_ > now;
     });
+    return found;
+}
+
+std::vector<const Endpoint *> EndpointTable::usable(const ServiceId &service, TimePoint now) const
+{
+    std::vector<const Endpoint *> found = trusted(service, now);
     for (const auto &[stage, name] : StageNames) {
         removeFailing(found, stage, now);
     }
     return found;
 }
 
+std::vector<const Endpoint *> EndpointTable::leftOut(TimePoint now) const
+{
+    std::set<ServiceId> services;
+    for (const auto &[id, endpoint] : endpoints_) {
+        services.insert(endpoint.listed_.service_);
+    }
+    std::vector<const Endpoint *> found;
+    for (const ServiceId &service : services) {
+        const std::vector<const Endpoint *> kept = usable(service, now);
+        for (const Endpoint *endpoint : trusted(service, now)) {
+            if (std::find(kept.begin(), kept.end(), endpoint) == kept.end()) {
+                found.push_back(endpoint);
+            }
+        }
+    }
+    return found;
+}
+
 /** Takes out those of a stage that fail far more often than the others of that stage. */
 void EndpointTable::removeFailing(std::vector<const Endpoint *> &endpoints, Stage stage,
                                   TimePoint now) const
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -10,6 +10,8 @@
 
 /** Between two looks whether a test is due: short against the shortest pause between two tests. */
 constexpr Duration TestInterval = millis(50);
+/** Between two looks which endpoints are left out, for the log. */
+constexpr Duration LeftOutInterval = millis(250);
 
 } // namespace
 
@@ -24,9 +26,11 @@
     , placement_({settings_.domain_})
     , random_(std::random_device {}())
     , tests_(loop)
+    , leftOutTimer_(loop)
 {
     client_.setMaxKept(settings_.maxKeptConnections_);
     testEndpoints();
+    logLeftOut();
 }
 
 GatewayState::~GatewayState() = default;
@@ -265,6 +269,31 @@
     table_.onTested(id, reached, BootClock::now());
 }
 
+void GatewayState::logLeftOut()
+{
+    const TimePoint now = BootClock::now();
+    leftOutTimer_.startAt(now + LeftOutInterval, [this] { logLeftOut(); });
+    std::set<EndpointId> present;
+    for (const Endpoint *endpoint : table_.leftOut(now)) {
+        const EndpointId &id = endpoint->listed_.id_;
+        present.insert(id);
+        if (!leftOut_.contains(id)) {
+            logEvent(LogLevel::Warning, "endpoint_left_out",
+                     {{"endpoint", id.value()},
+                      {"own_failures", endpoint->recentFailures_.at(now)},
+                      {"told_failures", endpoint->toldFailures_},
+                      {"own_sends", endpoint->recentSends_.at(now)},
+                      {"instances", instances_}});
+        }
+    }
+    for (const EndpointId &id : leftOut_) {
+        if (!present.contains(id)) {
+            logEvent(LogLevel::Info, "endpoint_taken_back", {{"endpoint", id.value()}});
+        }
+    }
+    leftOut_ = std::move(present);
+}
+
 void GatewayState::release(std::uint64_t call)
 {
     loop_.post([this, call] { calls_.erase(call); });
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace almondridge::gateway {
@@ -29,6 +30,8 @@
     /** Tries connections to endpoints that could not be reached, when they are due. */
     void testEndpoints();
     void onTested(const EndpointId &id, bool reached);
+    /** One line for each endpoint that is left out from now on, or is not any more. */
+    void logLeftOut();
     /** Forgets a call once the stack that it is on has unwound. */
     void release(std::uint64_t call);
 
@@ -46,6 +49,8 @@
     observe::Metrics metrics_;
     std::mt19937_64 random_;
     async::Timer tests_; ///< Of endpoints that could not be reached.
+    async::Timer leftOutTimer_;
+    std::set<EndpointId> leftOut_; ///< As last logged.
     int instances_ = 1;
 };
 
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -159,7 +159,8 @@
              {{"engine", change.engine_.value()},
               {"stage", nameOf(StageNames, change.stage_)},
               {"fence", right->fence_},
-              {"expect", report.orders_}});
+              {"expect", report.orders_},
+              {"wait_ms", planOf(service).waitMillis(change.stage_)}});
     const StageOrder order {engine->listed_.address_,    change.engine_, change.stage_,
                             settings_.instance_.value(), right->fence_,  report.orders_};
     // Without an answer it may still be carried out; the number of orders that it expects makes
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -186,7 +186,7 @@
     if (difference == 0 || (!idle && difference < least && ordered_.empty())) {
         return {};
     }
-    const double wait = wanted > prefill ? prefillWait_.millis_ : decodeWait_.millis_;
+    const double wait = waitMillis(wanted > prefill ? Stage::Prefill : Stage::Decode);
     const bool stageIsEmpty = prefill == 0 || prefill == count;
     if (!idle && !stageIsEmpty && wait < WaitWorthAnOrder) {
         return {};
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -201,6 +201,7 @@
     }
     const auto usable = table.usable(Models, at(20));
     BOOST_TEST(usable.size() == 11U);
+    BOOST_TEST(table.leftOut(at(20)).size() == 1U);
     BOOST_TEST(std::none_of(usable.begin(), usable.end(), [](const Endpoint *one) {
         return one->listed_.id_.value() == "engine-1";
     }));
@@ -208,6 +209,7 @@
         loads.onNote({InstanceId("peer-" + std::to_string(peer)), 1, 2}, table, at(3'000));
     }
     BOOST_TEST(table.usable(Models, at(3'000)).size() == 12U);
+    BOOST_TEST(table.leftOut(at(3'000)).empty());
 }
 
 /** Errors that all endpoints of a service have alike are its own: nobody is left out for them. */
