--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -87,6 +87,7 @@
     bool awaitsTest_ = false;
     TimePoint testAt_ {}; ///< When a connection is tried; far away while one is.
     int failedTests_ = 0;
+    TimePoint reachedAt_ {};   ///< When a test last reached it.
     TimePoint unreachedAt_ {}; ///< When a request of ours last found it away or silent.
     TimePoint soundAt_ {};     ///< When it last answered one.
 };
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -279,7 +279,9 @@
 void EndpointTable::onUnreachedByPeer(const EndpointId &id, TimePoint now)
 {
     Endpoint *endpoint = find(id);
-    if (endpoint != nullptr && endpoint->soundAt_ + SoundIsFresh < now) {
+    // News is told in several notes, and by several peers: one test answers them all.
+    if (endpoint != nullptr && endpoint->soundAt_ + SoundIsFresh < now
+        && endpoint->reachedAt_ + UnreachedIsNews < now) {
         awaitTest(*endpoint, now);
     }
 }
@@ -305,6 +307,7 @@
     if (reached) {
         endpoint->awaitsTest_ = false;
         endpoint->failedTests_ = 0;
+        endpoint->reachedAt_ = now;
         return;
     }
     ++endpoint->failedTests_;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -170,6 +170,9 @@
     table.onTested(EndpointId("engine-0"), true, at(1'004));
     BOOST_TEST(table.usable(Models, at(1'004)).size() == 3U);
     BOOST_TEST(table.unreached(at(1'004)).empty()); // Hearsay is not passed on.
+    note.number_ = 2;
+    loads.onNote(note, table, at(1'400)); // The same news again: it was tested.
+    BOOST_TEST(!table.find(EndpointId("engine-0"))->awaitsTest_);
     table.onEvidence(EndpointId("engine-2"), Evidence::Silent, at(2'000));
     BOOST_TEST((table.unreached(at(2'500)) == std::vector {EndpointId("engine-2")}));
     BOOST_TEST(table.unreached(at(4'000)).empty());
