--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -41,7 +41,7 @@
     int urgency_ = 0;
     std::int64_t newTokens_ = 0;   ///< To be read where it is read first.
     std::int64_t aheadTokens_ = 0; ///< What is read there before it.
-    bool unknown_ = false;         ///< Whether its shared parts are cached there is a guess.
+    bool partsUnknown_ = false;    ///< Whether its shared parts are cached there is a guess.
     double readMillis_ = 0;        ///< Estimate until it is read, queue included.
 };
 
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -69,7 +69,7 @@
     DomainId prefillDomain_;
     EventSplitter events_;
     std::int64_t aheadTokens_ = 0; ///< Read before this prompt, where it is read.
-    bool unknown_ = false;         ///< Whether its shared parts were cached there was a guess.
+    bool partsUnknown_ = false;    ///< Whether its shared parts were cached there was a guess.
     bool fetches_ = false;         ///< The attempt is to fetch the prompt that was read elsewhere.
     bool inPlaceOnly_ = false;
     bool begun_ = false;  ///< The answer's head went to the caller.
@@ -113,7 +113,7 @@
     readTokens_ = plan.newTokens_;
     readEstimateMillis_ = plan.readMillis_;
     aheadTokens_ = plan.aheadTokens_;
-    unknown_ = plan.unknown_;
+    partsUnknown_ = plan.partsUnknown_;
     urgency_ = plan.urgency_;
     const Endpoint *engine = gateway_.table_.find(plan.prefill_.value_or(plan.decode_));
     gateway_.demand_[input_.service_].prefillSeconds_ +=
@@ -317,7 +317,7 @@
     readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
     const auto tookMillis = static_cast<double>(toMillis(readAt_ - attempt_.sentAt_));
-    if (unknown_) {
+    if (partsUnknown_) {
         gateway_.placement_.onUnknownRead(gateway_.table_, *engine, prompt(), aheadTokens_,
                                           tookMillis);
     } else {
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -115,9 +115,9 @@
     int urgency_ = 0;
     std::int64_t newTokens_ = 0;
     std::int64_t aheadTokens_ = 0;
-    bool unknown_ = false; ///< Whether the shared parts are cached is a guess.
-    double millis_ = 0;    ///< Until the prompt is read.
-    double cost_ = 0;      ///< The same, and what it takes from other prompts.
+    bool partsUnknown_ = false; ///< Whether the shared parts are cached is a guess.
+    double millis_ = 0;         ///< Until the prompt is read.
+    double cost_ = 0;           ///< The same, and what it takes from other prompts.
 
     bool betterThan(const Offer &other) const
     {
@@ -149,7 +149,7 @@
     offer.engine_ = &engine;
     if (mayHold && cached < shared) {
         // Read there before this instance was listening, or never: as often as it proved so.
-        offer.unknown_ = true;
+        offer.partsUnknown_ = true;
         cached += std::llround(unknownCached_ * static_cast<double>(shared - cached));
     }
     offer.newTokens_ = std::max<std::int64_t>(1, prompt.tokens_ - cached);
@@ -262,7 +262,7 @@
     plan.urgency_ = reads.urgency_;
     plan.newTokens_ = reads.newTokens_;
     plan.aheadTokens_ = reads.aheadTokens_;
-    plan.unknown_ = reads.unknown_;
+    plan.partsUnknown_ = reads.partsUnknown_;
     plan.readMillis_ = reads.millis_;
     return plan;
 }
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -306,7 +306,7 @@
     Placement reader({DomainId("a")});
     Placement other({DomainId("a")});
     const PromptPlan first = *planFor(reader, table, prompt);
-    BOOST_TEST(first.unknown_);
+    BOOST_TEST(first.partsUnknown_);
     BOOST_TEST(first.newTokens_ > prompt.ownTokens());
     reader.onPromptRead(*first.prefill_, prompt);
     LoadNote note {InstanceId("reader"), 1, 1};
@@ -317,7 +317,7 @@
     BOOST_TEST(other.takeReadParts().empty()); // Hearsay is not passed on.
     const PromptPlan second = *planFor(other, table, prompt);
     BOOST_TEST((second.prefill_ == first.prefill_));
-    BOOST_TEST(!second.unknown_);
+    BOOST_TEST(!second.partsUnknown_);
     BOOST_TEST(second.newTokens_ == prompt.ownTokens());
 }
 
