--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -91,7 +91,7 @@
      * established until connectBy.
      */
     void open(const std::string &peer, const net::Address &address, TimePoint connectBy,
-              std::function<void(bool)> done);
+              const std::function<void(bool)> &done);
     /** Closes the exchange's connection, which tells the peer to stop. No event follows. */
     void cancel(ExchangeId id);
     /** Stops reading the answer until resume(). */
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -106,7 +106,7 @@
 }
 
 void HttpClient::open(const std::string &peer, const net::Address &address, TimePoint connectBy,
-                      std::function<void(bool)> done)
+                      const std::function<void(bool)> &done)
 {
     const ExchangeId id = nextId_++;
     ++counters_.connects_;
