One piece of code where the change had two: failing endpoints, reading rate, end of a test

Which endpoints fail far more than the others was found by taking them out of a list, and for the log by comparing the list with itself before; now one function names them and both use it. The rate assumed until it is measured stood in placement's settings and in the stage plan; the endpoints' table answers it. The end of a connection's test stood twice.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -129,8 +129,8 @@
     void setInstances(int count) { instances_ = count; }
     /** Those of a service that are listed and not draining, trusted or not. */
     std::vector<const Endpoint *> listed(const ServiceId &service) const;
-    /** Prompt tokens that an engine usually reads in a millisecond; 0: not measured yet. */
-    double usualRate() const noexcept { return usualRate_; }
+    /** Prompt tokens that an engine usually reads in a millisecond; assumed until measured. */
+    double usualRate() const noexcept;
     const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
 
     /** An order was given to it, or a peer said so. */
@@ -160,10 +160,13 @@
     static void awaitTest(Endpoint &endpoint, TimePoint testAt);
     /** Those that may get new work by all that is known of each alone. */
     std::vector<const Endpoint *> trusted(const ServiceId &service, TimePoint now) const;
-    void removeFailing(std::vector<const Endpoint *> &endpoints, Stage stage, TimePoint now) const;
+    static void endTest(Endpoint &endpoint);
+    /** Those of endpoints that fail far more often than the others of their stage. */
+    std::vector<const Endpoint *> failing(const std::vector<const Endpoint *> &endpoints,
+                                          TimePoint now) const;
 
     std::map<EndpointId, Endpoint> endpoints_;
-    double usualRate_ = 0;
+    double usualRate_ = 0; ///< 0: not measured yet.
     int instances_ = 1;
 };
 
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -22,11 +22,6 @@
 struct PlacementSettings
 {
     DomainId domain_; ///< This instance's own.
-    /**
-     * Prompt tokens that an engine reads in a millisecond until that was measured: what one
-     * accelerator node reads of a large model.
-     */
-    double firstTokensPerMilli_ = 50;
     /** What generating engines read, against engines that only read. */
     double decodeReadShare_ = 0.5;
     /** From a read prompt to its first event at the caller: the hand-over and the first step. */
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -41,6 +41,8 @@
 /** An endpoint that answered us within this time is sound, whatever a peer met before. */
 constexpr Duration SoundIsFresh = millis(300);
 
+/** Prompt tokens that one accelerator node reads of a large model in a millisecond. */
+constexpr double AssumedTokensPerMilli = 50;
 /** How much a new measurement counts for the usual rate, and for one engine's own speed. */
 constexpr double UsualRateWeight = 0.02;
 constexpr double SpeedWeight = 0.1;
@@ -148,8 +150,8 @@
 std::vector<const Endpoint *> EndpointTable::usable(const ServiceId &service, TimePoint now) const
 {
     std::vector<const Endpoint *> found = trusted(service, now);
-    for (const auto &[stage, name] : StageNames) {
-        removeFailing(found, stage, now);
+    for (const Endpoint *endpoint : failing(found, now)) {
+        std::erase(found, endpoint);
     }
     return found;
 }
@@ -162,37 +164,41 @@
     }
     std::vector<const Endpoint *> found;
     for (const ServiceId &service : services) {
-        const std::vector<const Endpoint *> kept = usable(service, now);
-        for (const Endpoint *endpoint : trusted(service, now)) {
-            if (std::find(kept.begin(), kept.end(), endpoint) == kept.end()) {
-                found.push_back(endpoint);
-            }
-        }
+        const std::vector<const Endpoint *> ofService = failing(trusted(service, now), now);
+        found.insert(found.end(), ofService.begin(), ofService.end());
     }
     return found;
 }
 
-/** Takes out those of a stage that fail far more often than the others of that stage. */
-void EndpointTable::removeFailing(std::vector<const Endpoint *> &endpoints, Stage stage,
-                                  TimePoint now) const
+std::vector<const Endpoint *> EndpointTable::failing(const std::vector<const Endpoint *> &endpoints,
+                                                     TimePoint now) const
 {
-    std::vector<const Endpoint *> group;
-    std::vector<double> failures;
-    double sends = 0;
-    for (const Endpoint *endpoint : endpoints) {
-        if (endpoint->listed_.stage_ == stage) {
-            group.push_back(endpoint);
-            failures.push_back(endpoint->recentFailures_.at(now) + endpoint->toldFailures_);
-            sends += endpoint->recentSends_.at(now);
+    std::vector<const Endpoint *> found;
+    for (const auto &[stage, name] : StageNames) {
+        std::vector<const Endpoint *> group;
+        std::vector<double> failures;
+        double sends = 0;
+        for (const Endpoint *endpoint : endpoints) {
+            if (endpoint->listed_.stage_ == stage) {
+                group.push_back(endpoint);
+                failures.push_back(endpoint->recentFailures_.at(now) + endpoint->toldFailures_);
+                sends += endpoint->recentSends_.at(now);
+            }
+        }
+        if (group.empty()) {
+            continue;
+        }
+        const double expected = sends * instances_ / static_cast<double>(group.size());
+        for (const std::size_t index : failingFarMore(failures, expected)) {
+            found.push_back(group[index]);
         }
     }
-    if (group.empty()) {
-        return;
-    }
-    const double expected = sends * instances_ / static_cast<double>(group.size());
-    for (const std::size_t index : failingFarMore(failures, expected)) {
-        std::erase(endpoints, group[index]);
-    }
+    return found;
+}
+
+double EndpointTable::usualRate() const noexcept
+{
+    return usualRate_ > 0 ? usualRate_ : AssumedTokensPerMilli;
 }
 
 void EndpointTable::onChanging(const EndpointId &id, TimePoint until)
@@ -276,6 +282,12 @@
     }
 }
 
+void EndpointTable::endTest(Endpoint &endpoint)
+{
+    endpoint.awaitsTest_ = false;
+    endpoint.failedTests_ = 0;
+}
+
 void EndpointTable::onUnreachedByPeer(const EndpointId &id, TimePoint now)
 {
     Endpoint *endpoint = find(id);
@@ -305,8 +317,7 @@
         return;
     }
     if (reached) {
-        endpoint->awaitsTest_ = false;
-        endpoint->failedTests_ = 0;
+        endTest(*endpoint);
         endpoint->reachedAt_ = now;
         return;
     }
@@ -360,9 +371,8 @@
         awaitTest(*endpoint, now); // Hung or gone: a connection tells in a moment.
     }
     if (evidence == Evidence::Sound) {
+        endTest(*endpoint);
         endpoint->soundAt_ = now;
-        endpoint->awaitsTest_ = false;
-        endpoint->failedTests_ = 0;
     }
     if (rule.weight_ == 0) {
         endpoint->failures_ = 0;
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -132,7 +132,7 @@
 
 double Placement::readingRate(const EndpointTable &table, const Endpoint &engine) const
 {
-    double rate = table.usualRate() > 0 ? table.usualRate() : settings_.firstTokensPerMilli_;
+    double rate = table.usualRate();
     if (engine.readingSpeed_ < SlowSpeed) {
         rate *= engine.readingSpeed_;
     }
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -33,8 +33,6 @@
 constexpr double WaitWorthAnOrder = 150;
 /** Waits are smoothed over this time: a burst of a second is over before a change is. */
 constexpr double WaitWindowSeconds = 2;
-/** Reads per millisecond until it is measured, as placements assume it. */
-constexpr double AssumedTokensPerMilli = 50;
 
 double decay(double lengthSeconds, TimePoint from, TimePoint now)
 {
@@ -48,7 +46,6 @@
 double meanWaitMillis(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
                       Stage stage)
 {
-    const double rate = table.usualRate() > 0 ? table.usualRate() : AssumedTokensPerMilli;
     std::int64_t queued = 0;
     int count = 0;
     for (const Endpoint *engine : engines) {
@@ -57,7 +54,7 @@
             ++count;
         }
     }
-    return count > 0 ? static_cast<double>(queued) / rate / count : 0;
+    return count > 0 ? static_cast<double>(queued) / table.usualRate() / count : 0;
 }
 
 int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
