--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -75,8 +75,9 @@
 struct EngineReport
 {
     Stage stage_ = Stage::None;
-    bool changing_ = false;    ///< An order is being carried out.
-    std::uint64_t orders_ = 0; ///< Orders accepted in this lifetime.
+    bool changing_ = false;            ///< An order is being carried out.
+    std::uint64_t orders_ = 0;         ///< Orders accepted in this lifetime.
+    std::int64_t startedAtMillis_ = 0; ///< As ListedEndpoint::startedAtMillis_.
 };
 
 /** An order that changes what an engine does. */
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -37,13 +37,18 @@
 /** An endpoint's entry in the platform's list. */
 struct ListedEndpoint
 {
-    EndpointId id_; ///< Of one lifetime: a restart has another one.
+    EndpointId id_;
     ServiceId service_;
     net::Address address_;
     DomainId domain_;
     int slots_ = 1;
     bool draining_ = false;
     Stage stage_ = Stage::None;
+    /**
+     * When its process started, by its own clock, since the Unix epoch; 0: it does not say. A
+     * later one under the same id is a restart that holds nothing of before.
+     */
+    std::int64_t startedAtMillis_ = 0;
 
     friend bool operator==(const ListedEndpoint &, const ListedEndpoint &) = default;
 };
@@ -59,9 +64,11 @@
 struct Endpoint
 {
     ListedEndpoint listed_;
-    bool listedNow_ = true; ///< False: its entry is gone and it gets no new work.
+    bool listedNow_ = true;      ///< False: its entry is gone and it gets no new work.
+    std::uint64_t lifetime_ = 0; ///< Counts the restarts that this instance has seen.
 
-    int outstanding_ = 0;       ///< Requests of ours without a whole answer.
+    int outstanding_ = 0;       ///< Requests of ours without a whole answer, of this lifetime.
+    int openSends_ = 0;         ///< The same of all lifetimes: the entry is needed until they end.
     PromptQueue queued_;        ///< Of this instance's requests.
     PromptQueue foreignQueued_; ///< Of the other instances', as they told.
     double readingSpeed_ = 1;   ///< Against the usual rate, as measured.
@@ -113,11 +120,21 @@
     {Evidence::Silent, "silent"},
 }};
 
+/** What a new word of an endpoint came to. */
+enum class Listing {
+    Same,      ///< Nothing new, or the word of an earlier lifetime.
+    Changed,   ///< It changes what may be sent there.
+    Restarted, ///< It has started again and holds nothing of before.
+};
+
 class EndpointTable
 {
 public:
-    /** Adds or changes an entry. True when that changes what may be sent there. */
-    bool list(const ListedEndpoint &listed, TimePoint now);
+    /**
+     * Adds or changes an entry. After a restart all that was known of the endpoint is forgotten;
+     * an entry of an earlier lifetime, which may come late, changes nothing.
+     */
+    Listing list(const ListedEndpoint &listed, TimePoint now);
     /** Its entry is gone. It is forgotten once nothing is outstanding. */
     bool unlist(const EndpointId &id);
 
@@ -140,7 +157,11 @@
     /** It read this many tokens, its queue included, in the time. */
     void onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds);
     void onClosed(const EndpointId &id);
+    /** The same for a request that was sent before the endpoint restarted. */
+    void onClosedOfEarlierLifetime(const EndpointId &id);
     void onLoad(const EndpointId &id, const LoadSample &load, TimePoint now);
+    /** A request that it took has heard nothing for long: a connection tells whether it is gone. */
+    void onSuspected(const EndpointId &id, TimePoint now);
     /** A peer could not reach it: it is tested, unless it has answered us a moment ago. */
     void onUnreachedByPeer(const EndpointId &id, TimePoint now);
     /** Endpoints to try a connection to now. The result of each is told by onTested(). */
@@ -157,6 +178,7 @@
 
 private:
     void forgetIfDone(const EndpointId &id);
+    static void restart(Endpoint &endpoint, TimePoint now);
     static void awaitTest(Endpoint &endpoint, TimePoint testAt);
     /** Those that may get new work by all that is known of each alone. */
     std::vector<const Endpoint *> trusted(const ServiceId &service, TimePoint now) const;
@@ -166,6 +188,8 @@
                                           TimePoint now) const;
 
     std::map<EndpointId, Endpoint> endpoints_;
+    /** Of endpoints that are forgotten: an entry of before must not bring them back. */
+    std::map<EndpointId, std::int64_t> lastStarts_;
     double usualRate_ = 0; ///< 0: not measured yet.
     int instances_ = 1;
 };
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -63,6 +63,9 @@
                                            const DomainId &source,
                                            const std::vector<EndpointId> &excluded,
                                            std::uint64_t ticket, TimePoint now) const;
+    /** Whether an engine that generates could take one more request, by its last word. */
+    bool someGeneratorHasRoom(const EndpointTable &table, const ServiceId &service,
+                              const std::vector<EndpointId> &excluded, TimePoint now) const;
     /** What a read prompt adds to the queue of the engine that fetches it, in tokens to read. */
     static std::int64_t handoverTokens(const Prompt &prompt);
     /** A plain service's endpoint. ticket: any number. */
@@ -71,7 +74,7 @@
                                             std::uint64_t ticket, TimePoint now) const;
 
     /** A prompt is read there: its parts are in the engine's cache from now on. */
-    void onPromptRead(const EndpointId &engine, const Prompt &prompt);
+    void onPromptRead(const ListedEndpoint &engine, const Prompt &prompt);
     /** Shared parts that came to engines by this instance since the last call. */
     std::vector<PromptMemory::Key> takeReadParts() { return std::exchange(readParts_, {}); }
     /** The same as another instance told. */
--- a/libs/gateway/include/almondridge/gateway/promptmemory.h
+++ b/libs/gateway/include/almondridge/gateway/promptmemory.h
@@ -20,15 +20,18 @@
 public:
     explicit PromptMemory(std::size_t capacity);
 
-    /** Names a part at an engine; all instances and builds agree on it. */
+    /**
+     * Names a part at an engine; all instances and builds agree on it. Another lifetime of the
+     * engine has other keys: a restart empties its cache, and notes of before must not fill it.
+     */
     using Key = std::uint64_t;
-    static Key keyOf(const EndpointId &engine, std::uint64_t part);
+    static Key keyOf(const ListedEndpoint &engine, std::uint64_t part);
 
     /** True when it was not known. */
     bool remember(Key key);
-    bool holds(const EndpointId &engine, std::uint64_t part) const;
+    bool holds(const ListedEndpoint &engine, std::uint64_t part) const;
     /** Tokens of the prompt's leading parts that the engine has cached. */
-    std::int64_t cachedTokens(const EndpointId &engine, const Prompt &prompt) const;
+    std::int64_t cachedTokens(const ListedEndpoint &engine, const Prompt &prompt) const;
 
 private:
     std::size_t capacity_;
--- a/libs/gateway/include/almondridge/gateway/stagekeeper.h
+++ b/libs/gateway/include/almondridge/gateway/stagekeeper.h
@@ -54,6 +54,7 @@
     void claimIfNeeded();
     void planAll();
     void readEngine(const ServiceId &service, const StageChange &change);
+    void learnStart(const EndpointId &id, const EngineReport &report);
     void give(const ServiceId &service, const StageChange &change, const EngineReport &report);
     void ask(const EndpointId &engine, std::string text,
              const std::function<void(int status, const std::string &body)> &done);
--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -79,6 +79,7 @@
     {
         Stage stage_ = Stage::None;
         TimePoint until_ {};
+        std::uint64_t lifetime_ = 0; ///< Of the engine: a restart forgets orders.
     };
 
     /** How long prompts wait at the engines of a stage, smoothed. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -9,8 +9,6 @@
 
 /** How long a caller is waited for that does not say how long it waits itself. */
 constexpr std::int64_t DefaultPatienceMillis = 30'000;
-/** Sends of one request, whatever became of them: a bound on what one request can cost. */
-constexpr int MaxSends = 5;
 /**
  * When a refused caller is asked to come back, if no endpoint said: a queue of prompts that an
  * engine has room for is read in this time.
@@ -46,6 +44,7 @@
     ++sends_;
     attempt_ = {};
     attempt_.endpoint_ = endpoint;
+    attempt_.lifetime_ = target->lifetime_;
     attempt_.promptTokens_ = promptTokens;
     attempt_.urgency_ = order.urgency_.value_or(0);
     attempt_.sentAt_ = BootClock::now();
@@ -64,7 +63,7 @@
     events.onHead_ = [this](async::ResponseHead &head) {
         attempt_.head_ = head;
         attempt_.facts_ = gateway_.dialect_.readAnswer(head);
-        if (attempt_.facts_.load_) {
+        if (attempt_.facts_.load_ && !endpointRestarted()) {
             gateway_.table_.onLoad(attempt_.endpoint_, *attempt_.facts_.load_, BootClock::now());
         }
         attemptHead();
@@ -106,9 +105,17 @@
               {"body", attempt_.body_.substr(0, 80)}});
 }
 
+bool Call::endpointRestarted() const
+{
+    const Endpoint *endpoint = gateway_.table_.find(attempt_.endpoint_);
+    return endpoint != nullptr && endpoint->lifetime_ != attempt_.lifetime_;
+}
+
 void Call::promptWasRead()
 {
-    gateway_.table_.onRead(attempt_.endpoint_, attempt_.urgency_, attempt_.promptTokens_);
+    if (!endpointRestarted()) {
+        gateway_.table_.onRead(attempt_.endpoint_, attempt_.urgency_, attempt_.promptTokens_);
+    }
     attempt_.promptTokens_ = 0;
 }
 
@@ -120,6 +127,10 @@
     }
     attempt_.exchange_ = 0;
     promptWasRead();
+    if (endpointRestarted()) {
+        gateway_.table_.onClosedOfEarlierLifetime(attempt_.endpoint_);
+        return;
+    }
     if (evidence && gateway_.table_.onEvidence(attempt_.endpoint_, *evidence, BootClock::now())) {
         logEvent(LogLevel::Warning, "endpoint_trust",
                  {{"endpoint", attempt_.endpoint_.value()},
@@ -154,7 +165,7 @@
  */
 bool Call::mayTryAnother() const
 {
-    return sends_ < MaxSends && BootClock::now() < deadline_;
+    return sends_ < mostSends_ && BootClock::now() < deadline_;
 }
 
 bool Call::maySendAgain()
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -27,6 +27,9 @@
     ServiceId service_;
 };
 
+/** Sends of one request, whatever became of them: a bound on what one request can cost. */
+inline constexpr int MaxSends = 5;
+
 class Call
 {
 public:
@@ -46,6 +49,7 @@
     {
         async::ExchangeId exchange_ = 0; ///< 0: none.
         EndpointId endpoint_;
+        std::uint64_t lifetime_ = 0;    ///< Of the endpoint, as it was known when this was sent.
         std::int64_t promptTokens_ = 0; ///< Counted as queued there until read.
         int urgency_ = 0;
         TimePoint sentAt_ {};
@@ -76,6 +80,9 @@
     /** The attempt came to nothing: this request does not go to its endpoint again. */
     void leaveEndpoint(std::optional<Evidence> evidence);
     void promptWasRead();
+    /** The endpoint has restarted since: what becomes of the attempt says nothing of it any more.
+     */
+    bool endpointRestarted() const;
     /** Calls attemptSilent() then, unless the attempt is over before. */
     void watchSilence(TimePoint until);
     void stopWatching() { silence_.stop(); }
@@ -106,6 +113,7 @@
     std::vector<EndpointId> excluded_; ///< Endpoints that this request had no luck with.
     int runs_ = 0;                     ///< Sends that may have run.
     int sends_ = 0;
+    int mostSends_ = MaxSends;
     bool mayHaveRun_ = false;
     std::optional<std::int64_t> retryAfterMillis_; ///< As the last endpoint that refused said.
     TimePoint firstByteAt_ {};
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -49,6 +49,8 @@
 /** A rate beyond these is a measurement of something else: a stalled engine, or a cache hit. */
 constexpr double LeastTokensPerMilli = 5;
 constexpr double MostTokensPerMilli = 300;
+/** Forgotten endpoints whose last start is remembered: far more than leave within minutes. */
+constexpr std::size_t RememberedStarts = 2'048;
 /** Fewer tokens tell fixed costs rather than the rate. */
 constexpr std::int64_t LeastSampleTokens = 4'000;
 
@@ -86,20 +88,47 @@
     return distrustedUntil_ > now || probing_ ? "distrusted" : "usable";
 }
 
-bool EndpointTable::list(const ListedEndpoint &listed, TimePoint now)
+Listing EndpointTable::list(const ListedEndpoint &listed, TimePoint now)
 {
+    const auto before = lastStarts_.find(listed.id_);
+    const std::int64_t lastStart = before != lastStarts_.end() ? before->second : 0;
     const auto [place, added] = endpoints_.try_emplace(listed.id_);
     Endpoint &endpoint = place->second;
+    const std::int64_t knownStart = added ? lastStart : endpoint.listed_.startedAtMillis_;
+    // Old entries come late and in any order: only a later start is news.
+    if (listed.startedAtMillis_ != 0 && listed.startedAtMillis_ < knownStart) {
+        if (added) {
+            endpoints_.erase(place);
+        }
+        return Listing::Same;
+    }
+    const bool restarted = !added && knownStart != 0 && listed.startedAtMillis_ > knownStart;
     const bool changed = added || !endpoint.listedNow_ || endpoint.listed_ != listed;
-    if (!added && endpoint.listed_.stage_ != listed.stage_) {
+    if (restarted) {
+        restart(endpoint, now);
+    } else if (!added && endpoint.listed_.stage_ != listed.stage_) {
         endpoint.changingUntil_ = {}; // The order is done.
     }
     endpoint.listed_ = listed;
+    endpoint.listed_.startedAtMillis_ = std::max(knownStart, listed.startedAtMillis_);
     endpoint.listedNow_ = true;
     if (added) {
         endpoint.loadAt_ = now;
     }
-    return changed;
+    if (restarted) {
+        return Listing::Restarted;
+    }
+    return changed ? Listing::Changed : Listing::Same;
+}
+
+/** Queues, load, trust and orders of the lifetime before say nothing of the new one. */
+void EndpointTable::restart(Endpoint &endpoint, TimePoint now)
+{
+    Endpoint fresh;
+    fresh.lifetime_ = endpoint.lifetime_ + 1;
+    fresh.openSends_ = endpoint.openSends_;
+    fresh.loadAt_ = now;
+    endpoint = fresh;
 }
 
 bool EndpointTable::unlist(const EndpointId &id)
@@ -217,6 +246,7 @@
         return;
     }
     ++endpoint->outstanding_;
+    ++endpoint->openSends_;
     endpoint->recentSends_.add(1, now);
     endpoint->queued_.add(urgency, promptTokens);
     if (endpoint->distrustedUntil_ != TimePoint {}) {
@@ -251,18 +281,34 @@
         return;
     }
     --endpoint->outstanding_;
+    --endpoint->openSends_;
     if (endpoint->outstanding_ == 0) {
         endpoint->probing_ = false;
     }
     forgetIfDone(id);
 }
 
+void EndpointTable::onClosedOfEarlierLifetime(const EndpointId &id)
+{
+    if (Endpoint *endpoint = find(id)) {
+        --endpoint->openSends_;
+        forgetIfDone(id);
+    }
+}
+
 void EndpointTable::forgetIfDone(const EndpointId &id)
 {
     const auto found = endpoints_.find(id);
-    if (found != endpoints_.end() && !found->second.listedNow_ && found->second.outstanding_ == 0) {
-        endpoints_.erase(found);
+    if (found == endpoints_.end() || found->second.listedNow_ || found->second.openSends_ > 0) {
+        return;
+    }
+    if (lastStarts_.size() >= RememberedStarts) {
+        lastStarts_.clear(); // A late entry that comes back is found out by its first request.
     }
+    if (found->second.listed_.startedAtMillis_ != 0) {
+        lastStarts_[id] = found->second.listed_.startedAtMillis_;
+    }
+    endpoints_.erase(found);
 }
 
 void EndpointTable::onLoad(const EndpointId &id, const LoadSample &load, TimePoint now)
@@ -288,6 +334,13 @@
     endpoint.failedTests_ = 0;
 }
 
+void EndpointTable::onSuspected(const EndpointId &id, TimePoint now)
+{
+    if (Endpoint *endpoint = find(id)) {
+        awaitTest(*endpoint, now);
+    }
+}
+
 void EndpointTable::onUnreachedByPeer(const EndpointId &id, TimePoint now)
 {
     Endpoint *endpoint = find(id);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -135,7 +135,8 @@
 
 void Gateway::listEndpoint(const ListedEndpoint &listed)
 {
-    if (!state_->table_.list(listed, BootClock::now())) {
+    const Listing news = state_->table_.list(listed, BootClock::now());
+    if (news == Listing::Same) {
         return;
     }
     logEvent(LogLevel::Info, "endpoint",
@@ -144,8 +145,11 @@
               {"address", net::toString(listed.address_)},
               {"domain", listed.domain_.value()},
               {"state", listed.draining_ ? "draining" : "ready"},
-              {"stage", nameOf(StageNames, listed.stage_)}});
-    if (listed.draining_) {
+              {"stage", nameOf(StageNames, listed.stage_)},
+              {"restarted", news == Listing::Restarted ? "yes" : "no"},
+              {"started_at", listed.startedAtMillis_}});
+    // After a restart the kept connections lead to a process that is gone.
+    if (listed.draining_ || news == Listing::Restarted) {
         state_->client_.dropKept(listed.id_.value());
     }
 }
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -119,7 +119,9 @@
     note.mayLead_ = leadership_.mayLead_();
     note.leads_ = leadership_.leads_();
     for (const auto &[engine, until] : changing_) {
-        if (until > now) {
+        const Endpoint *endpoint = gateway_.endpoints().find(engine);
+        // Not once the order is done, or forgotten by a restart.
+        if (until > now && endpoint != nullptr && endpoint->changingUntil_ > now) {
             note.changingMillis_[engine] = toMillis(until - now);
         }
     }
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -5,6 +5,7 @@
 #include "almondridge/gateway/patience.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace almondridge::gateway {
 namespace {
@@ -14,11 +15,17 @@
 /** A prefill is given up after this many times its estimate, and the time below. */
 constexpr double SilentAfterEstimates = 3;
 constexpr Duration SilentAtLeast = millis(1'500);
-/** A stream that may be resumed is taken elsewhere after this many times its longest pause. */
+/** A stream that may be resumed counts as silent after this many times its longest pause. */
 constexpr int StalledAfterGaps = 4;
+/** Between two looks whether a silent stream's engine is gone, or another one has room. */
+constexpr Duration TakeoverInterval = millis(100);
+/** Until a stream that no engine would go on with is offered again: some slots are free by then. */
+constexpr Duration OfferAgainAfter = millis(200);
+
+constexpr std::string_view DeadlineCause = "deadline";
 
 enum class ModelPhase {
-    Idle,
+    Idle,       ///< Nothing is sent; a begun stream waits to be offered again.
     Prefilling, ///< One engine reads the prompt.
     Waiting,    ///< Sent to the engine that generates; no event came yet.
     Streaming,  ///< Events are passed on.
@@ -40,6 +47,10 @@
     void sendToDecode();
     void sendResume();
     void goOn();
+    bool engineIsGone() const;
+    bool readerRestarted() const;
+    void takeOver();
+    bool mayOfferAgain() const;
     void attemptHead() override;
     void attemptBody(std::string bytes) override;
     void attemptEnd() override;
@@ -66,12 +77,14 @@
     ModelPhase phase_ = ModelPhase::Idle;
     std::optional<PromptHandle> handle_; ///< Read, and not fetched by an engine as far as we know.
     EndpointId prefillEngine_;
+    std::uint64_t prefillLifetime_ = 0;
     DomainId prefillDomain_;
     EventSplitter events_;
     std::int64_t aheadTokens_ = 0; ///< Read before this prompt, where it is read.
     bool partsUnknown_ = false;    ///< Whether its shared parts were cached there was a guess.
     bool fetches_ = false;         ///< The attempt is to fetch the prompt that was read elsewhere.
     bool inPlaceOnly_ = false;
+    bool silent_ = false; ///< The attempt's engine has said nothing for longer than it should.
     bool begun_ = false;  ///< The answer's head went to the caller.
     bool paused_ = false; ///< The engine is not read, as the caller is slow.
 };
@@ -153,8 +166,10 @@
     phase_ = ModelPhase::Prefilling;
     countRead(plan);
     prefillEngine_ = *plan.prefill_;
-    prefillDomain_ = gateway_.table_.find(prefillEngine_)->listed_.domain_;
-    gateway_.placement_.onPromptRead(prefillEngine_, prompt());
+    const Endpoint &reader = *gateway_.table_.find(prefillEngine_);
+    prefillLifetime_ = reader.lifetime_;
+    prefillDomain_ = reader.listed_.domain_;
+    gateway_.placement_.onPromptRead(reader.listed_, prompt());
     SendOrder order;
     order.urgency_ = plan.urgency_;
     order.prefillOnly_ = true;
@@ -169,7 +184,7 @@
     phase_ = ModelPhase::Waiting;
     ++runs_;
     countRead(plan);
-    gateway_.placement_.onPromptRead(plan.decode_, prompt());
+    gateway_.placement_.onPromptRead(gateway_.table_.find(plan.decode_)->listed_, prompt());
     fetches_ = false;
     SendOrder order;
     order.urgency_ = plan.urgency_;
@@ -208,6 +223,7 @@
 /** Only streams that may be resumed are watched: the others can only be waited for. */
 void ModelCall::watchStream()
 {
+    silent_ = false;
     if (!route().resumable_ || runs_ >= route().maxAttempts_) {
         return;
     }
@@ -248,6 +264,7 @@
     phase_ = ModelPhase::Streaming;
     if (!begun_) {
         begun_ = true;
+        mostSends_ = std::numeric_limits<int>::max(); // Bounded by the pause between two offers.
         firstByteAt_ = BootClock::now();
         gateway_.server_.beginStream(input_.request_.id_,
                                      {attempt_.head_.status_, attempt_.head_.reason_,
@@ -366,9 +383,18 @@
 /** At another engine: with the prompt as it was read, if no engine has fetched it. */
 void ModelCall::goOn()
 {
+    if (readerRestarted()) {
+        handle_.reset(); // Gone with all that the engine held.
+    }
     handle_ ? sendToDecode() : sendResume();
 }
 
+bool ModelCall::readerRestarted() const
+{
+    const Endpoint *reader = gateway_.table_.find(prefillEngine_);
+    return handle_ && reader != nullptr && reader->lifetime_ != prefillLifetime_;
+}
+
 void ModelCall::streamEnded()
 {
     if (!attempt_.facts_.signed_ && !begun_) {
@@ -435,6 +461,12 @@
 {
     abandonEndpoints();
     cancelAttempt(std::nullopt);
+    if (cause != DeadlineCause && mayOfferAgain()) {
+        phase_ = ModelPhase::Idle;
+        excluded_.clear();
+        watchSilence(BootClock::now() + OfferAgainAfter);
+        return;
+    }
     if (begun_) {
         gateway_.server_.abort(input_.request_.id_);
         finish(Outcome::Failed, 0, cause);
@@ -452,13 +484,54 @@
         prefillFailed(Evidence::Silent);
         return;
     }
-    if (mayRunAgain()) {
+    if (phase_ == ModelPhase::Idle) {
+        maySendAgain() ? sendResume() : giveUp("no-allowance");
+        return;
+    }
+    takeOver();
+}
+
+/**
+ * An engine that is crowded puts requests back and says nothing meanwhile, and so does one that
+ * hangs. A stream that is taken away from the first and refused by the others is lost, though it
+ * would have gone on: it is left for evidence that its engine is gone, or for one with room.
+ */
+void ModelCall::takeOver()
+{
+    const TimePoint now = BootClock::now();
+    if (!silent_) {
+        silent_ = true;
         trail_ += ":silent";
-        mayHaveRun_ = true;
-        leaveEndpoint(Evidence::Silent);
-        abandonEndpoints();
-        sendResume();
+        gateway_.table_.onSuspected(attempt_.endpoint_, now);
+    }
+    std::vector<EndpointId> others = excluded_;
+    others.push_back(attempt_.endpoint_);
+    const bool leave =
+        engineIsGone()
+        || gateway_.placement_.someGeneratorHasRoom(gateway_.table_, input_.service_, others, now);
+    if (!leave || !mayRunAgain()) {
+        watchSilence(now + TakeoverInterval);
+        return;
     }
+    mayHaveRun_ = true;
+    leaveEndpoint(Evidence::Silent);
+    abandonEndpoints();
+    sendResume();
+}
+
+bool ModelCall::engineIsGone() const
+{
+    const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
+    return engine == nullptr || !engine->listedNow_ || engine->failedTests_ > 0
+           || endpointRestarted();
+}
+
+/** A stream that its caller has the beginning of is worth nothing if it is cut: until its deadline
+ * another engine may have room, or the allowance. */
+bool ModelCall::mayOfferAgain() const
+{
+    return begun_ && route().resumable_ && runs_ < route().maxAttempts_
+           && BootClock::now() + OfferAgainAfter < deadline();
 }
 
 void ModelCall::deadlinePassed()
@@ -467,7 +540,7 @@
         Call::deadlinePassed();
         return;
     }
-    giveUp("deadline");
+    giveUp(DeadlineCause);
 }
 
 void ModelCall::abandonEndpoints()
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -143,7 +143,7 @@
                                     bool mayHold) const
 {
     const Prompt &prompt = *query.prompt_;
-    std::int64_t cached = memory_.cachedTokens(engine.listed_.id_, prompt);
+    std::int64_t cached = memory_.cachedTokens(engine.listed_, prompt);
     const std::int64_t shared = prompt.tokens_ - prompt.ownTokens();
     Offer offer;
     offer.engine_ = &engine;
@@ -206,7 +206,7 @@
     const PromptPart *leading = leadingPart(*query.prompt_);
     const bool known =
         leading == nullptr || std::any_of(homes.begin(), homes.end(), [&](const Endpoint *home) {
-            return memory_.holds(home->listed_.id_, leading->id_);
+            return memory_.holds(home->listed_, leading->id_);
         });
     const auto bestAt = [&](int urgency) {
         Offer best;
@@ -291,6 +291,23 @@
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
+bool Placement::someGeneratorHasRoom(const EndpointTable &table, const ServiceId &service,
+                                     const std::vector<EndpointId> &excluded, TimePoint now) const
+{
+    // An engine that is full answers every request with its load; one that has not been heard of
+    // for this long gets few, as far as this instance can know.
+    constexpr Duration WordHolds = millis(2'000);
+    std::vector<const Endpoint *> engines = table.usable(service, now);
+    removeExcluded(engines, excluded);
+    return std::any_of(engines.begin(), engines.end(), [&](const Endpoint *engine) {
+        const LoadSample &load = engine->load_;
+        const bool full = engine->loadAt_ + WordHolds > now && load.slots_ > 0
+                          && load.running_ + load.waiting_ >= load.slots_;
+        return engine->listed_.stage_ != Stage::Prefill && !full
+               && engine->outstanding_ < engine->listed_.slots_;
+    });
+}
+
 std::optional<EndpointId> Placement::chooseService(const EndpointTable &table,
                                                    const ServiceId &service,
                                                    const std::vector<EndpointId> &excluded,
@@ -315,7 +332,7 @@
     return prompt.tokens_ / MovedPerRead;
 }
 
-void Placement::onPromptRead(const EndpointId &engine, const Prompt &prompt)
+void Placement::onPromptRead(const ListedEndpoint &engine, const Prompt &prompt)
 {
     for (std::size_t index = 0; index < prompt.parts_.size(); ++index) {
         const PromptMemory::Key key = PromptMemory::keyOf(engine, prompt.parts_[index].id_);
--- a/libs/gateway/src/promptmemory.cpp
+++ b/libs/gateway/src/promptmemory.cpp
@@ -35,9 +35,10 @@
     : capacity_(capacity)
 { }
 
-PromptMemory::Key PromptMemory::keyOf(const EndpointId &engine, std::uint64_t part)
+PromptMemory::Key PromptMemory::keyOf(const ListedEndpoint &engine, std::uint64_t part)
 {
-    return rendezvousWeight(engine.value(), part);
+    const auto start = static_cast<std::uint64_t>(engine.startedAtMillis_);
+    return rendezvousWeight(engine.id_.value(), part ^ mix(start));
 }
 
 bool PromptMemory::remember(Key key)
@@ -56,12 +57,12 @@
     return true;
 }
 
-bool PromptMemory::holds(const EndpointId &engine, std::uint64_t part) const
+bool PromptMemory::holds(const ListedEndpoint &engine, std::uint64_t part) const
 {
     return entries_.contains(keyOf(engine, part));
 }
 
-std::int64_t PromptMemory::cachedTokens(const EndpointId &engine, const Prompt &prompt) const
+std::int64_t PromptMemory::cachedTokens(const ListedEndpoint &engine, const Prompt &prompt) const
 {
     std::int64_t tokens = 0;
     for (const PromptPart &part : prompt.parts_) {
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -133,6 +133,9 @@
     ask(change.engine_, dialect_.reportText(engine->listed_.address_),
         [this, service, change](int, const std::string &body) {
             const auto report = dialect_.readReport(body);
+            if (report) {
+                learnStart(change.engine_, *report);
+            }
             const bool fits = report && !report->changing_ && report->stage_ != change.stage_;
             if (!fits) {
                 logEvent(LogLevel::Info, "order_not_given",
@@ -145,6 +148,18 @@
         });
 }
 
+/** The engine itself tells of a restart before its entry does. */
+void StageKeeper::learnStart(const EndpointId &id, const EngineReport &report)
+{
+    const Endpoint *engine = gateway_.endpoints().find(id);
+    if (engine != nullptr && engine->listedNow_
+        && report.startedAtMillis_ > engine->listed_.startedAtMillis_) {
+        ListedEndpoint listed = engine->listed_;
+        listed.startedAtMillis_ = report.startedAtMillis_;
+        gateway_.listEndpoint(listed);
+    }
+}
+
 void StageKeeper::give(const ServiceId &service, const StageChange &change,
                        const EngineReport &report)
 {
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -164,7 +164,8 @@
     std::erase_if(ordered_, [&](const auto &entry) {
         const Endpoint *engine = table.find(entry.first);
         return engine == nullptr || entry.second.until_ <= now
-               || engine->listed_.stage_ == entry.second.stage_;
+               || engine->listed_.stage_ == entry.second.stage_
+               || engine->lifetime_ != entry.second.lifetime_;
     });
     watchWaits(table, table.usable(service, now), now);
     const int count = static_cast<int>(engines.size());
@@ -198,7 +199,8 @@
         if (!engine) {
             break;
         }
-        ordered_[*engine] = {to, now + millis(settings_.orderMillis_)};
+        ordered_[*engine] = {to, now + millis(settings_.orderMillis_),
+                             table.find(*engine)->lifetime_};
         changes.push_back({*engine, to});
         // Counted where it goes, so that the next pick spreads over the failure domains.
         std::erase_if(engines, [&](const Endpoint *one) { return one->listed_.id_ == *engine; });
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -112,6 +112,61 @@
  * An endpoint goes dark: connections to it break or stay silent. It is left alone for a time that
  * grows, then one request tests it, and only its sound answer brings the others back.
  */
+/**
+ * An engine crashes and starts again under its old id. Requests of before are still counted as its
+ * queue, its parts as cached, and an order as on its way: it got no work, or prompts that it had
+ * to read whole. The entry of the earlier lifetime comes once more, late.
+ */
+BOOST_AUTO_TEST_CASE(aRestartUnderTheSameIdForgetsAllThatWasKnown)
+{
+    EndpointTable table;
+    ListedEndpoint listed = engine(1, Stage::Prefill);
+    listed.startedAtMillis_ = 1'000;
+    table.list(listed, at(0));
+    const EndpointId id = listed.id_;
+    Placement placement({DomainId("a")});
+    const Prompt prompt = promptWith(1);
+    placement.onPromptRead(listed, prompt);
+    table.onSent(id, 1, 30'000, at(0));
+    table.onEvidence(id, Evidence::Silent, at(0));
+    table.onChanging(id, at(3'000));
+    BOOST_TEST(table.usable(Models, at(1)).empty());
+
+    ListedEndpoint again = listed;
+    again.startedAtMillis_ = 2'000;
+    BOOST_TEST((table.list(again, at(1)) == Listing::Restarted));
+    BOOST_TEST(table.usable(Models, at(1)).size() == 1U);
+    const Endpoint *restarted = table.find(id);
+    BOOST_TEST(restarted->outstanding_ == 0);
+    BOOST_TEST(restarted->queued_.all() == 0);
+    BOOST_TEST(PromptMemory::keyOf(again, 1) != PromptMemory::keyOf(listed, 1));
+
+    BOOST_TEST((table.list(listed, at(2)) == Listing::Same));
+    BOOST_TEST(table.find(id)->listed_.startedAtMillis_ == 2'000);
+    table.unlist(id);
+    BOOST_TEST((table.find(id) != nullptr)); // The request of before has not ended.
+    table.onClosedOfEarlierLifetime(id);
+    BOOST_TEST((table.find(id) == nullptr));
+    BOOST_TEST((table.list(listed, at(3)) == Listing::Same));
+    BOOST_TEST(table.listed(Models).empty());
+    BOOST_TEST((table.list(again, at(4)) == Listing::Changed));
+}
+
+/** An engine that begins to tell when it started has not restarted. */
+BOOST_AUTO_TEST_CASE(aStartThatIsToldForTheFirstTimeIsNoRestart)
+{
+    EndpointTable table;
+    ListedEndpoint listed = engine(1, Stage::Prefill);
+    table.list(listed, at(0));
+    table.onSent(listed.id_, 1, 30'000, at(0));
+    listed.startedAtMillis_ = 1'000;
+    BOOST_TEST((table.list(listed, at(1)) == Listing::Changed));
+    BOOST_TEST(table.find(listed.id_)->outstanding_ == 1);
+    listed.startedAtMillis_ = 0;
+    table.list(listed, at(2));
+    BOOST_TEST(table.find(listed.id_)->listed_.startedAtMillis_ == 1'000);
+}
+
 BOOST_AUTO_TEST_CASE(aDistrustedEndpointIsTestedByOneRequest)
 {
     EndpointTable table = fleet(0, 1);
@@ -287,7 +342,7 @@
     EndpointTable table = fleet(12, 6);
     Placement placement({DomainId("a")});
     const auto home = *planFor(placement, table, promptWith(1))->prefill_;
-    placement.onPromptRead(home, promptWith(1));
+    placement.onPromptRead(table.find(home)->listed_, promptWith(1));
     table.onSent(home, 1, 20'000, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
     table.onSent(home, 1, 30'000, at(0));
@@ -308,7 +363,7 @@
     const PromptPlan first = *planFor(reader, table, prompt);
     BOOST_TEST(first.partsUnknown_);
     BOOST_TEST(first.newTokens_ > prompt.ownTokens());
-    reader.onPromptRead(*first.prefill_, prompt);
+    reader.onPromptRead(table.find(*first.prefill_)->listed_, prompt);
     LoadNote note {InstanceId("reader"), 1, 1};
     note.readParts_ = reader.takeReadParts();
     BOOST_TEST(note.readParts_.size() == 1U); // Nobody else asks with the prompt's own part.
