Engines take the split of a typical load by their slots before the first request

Cause: expectedPrefillShare 0.78 was fitted to two sites whose engines have 64 slots. On the grown customer (16 slots) 27 orders before the first request made 47 of 60 engines read; the 13 that generate were full. Change: the share before the first request follows from a typical request (40 ms of reading, 800 ms in a slot) and the slots that the list tells: 0.76 with 64, 0.44 with 16. The setting is gone. The small site has the same share as before (7 of 9) and wants fewer; that is for what is observed.

--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -31,8 +31,6 @@
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
     std::int64_t secondSendWindowSeconds_ = 10;
-    /** Share of a service's engines that read prompts until the mix of requests is known. */
-    double expectedPrefillShare_ = 0.78;
     double linkMbps_ = 100; ///< Of this machine.
     int maxDescriptors_ = 1'024;
     LogLevel logLevel_ = LogLevel::Info;
--- a/libs/fleet/src/entrysettings.cpp
+++ b/libs/fleet/src/entrysettings.cpp
@@ -10,7 +10,6 @@
 constexpr Whole Port {1, 65'535};
 constexpr Whole Count {1, 10'000'000};
 constexpr Real Ratio {0, 100};
-constexpr Real Share {0.05, 0.95};
 constexpr Real Slack {0, 1'000'000};
 
 constexpr auto EntryFields = std::make_tuple(
@@ -27,7 +26,6 @@
     optional("secondSendRatio", &EntrySettings::secondSendRatio_, Ratio),
     optional("secondSendSlack", &EntrySettings::secondSendSlack_, Slack),
     optional("secondSendWindowSeconds", &EntrySettings::secondSendWindowSeconds_, Seconds),
-    optional("expectedPrefillShare", &EntrySettings::expectedPrefillShare_, Share),
     optional("linkMbps", &EntrySettings::linkMbps_, Slack),
     optional("maxDescriptors", &EntrySettings::maxDescriptors_, Count),
     optional("logLevel", &EntrySettings::logLevel_, choice(LogLevelNames)));
--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -4,7 +4,8 @@
  *
  * Demand is counted in engines kept busy. The split follows the demand of two windows: the short
  * one sees a turn of the mix, the long one keeps a burst from moving engines that cost seconds to
- * move. Before the first request an expected split is used, since engines change for nothing then.
+ * move. Before the first request the split of a typical load is used, since engines change for
+ * nothing then.
  */
 #pragma once
 
@@ -18,8 +19,6 @@
 
 struct StagePlanSettings
 {
-    /** Share of the engines that read prompts until a demand is known. */
-    double expectedPrefillShare_ = 0.66;
     /** A change is made for a difference of at least this share of the engines. */
     double leastDifference_ = 0.17;
     /** Engines that may be away at once while there is traffic, as a share of all. */
@@ -37,6 +36,12 @@
     double decodeSeconds_ = 0;
 };
 
+/**
+ * Share of the engines that read prompts under a typical load, by the requests that one engine
+ * generates for at once.
+ */
+double typicalPrefillShare(int slots);
+
 struct StageChange
 {
     EndpointId engine_;
@@ -55,7 +60,7 @@
     /** The engine refused: another order is in progress, or it took one since. */
     void onRefused(const EndpointId &engine, TimePoint now);
     /** How many engines should read prompts, of count. */
-    int wantedPrefill(int count, TimePoint now) const;
+    int wantedPrefill(int count, int slots, TimePoint now) const;
     /** How long prompts wait at the engines of a stage, in milliseconds, as last looked at. */
     double waitMillis(Stage stage) const noexcept
     {
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -97,8 +97,7 @@
         logEvent(LogLevel::Debug, "demand",
                  {{"service", service.value()},
                   {"prefill_s", demand.prefillSeconds_},
-                  {"decode_s", demand.decodeSeconds_},
-                  {"wanted_of_18", planOf(service).wantedPrefill(18, now)}});
+                  {"decode_s", demand.decodeSeconds_}});
     }
     for (const ServiceTraits &service : gateway_.config()->services()) {
         if (!service.engine_ || !authority_.right(now)) {
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -6,6 +6,15 @@
 namespace almondridge::gateway {
 namespace {
 
+/**
+ * A request of a conversation: some 2,000 tokens that are not cached, read at 50 a millisecond, and
+ * 100 tokens generated at eight milliseconds each, in a slot that is taken meanwhile. Nothing that
+ * the list of engines tells is a better ground before the first request: their stages are as the
+ * last load left them.
+ */
+constexpr double TypicalReadMillis = 40;
+constexpr double TypicalGenerateMillis = 800;
+
 /** Demand of less engine time than this in a window says nothing of the mix. */
 constexpr double LeastDemandSeconds = 0.5;
 /**
@@ -100,12 +109,18 @@
     longWindow_.add(demand, now);
 }
 
-int StagePlan::wantedPrefill(int count, TimePoint now) const
+double typicalPrefillShare(int slots)
+{
+    const double generate = TypicalGenerateMillis / std::max(1, slots);
+    return TypicalReadMillis / (TypicalReadMillis + generate);
+}
+
+int StagePlan::wantedPrefill(int count, int slots, TimePoint now) const
 {
-    const double expected = settings_.expectedPrefillShare_;
+    const double expected = typicalPrefillShare(slots);
     const double inLong = longWindow_.prefillShare(now, expected);
     const double inShort = shortWindow_.prefillShare(now, inLong);
-    // Toward the expected split where the windows disagree: one of them sees a burst.
+    // Toward the typical split where the windows disagree: one of them sees a burst.
     const double low = std::min(inLong, inShort);
     const double high = std::max(inLong, inShort);
     const double share = std::clamp(expected, low, high);
@@ -177,7 +192,7 @@
         prefill += order.stage_ == Stage::Prefill ? 1 : -1;
     }
     const bool idle = longWindow_.prefillShare(now, -1) < 0;
-    const int wanted = wantedPrefill(count, now);
+    const int wanted = wantedPrefill(count, engines.front()->listed_.slots_, now);
     const int least =
         std::max(1, static_cast<int>(std::lround(settings_.leastDifference_ * count)));
     const int difference = std::abs(wanted - prefill);
