--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -10,6 +10,7 @@
 #include "almondridge/base/time.h"
 #include "almondridge/gateway/failurerates.h"
 #include "almondridge/gateway/promptqueue.h"
+#include "almondridge/gateway/slotuse.h"
 #include "almondridge/net/http.h"
 
 #include <array>
@@ -69,6 +70,8 @@
 
     int outstanding_ = 0;       ///< Requests of ours without a whole answer, of this lifetime.
     int openSends_ = 0;         ///< The same of all lifetimes: the entry is needed until they end.
+    SlotUse slotUse_;           ///< By this instance's requests; of engines that generate.
+    SlotUse foreignSlotUse_;    ///< By the other instances', as they told.
     PromptQueue queued_;        ///< Of this instance's requests.
     PromptQueue foreignQueued_; ///< Of the other instances', as they told.
     double readingSpeed_ = 1;   ///< Against the usual rate, as measured.
@@ -156,7 +159,7 @@
     void onRead(const EndpointId &id, int urgency, std::int64_t promptTokens);
     /** It read this many tokens, its queue included, in the time. */
     void onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds);
-    void onClosed(const EndpointId &id);
+    void onClosed(const EndpointId &id, int urgency);
     /** The same for a request that was sent before the endpoint restarted. */
     void onClosedOfEarlierLifetime(const EndpointId &id);
     void onLoad(const EndpointId &id, const LoadSample &load, TimePoint now);
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -54,8 +54,10 @@
     std::vector<PromptMemory::Key> takeReadParts();
     /** The same as another instance told. */
     void onPartsTold(const std::vector<PromptMemory::Key> &parts);
-    /** What callers asked of each service's engines since the last call. */
-    std::map<ServiceId, StageDemand> takeDemand();
+    /** What this instance's callers asked of each service's engines in the last seconds. */
+    std::map<ServiceId, StageDemand> demand() const;
+    /** The demand with what requests of the service cost, as this instance has learnt. */
+    StageLoad stageLoad(const ServiceId &service, const StageDemand &demand) const;
     /** What requests came to, for the metrics page; the owner adds its own. */
     observe::Metrics &metrics() noexcept;
     /** Second sends that are left now, for each service. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -33,6 +33,8 @@
     {
         return leadership_.mayLead_() && (leadership_.leads_() || loads_.leads(self_));
     }
+    /** What this instance and its peers are asked for, in engines kept busy. */
+    StageDemand demand(const ServiceId &service) const;
     /** An engine carries out an order of this instance's until about then: peers are told at once.
      */
     void onOrder(const EndpointId &engine, TimePoint until);
--- a/libs/gateway/include/almondridge/gateway/peerload.h
+++ b/libs/gateway/include/almondridge/gateway/peerload.h
@@ -10,6 +10,7 @@
 
 #include "almondridge/base/ids.h"
 #include "almondridge/base/time.h"
+#include "almondridge/gateway/demandmeter.h"
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/promptmemory.h"
 
@@ -31,8 +32,12 @@
     bool mayLead_ = false; ///< The sender could give orders: it reaches the store.
     bool leads_ = false;   ///< It has the right to give orders.
     std::map<EndpointId, PromptQueue> queued_ {};
+    /** Requests of the sender at engines that generate. */
+    std::map<EndpointId, SlotUse> slotUse_ {};
     /** Requests of the sender that came to nothing lately, a count that fades, by endpoint. */
     std::map<EndpointId, double> failures_ {};
+    /** What the sender's callers ask of each service's engines. */
+    std::map<ServiceId, StageDemand> demand_ {};
     /** Endpoints that the sender could not reach a moment ago. */
     std::vector<EndpointId> unreached_ {};
     /** Shared parts that came to engines by the sender lately. */
@@ -57,6 +62,9 @@
      */
     bool leads(const InstanceId &self) const;
 
+    /** What all peers together are asked for. */
+    StageDemand demand(const ServiceId &service) const;
+
 private:
     struct Peer
     {
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -48,6 +48,24 @@
     int priority_ = 0;    ///< Of its route; 0 is the most urgent.
     TimePoint inTime_ {}; ///< The first event is in time until then.
     std::vector<EndpointId> excluded_ {};
+    double slotWaitMillis_ = 0; ///< Once it is read, as far as is known now.
+};
+
+/** What is asked of an engine that generates. */
+struct GeneratorQuery
+{
+    ServiceId service_;
+    DomainId source_; ///< Where the prompt was read.
+    std::vector<EndpointId> excluded_ {};
+    double slotMillis_ = 0; ///< How long a request takes a slot, on average.
+};
+
+struct GeneratorChoice
+{
+    EndpointId engine_;
+    double waitMillis_ = 0;     ///< For a slot, of a request that can be in time still.
+    double lateWaitMillis_ = 0; ///< The same of one that cannot.
+    bool full_ = false; ///< As many wait there as it generates for: late ones would be refused.
 };
 
 class Placement
@@ -58,11 +76,10 @@
     /** nullopt: no endpoint may get the request. */
     std::optional<PromptPlan> planPrompt(const EndpointTable &table, const PromptQuery &query,
                                          TimePoint now) const;
-    /** An engine to generate for a prompt that was read at source. ticket: any number. */
-    std::optional<EndpointId> chooseDecode(const EndpointTable &table, const ServiceId &service,
-                                           const DomainId &source,
-                                           const std::vector<EndpointId> &excluded,
-                                           std::uint64_t ticket, TimePoint now) const;
+    /** An engine to generate for a prompt that was read. ticket: any number. */
+    std::optional<GeneratorChoice> chooseGenerator(const EndpointTable &table,
+                                                   const GeneratorQuery &query,
+                                                   std::uint64_t ticket, TimePoint now) const;
     /** Whether an engine that generates could take one more request, by its last word. */
     bool someGeneratorHasRoom(const EndpointTable &table, const ServiceId &service,
                               const std::vector<EndpointId> &excluded, TimePoint now) const;
--- a/libs/gateway/include/almondridge/gateway/promptqueue.h
+++ b/libs/gateway/include/almondridge/gateway/promptqueue.h
@@ -11,6 +11,13 @@
 /** How urgent a request is for an engine: 0 goes first. */
 inline constexpr int Urgencies = 10;
 
+/**
+ * A request that cannot be in time any more goes behind all that can, whatever its route: served
+ * in the order of arrival, a queue that is longer than an objective makes every request late.
+ * Urgencies from this one on are for requests that are late.
+ */
+inline constexpr int LateUrgencies = Urgencies / 2;
+
 /** Prompt tokens that an engine has still to read, by the urgency of their requests. */
 struct PromptQueue
 {
--- a/libs/gateway/include/almondridge/gateway/stagekeeper.h
+++ b/libs/gateway/include/almondridge/gateway/stagekeeper.h
@@ -30,6 +30,8 @@
 {
     /** Told of each order that an engine took, so that nobody sends it work meanwhile. */
     std::function<void(const EndpointId &engine, TimePoint until)> onOrder_ {};
+    /** What all instances together are asked for. */
+    std::function<StageDemand(const ServiceId &service)> demand_ {};
     InstanceId instance_;
     AuthoritySettings authority_;
     StagePlanSettings plan_;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -138,7 +138,7 @@
                   {"trusted", *evidence == Evidence::Sound ? "yes" : "no"},
                   {"request", facts().requestId_}});
     }
-    gateway_.table_.onClosed(attempt_.endpoint_);
+    gateway_.table_.onClosed(attempt_.endpoint_, attempt_.urgency_);
 }
 
 void Call::cancelAttempt(std::optional<Evidence> evidence)
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -246,6 +246,7 @@
         return;
     }
     ++endpoint->outstanding_;
+    endpoint->slotUse_.add(urgency >= LateUrgencies);
     ++endpoint->openSends_;
     endpoint->recentSends_.add(1, now);
     endpoint->queued_.add(urgency, promptTokens);
@@ -274,13 +275,14 @@
     endpoint->readingSpeed_ += SpeedWeight * (sample / usualRate_ - endpoint->readingSpeed_);
 }
 
-void EndpointTable::onClosed(const EndpointId &id)
+void EndpointTable::onClosed(const EndpointId &id, int urgency)
 {
     Endpoint *endpoint = find(id);
     if (endpoint == nullptr) {
         return;
     }
     --endpoint->outstanding_;
+    endpoint->slotUse_.remove(urgency >= LateUrgencies);
     --endpoint->openSends_;
     if (endpoint->outstanding_ == 0) {
         endpoint->probing_ = false;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -66,9 +66,20 @@
     state_->placement_.onPartsTold(parts);
 }
 
-std::map<ServiceId, StageDemand> Gateway::takeDemand()
+std::map<ServiceId, StageDemand> Gateway::demand() const
 {
-    return std::exchange(state_->demand_, {});
+    const TimePoint now = BootClock::now();
+    std::map<ServiceId, StageDemand> rates;
+    for (const auto &[service, meter] : state_->demand_) {
+        rates[service] = meter.at(now);
+    }
+    return rates;
+}
+
+StageLoad Gateway::stageLoad(const ServiceId &service, const StageDemand &demand) const
+{
+    const RequestCosts &costs = state_->costs_[service];
+    return {demand, costs.readingMillis(1), costs.meanGenerateMillis()};
 }
 
 observe::Metrics &Gateway::metrics() noexcept
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -6,6 +6,7 @@
 #include "almondridge/async/httpserver.h"
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/placement.h"
+#include "almondridge/gateway/requestcosts.h"
 
 #include <map>
 #include <random>
@@ -45,7 +46,8 @@
     std::map<ServiceId, SendBudget> budgets_;
     std::shared_ptr<const Config> config_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
-    std::map<ServiceId, StageDemand> demand_;
+    std::map<ServiceId, DemandMeter> demand_;
+    std::map<ServiceId, RequestCosts> costs_;
     observe::Metrics metrics_;
     std::mt19937_64 random_;
     async::Timer tests_; ///< Of endpoints that could not be reached.
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t WorthTelling = 2'000;
 /** Endpoints that a note names as not reached: a note stays small whatever is cut off. */
 constexpr std::size_t MostUnreachedTold = 48;
+/** Requests that came to or left engines that generate: a twentieth of an engine's slots. */
+constexpr int UsesWorthTelling = 3;
 /** What is left of one failure after a second and a half; less says nothing any more. */
 constexpr double LeastFailuresTold = 0.5;
 /** A failure that peers do not know of yet. */
@@ -111,6 +113,17 @@
     send(currentNote(now), now);
 }
 
+StageDemand LoadExchange::demand(const ServiceId &service) const
+{
+    StageDemand sum = loads_.demand(service);
+    const auto own = gateway_.demand();
+    const auto found = own.find(service);
+    if (found != own.end()) {
+        sum += found->second;
+    }
+    return sum;
+}
+
 LoadNote LoadExchange::currentNote(TimePoint now) const
 {
     LoadNote note;
@@ -129,11 +142,15 @@
         if (endpoint.queued_.all() > 0) {
             note.queued_[id] = endpoint.queued_;
         }
+        if (endpoint.listed_.stage_ == Stage::Decode && endpoint.slotUse_.all() > 0) {
+            note.slotUse_[id] = endpoint.slotUse_;
+        }
         const double failures = endpoint.recentFailures_.at(now);
         if (failures >= LeastFailuresTold) {
             note.failures_[id] = failures;
         }
     }
+    note.demand_ = gateway_.demand();
     note.unreached_ = gateway_.endpoints().unreached(now);
     if (note.unreached_.size() > MostUnreachedTold) {
         note.unreached_.resize(MostUnreachedTold);
@@ -155,6 +172,14 @@
     if (std::any_of(note.failures_.begin(), note.failures_.end(), isNewFailure)) {
         return true;
     }
+    const auto usesDiffer = [&](const auto &one, const auto &other) {
+        int sum = 0;
+        for (const auto &[id, use] : one) {
+            const auto found = other.find(id);
+            sum += std::abs(use.all() - (found != other.end() ? found->second.all() : 0));
+        }
+        return sum >= UsesWorthTelling;
+    };
     const auto differs = [](const auto &one, const auto &other) {
         return std::any_of(one.begin(), one.end(), [&](const auto &entry) {
             const auto found = other.find(entry.first);
@@ -162,7 +187,8 @@
             return std::abs(entry.second.all() - before) >= WorthTelling;
         });
     };
-    return differs(note.queued_, last_.queued_) || differs(last_.queued_, note.queued_);
+    return differs(note.queued_, last_.queued_) || differs(last_.queued_, note.queued_)
+           || usesDiffer(note.slotUse_, last_.slotUse_);
 }
 
 void LoadExchange::tick()
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -45,6 +46,8 @@
     void sendPrefill(const PromptPlan &plan);
     void sendInPlace(const PromptPlan &plan);
     void sendToDecode();
+    TimePoint inTimeUntil() const;
+    std::optional<GeneratorChoice> chooseGenerator(const DomainId &source) const;
     void sendResume();
     void goOn();
     bool engineIsGone() const;
@@ -67,7 +70,7 @@
     void streamEnded();
     void streamBroke(async::ExchangeFailure failure, Evidence evidence);
     void countRead(const PromptPlan &plan);
-    void countGenerated();
+    void countDemand(const EngineTraits &engine, std::int64_t newTokens);
     void passEvents(std::string_view events);
     void giveUp(std::string_view cause);
     void watchStream();
@@ -84,6 +87,7 @@
     bool partsUnknown_ = false;    ///< Whether its shared parts were cached there was a guess.
     bool fetches_ = false;         ///< The attempt is to fetch the prompt that was read elsewhere.
     bool inPlaceOnly_ = false;
+    bool demandCounted_ = false;
     bool silent_ = false; ///< The attempt's engine has said nothing for longer than it should.
     bool begun_ = false;  ///< The answer's head went to the caller.
     bool paused_ = false; ///< The engine is not read, as the caller is slow.
@@ -101,13 +105,26 @@
     query.service_ = input_.service_;
     query.prompt_ = &prompt();
     query.priority_ = route().priority_;
-    query.inTime_ = input_.request_.startedAt_ + millis(route().objectiveMillis_);
+    query.inTime_ = inTimeUntil();
     query.excluded_ = excluded_;
+    const ServiceTraits *service = input_.config_->service(input_.service_);
+    const EngineTraits traits =
+        service != nullptr && service->engine_ ? *service->engine_ : EngineTraits {};
+    const auto generator = chooseGenerator(gateway_.settings_.domain_);
+    if (generator) {
+        query.slotWaitMillis_ = generator->waitMillis_;
+    }
     const auto plan = gateway_.placement_.planPrompt(gateway_.table_, query, now);
+    countDemand(traits, plan ? plan->newTokens_ : prompt().ownTokens());
     if (!plan) {
         giveUp("no-engine");
         return;
     }
+    if (!begun_ && plan->urgency_ >= LateUrgencies && generator && generator->full_) {
+        retryAfterMillis_ = static_cast<std::int64_t>(generator->lateWaitMillis_);
+        giveUp("generators-full");
+        return;
+    }
     if (!begun_ && comesTooLate(*plan, now)) {
         giveUp("no-time");
         return;
@@ -119,35 +136,35 @@
     }
 }
 
-/** The demand that the stages of engines are planned for, in time that one engine is busy. */
 void ModelCall::countRead(const PromptPlan &plan)
 {
-    constexpr double MillisPerSecond = 1'000;
     readTokens_ = plan.newTokens_;
     readEstimateMillis_ = plan.readMillis_;
     aheadTokens_ = plan.aheadTokens_;
     partsUnknown_ = plan.partsUnknown_;
     urgency_ = plan.urgency_;
-    const Endpoint *engine = gateway_.table_.find(plan.prefill_.value_or(plan.decode_));
-    gateway_.demand_[input_.service_].prefillSeconds_ +=
-        static_cast<double>(plan.newTokens_)
-        / gateway_.placement_.readingRate(gateway_.table_, *engine) / MillisPerSecond;
 }
 
-/** A stream takes a slot and its prompt's memory while it runs: whichever is scarcer counts. */
-void ModelCall::countGenerated()
+/**
+ * What the request asks of the engines, whatever becomes of it: also the refused ones are a reason
+ * to change a stage. A stream takes a slot and its prompt's memory while it runs: whichever is
+ * scarcer counts.
+ */
+void ModelCall::countDemand(const EngineTraits &engine, std::int64_t newTokens)
 {
-    const ServiceTraits *service = input_.config_->service(input_.service_);
-    if (service == nullptr || !service->engine_) {
+    constexpr double MillisPerSecond = 1'000;
+    if (std::exchange(demandCounted_, true)) {
         return;
     }
-    const EngineTraits &engine = *service->engine_;
     const double slot = 1.0 / std::max(1, engine.slots_);
     const double memory = engine.kvTokens_ > 0 ? static_cast<double>(prompt().tokens_)
                                                      / static_cast<double>(engine.kvTokens_)
                                                : 0;
-    gateway_.demand_[input_.service_].decodeSeconds_ +=
-        toSeconds(BootClock::now() - attempt_.sentAt_) * std::max(slot, memory);
+    const RequestCosts &costs = gateway_.costs_[input_.service_];
+    gateway_.demand_[input_.service_].onRequest(costs.readingMillis(newTokens) / MillisPerSecond,
+                                                costs.generateMillis(route().name_)
+                                                    / MillisPerSecond * std::max(slot, memory),
+                                                BootClock::now());
 }
 
 /** Tells the caller at once when to come back, and the engine reads for those that stay. */
@@ -195,23 +212,46 @@
 
 void ModelCall::sendToDecode()
 {
-    const auto engine =
-        gateway_.placement_.chooseDecode(gateway_.table_, input_.service_, prefillDomain_,
-                                         excluded_, gateway_.random_(), BootClock::now());
-    if (!engine) {
+    const TimePoint now = BootClock::now();
+    const auto choice = chooseGenerator(prefillDomain_);
+    if (!choice) {
         giveUp("no-engine");
         return;
     }
+    const auto wait = millis(static_cast<std::int64_t>(choice->waitMillis_));
+    const bool late = now + wait > inTimeUntil();
+    if (late && choice->full_ && !begun_) {
+        retryAfterMillis_ = static_cast<std::int64_t>(choice->lateWaitMillis_);
+        giveUp("generators-full");
+        return;
+    }
     phase_ = ModelPhase::Waiting;
     ++runs_;
     SendOrder order;
-    order.urgency_ = std::clamp(route().priority_, 0, Urgencies - 1);
+    order.urgency_ =
+        std::clamp(route().priority_, 0, LateUrgencies - 1) + (late ? LateUrgencies : 0);
     order.prompt_ = handle_;
     fetches_ = true;
-    send(*engine, order, Placement::handoverTokens(prompt()));
+    send(choice->engine_, order, Placement::handoverTokens(prompt()));
     watchStream();
 }
 
+TimePoint ModelCall::inTimeUntil() const
+{
+    return input_.request_.startedAt_ + millis(route().objectiveMillis_);
+}
+
+std::optional<GeneratorChoice> ModelCall::chooseGenerator(const DomainId &source) const
+{
+    GeneratorQuery query;
+    query.service_ = input_.service_;
+    query.source_ = source;
+    query.excluded_ = excluded_;
+    query.slotMillis_ = gateway_.costs_[input_.service_].meanGenerateMillis();
+    return gateway_.placement_.chooseGenerator(gateway_.table_, query, gateway_.random_(),
+                                               BootClock::now());
+}
+
 /** Goes on at another engine after the last event that the caller got. */
 void ModelCall::sendResume()
 {
@@ -334,6 +374,9 @@
     readAt_ = BootClock::now();
     handle_ = PromptHandle {engine->listed_.address_, handle};
     const auto tookMillis = static_cast<double>(toMillis(readAt_ - attempt_.sentAt_));
+    if (aheadTokens_ == 0 && !partsUnknown_) {
+        gateway_.costs_[input_.service_].onReadAlone(readTokens_, tookMillis);
+    }
     if (partsUnknown_) {
         gateway_.placement_.onUnknownRead(gateway_.table_, *engine, prompt(), aheadTokens_,
                                           tookMillis);
@@ -405,7 +448,10 @@
     if (!begun_ || !rest.empty()) {
         passEvents(rest);
     }
-    countGenerated();
+    if (firstByteAt_ >= attempt_.sentAt_) {
+        gateway_.costs_[input_.service_].onGenerated(
+            route().name_, static_cast<double>(toMillis(BootClock::now() - firstByteAt_)));
+    }
     closeAttempt(Evidence::Sound);
     gateway_.server_.endStream(input_.request_.id_);
     finish(Outcome::Answered, 200, "");
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -20,6 +20,10 @@
 
 /** Counts of failures fade and are no whole numbers: they are told in tenths. */
 constexpr double FailureParts = 10;
+/** More requests at one engine are no instance's: sums must not overflow. */
+constexpr int MostUseTold = 100'000;
+/** Demand is told in thousandths of an engine: each of hundreds of instances has little. */
+constexpr double DemandParts = 1'000;
 
 /** Tokens by urgency, without the zeros at the end. */
 Json encodeQueue(const PromptQueue &queue)
@@ -64,13 +68,22 @@
     for (const auto &[endpoint, count] : note.failures_) {
         failures[endpoint.value()] = std::llround(count * FailureParts);
     }
+    Json slotUse = Json::object();
+    for (const auto &[endpoint, use] : note.slotUse_) {
+        slotUse[endpoint.value()] = {use.inTime_, use.late_};
+    }
+    Json demand = Json::object();
+    for (const auto &[service, busy] : note.demand_) {
+        demand[service.value()] = {std::llround(busy.readers_ * DemandParts),
+                                   std::llround(busy.generators_ * DemandParts)};
+    }
     Json unreached = Json::array();
     for (const EndpointId &endpoint : note.unreached_) {
         unreached.push_back(endpoint.value());
     }
     const Json json =
         Json::array({note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, note.leads_,
-                     queued, changing, unreached, failures, note.readParts_});
+                     queued, changing, unreached, failures, note.readParts_, demand, slotUse});
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -79,12 +92,12 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 10;
+    constexpr std::size_t Fields = 12;
     const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
                         && json[1].is_number_unsigned() && json[2].is_number_unsigned()
                         && json[3].is_boolean() && json[4].is_boolean() && json[5].is_object()
                         && json[6].is_object() && json[7].is_array() && json[8].is_object()
-                        && json[9].is_array();
+                        && json[9].is_array() && json[10].is_object() && json[11].is_object();
     if (!shaped) {
         return std::nullopt;
     }
@@ -119,6 +132,22 @@
         }
         note.failures_[EndpointId(endpoint)] = count.get<double>() / FailureParts;
     }
+    for (const auto &[endpoint, use] : json[11].items()) {
+        if (!use.is_array() || use.size() != 2 || !use[0].is_number_unsigned()
+            || !use[1].is_number_unsigned()) {
+            return std::nullopt;
+        }
+        note.slotUse_[EndpointId(endpoint)] = {std::min(use[0].get<int>(), MostUseTold),
+                                               std::min(use[1].get<int>(), MostUseTold)};
+    }
+    for (const auto &[service, busy] : json[10].items()) {
+        if (!busy.is_array() || busy.size() != 2 || !busy[0].is_number_unsigned()
+            || !busy[1].is_number_unsigned()) {
+            return std::nullopt;
+        }
+        note.demand_[ServiceId(service)] = {busy[0].get<double>() / DemandParts,
+                                            busy[1].get<double>() / DemandParts};
+    }
     for (const Json &part : json[9]) {
         if (!part.is_number_unsigned()) {
             return std::nullopt;
@@ -135,6 +164,11 @@
             endpoint->foreignQueued_.add(queue);
         }
     }
+    for (const auto &[id, use] : note.slotUse_) {
+        if (Endpoint *endpoint = table.find(id)) {
+            endpoint->foreignSlotUse_.add(use);
+        }
+    }
     for (const auto &[id, failures] : note.failures_) {
         if (Endpoint *endpoint = table.find(id)) {
             endpoint->toldFailures_ += failures;
@@ -149,6 +183,11 @@
             endpoint->foreignQueued_.remove(queue);
         }
     }
+    for (const auto &[id, use] : note.slotUse_) {
+        if (Endpoint *endpoint = table.find(id)) {
+            endpoint->foreignSlotUse_.remove(use);
+        }
+    }
     for (const auto &[id, failures] : note.failures_) {
         if (Endpoint *endpoint = table.find(id)) {
             // Never below zero: the endpoint may have been listed after the note.
@@ -177,6 +216,18 @@
     }
 }
 
+StageDemand PeerLoads::demand(const ServiceId &service) const
+{
+    StageDemand sum;
+    for (const auto &[id, peer] : peers_) {
+        const auto found = peer.note_.demand_.find(service);
+        if (found != peer.note_.demand_.end()) {
+            sum += found->second;
+        }
+    }
+    return sum;
+}
+
 bool PeerLoads::leads(const InstanceId &self) const
 {
     const auto rank = [](const InstanceId &id) {
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -26,13 +26,6 @@
 /** How long a load told by an answer says something of the queue now. */
 constexpr Duration LoadIsFresh = millis(400);
 
-/**
- * A prompt that cannot be read in time any more goes behind all that can, whatever its route: read
- * in the order of arrival, a queue that is longer than an objective makes every request late.
- * Urgencies from this one on are for prompts that are late.
- */
-constexpr int LateUrgencies = Urgencies / 2;
-
 /**
  * Engines that may read one part: the first of its order, and as many more when that one's queue
  * is long. Each copy of a part takes memory from the other parts; without a bound a loaded fleet
@@ -72,6 +65,14 @@
     return busy / slots;
 }
 
+/** The same of an engine that generates, of which the other instances tell. */
+double generatorFullness(const Endpoint &endpoint, TimePoint now)
+{
+    const int slots = std::max(1, endpoint.listed_.slots_);
+    const int told = endpoint.slotUse_.all() + endpoint.foreignSlotUse_.all();
+    return std::max(static_cast<double>(told) / slots, fullness(endpoint, now));
+}
+
 /**
  * The endpoint that costs least. Among equals the ticket decides: in the order of their ids all
  * instances would send to the first idle one.
@@ -221,8 +222,8 @@
     };
     const int inTime = std::clamp(query.priority_, 0, LateUrgencies - 1);
     const Offer best = bestAt(inTime);
-    const auto left =
-        static_cast<double>(toMillis(query.inTime_ - now) - settings_.handoverMillis_);
+    const auto left = static_cast<double>(toMillis(query.inTime_ - now) - settings_.handoverMillis_)
+                      - query.slotWaitMillis_;
     return best.engine_ == nullptr || best.millis_ <= left ? best : bestAt(LateUrgencies + inTime);
 }
 
@@ -267,10 +268,9 @@
     return plan;
 }
 
-std::optional<EndpointId> Placement::chooseDecode(const EndpointTable &table,
-                                                  const ServiceId &service, const DomainId &source,
-                                                  const std::vector<EndpointId> &excluded,
-                                                  std::uint64_t ticket, TimePoint now) const
+std::optional<GeneratorChoice> Placement::chooseGenerator(const EndpointTable &table,
+                                                          const GeneratorQuery &query,
+                                                          std::uint64_t ticket, TimePoint now) const
 {
     // Moving a prompt between failure domains takes twice as long and is dearer: another domain's
     // engine is taken when ours is fuller by a quarter of its slots.
@@ -278,17 +278,27 @@
     // Prompts that wait for their first event there count like a full engine from this wait on,
     // in milliseconds: an engine whose links are slow has few requests, and each takes a second.
     constexpr double WaitOfAFullEngine = 100;
-    std::vector<const Endpoint *> engines = table.usable(service, now);
-    removeExcluded(engines, excluded);
+    std::vector<const Endpoint *> engines = table.usable(query.service_, now);
+    removeExcluded(engines, query.excluded_);
     std::erase_if(engines,
                   [](const Endpoint *one) { return one->listed_.stage_ == Stage::Prefill; });
     const Endpoint *best = cheapest(engines, ticket, [&](const Endpoint &one) {
         const double waitMillis = static_cast<double>(one.queued_.all() + one.foreignQueued_.all())
                                   / readingRate(table, one);
-        return fullness(one, now) + waitMillis / WaitOfAFullEngine
-               + (one.listed_.domain_ == source ? 0 : OtherDomainCost);
+        return generatorFullness(one, now) + waitMillis / WaitOfAFullEngine
+               + (one.listed_.domain_ == query.source_ ? 0 : OtherDomainCost);
     });
-    return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    SlotUse use = best->slotUse_;
+    use.add(best->foreignSlotUse_);
+    const int slots = std::max(1, best->listed_.slots_);
+    const auto wait = [&](int before) {
+        return std::max(0, before + 1 - slots) * query.slotMillis_ / slots;
+    };
+    return GeneratorChoice {best->listed_.id_, wait(use.inTime_), wait(use.all()),
+                            use.all() >= 2 * slots};
 }
 
 bool Placement::someGeneratorHasRoom(const EndpointTable &table, const ServiceId &service,
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -92,19 +92,22 @@
     if (gateway_.config() == nullptr) {
         return;
     }
-    for (const auto &[service, demand] : gateway_.takeDemand()) {
-        planOf(service).onDemand(demand, now);
-        logEvent(LogLevel::Debug, "demand",
-                 {{"service", service.value()},
-                  {"prefill_s", demand.prefillSeconds_},
-                  {"decode_s", demand.decodeSeconds_}});
-    }
     for (const ServiceTraits &service : gateway_.config()->services()) {
-        if (!service.engine_ || !authority_.right(now)) {
+        if (!service.engine_) {
+            continue;
+        }
+        StagePlan &plan = planOf(service.id_);
+        plan.watch(gateway_.endpoints(), service.id_,
+                   gateway_.stageLoad(service.id_, settings_.demand_(service.id_)), now);
+        if (!authority_.right(now)) {
             continue;
         }
-        for (const StageChange &change :
-             planOf(service.id_).plan(gateway_.endpoints(), service.id_, now)) {
+        for (const StageChange &change : plan.plan(gateway_.endpoints(), service.id_, now)) {
+            logEvent(LogLevel::Info, "stage_change",
+                     {{"engine", change.engine_.value()},
+                      {"stage", nameOf(StageNames, change.stage_)},
+                      {"readers_busy", plan.peak().readers_},
+                      {"generators_busy", plan.peak().generators_}});
             readEngine(service.id_, change);
         }
     }
@@ -173,8 +176,7 @@
              {{"engine", change.engine_.value()},
               {"stage", nameOf(StageNames, change.stage_)},
               {"fence", right->fence_},
-              {"expect", report.orders_},
-              {"wait_ms", planOf(service).waitMillis(change.stage_)}});
+              {"expect", report.orders_}});
     const StageOrder order {engine->listed_.address_,    change.engine_, change.stage_,
                             settings_.instance_.value(), right->fence_,  report.orders_};
     // Without an answer it may still be carried out; the number of orders that it expects makes
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace almondridge::gateway {
 namespace {
@@ -15,118 +16,133 @@
 constexpr double TypicalReadMillis = 40;
 constexpr double TypicalGenerateMillis = 800;
 
-/** Demand of less engine time than this in a window says nothing of the mix. */
-constexpr double LeastDemandSeconds = 0.5;
+/** Less than this much of an engine's time says nothing of the mix. */
+constexpr double LeastDemand = 0.02;
 /**
  * At a start the list of engines fills within their heartbeats; a split worked out on the first
  * few of them orders some engines forth and back.
  */
 constexpr Duration SettleTime = millis(1'500);
-/** Both stages keep at least this share of the engines, so that a turn of the mix finds some. */
-constexpr double LeastStageShare = 0.17;
-
 /**
- * How much of an engine's time can be used before requests wait for each other for longer than a
- * first token may take. Reading is done one prompt after the other; generating engines that run
- * out of memory throw out requests that they had begun.
+ * Below this use of the busier stage nobody waits for long, and a change would only take an engine
+ * away.
+ */
+constexpr double UseWorthAnOrder = 0.4;
+/**
+ * A change has to take this share off the use of the busier stage: demand is an estimate, and an
+ * engine that changes is away for seconds and comes back with an empty cache.
  */
-constexpr double UsablePrefill = 0.5;
-constexpr double UsableDecode = 0.3;
+constexpr double GainWorthAnOrder = 0.12;
 
 /**
- * While there is traffic engines change only for a stage whose prompts wait this long on average:
- * half of the tightest objective. A change takes an engine away for seconds, throws its cached
- * parts away and moves others' homes: 45 changes of 90 engines after a release, for a share that
- * was only off the expected one, cost a sixth of the day (worth 0.593 against 0.766).
+ * For so long after the first request nothing is changed: while caches are empty each shared part
+ * is read for the first time, and reading seems to take twice the engines that it takes later.
  */
-constexpr double WaitWorthAnOrder = 150;
-/** Waits are smoothed over this time: a burst of a second is over before a change is. */
-constexpr double WaitWindowSeconds = 2;
+constexpr Duration FirstLook = millis(6'000);
+/**
+ * And for so long no generating engine is made to read: bursts of long answers may not have come
+ * yet. Two of four were taken after eight seconds, and the first burst filled the memory of the
+ * others, which put back what they had begun; prompts that wait cost less.
+ */
+constexpr Duration LookForReaders = millis(16'000);
+/** Of this many engines or more each stage keeps two: with one, its crash stops everything. */
+constexpr int EnginesForTwoEach = 6;
 
-double decay(double lengthSeconds, TimePoint from, TimePoint now)
+/** How busy the busier one of the two stages is; infinite when it has no engine. */
+double busiest(int prefill, int decode, const StageDemand &demand)
 {
-    return std::exp(-toSeconds(now - from) / lengthSeconds);
+    const auto use = [](double busy, int engines) {
+        return engines > 0 ? busy / engines : std::numeric_limits<double>::infinity();
+    };
+    return std::max(use(demand.readers_, prefill), use(demand.generators_, decode));
 }
 
 /**
- * Until an engine of the stage has read what it has queued, on average. Of engines that get no
- * work at the moment the queue says nothing: what is stuck there would ask for changes elsewhere.
+ * Under traffic engines change only for a stage whose requests wait so long on average. A change
+ * takes an engine away for seconds, throws its cached parts away and moves others' homes: with
+ * changes for the demand alone a calm day of one deployment fell from 0.85 to 0.72. A prompt that
+ * waits behind one other one waits 100 ms or 200 anyway; a request that waits for a slot does so
+ * only where engines are full.
  */
-double meanWaitMillis(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
-                      Stage stage)
+constexpr double ReadWaitWorthAnOrder = 300;
+constexpr double SlotWaitWorthAnOrder = 50;
+/** Peaks are remembered for about this long: some swings of the mix. */
+constexpr double PeakSeconds = 30;
+/** Waits are smoothed over this time: a burst of a second is over before a change is. */
+constexpr double WaitWindowSeconds = 2;
+
+/**
+ * Until an engine that reads has read what it has queued, on average. Of engines that get no work
+ * at the moment the queue says nothing: what is stuck there would ask for changes elsewhere.
+ */
+double meanReadWait(const std::vector<const Endpoint *> &engines, double millisPerToken)
 {
     std::int64_t queued = 0;
     int count = 0;
     for (const Endpoint *engine : engines) {
-        if (engine->listed_.stage_ == stage) {
+        if (engine->listed_.stage_ == Stage::Prefill) {
             queued += engine->queued_.all() + engine->foreignQueued_.all();
             ++count;
         }
     }
-    return count > 0 ? static_cast<double>(queued) / table.usualRate() / count : 0;
+    return count > 0 ? millisPerToken * static_cast<double>(queued) / count : 0;
 }
 
-int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
+/** Until a request gets a slot of an engine that generates, on average. */
+double meanSlotWait(const std::vector<const Endpoint *> &engines, double slotMillis)
 {
-    return static_cast<int>(
-        std::count_if(engines.begin(), engines.end(),
-                      [&](const Endpoint *engine) { return engine->listed_.stage_ == stage; }));
+    double wait = 0;
+    int count = 0;
+    for (const Endpoint *engine : engines) {
+        if (engine->listed_.stage_ == Stage::Decode) {
+            const int use = engine->slotUse_.all() + engine->foreignSlotUse_.all();
+            const int slots = std::max(1, engine->listed_.slots_);
+            wait += slotMillis * std::max(0, use - slots) / slots;
+            ++count;
+        }
+    }
+    return count > 0 ? wait / count : 0;
 }
 
-} // namespace
-
-StagePlan::Window::Window(std::int64_t lengthMillis)
-    : lengthSeconds_(toSeconds(millis(lengthMillis)))
-{ }
-
-void StagePlan::Window::add(const StageDemand &demand, TimePoint now)
+int leastOfAStage(int count)
 {
-    const double kept = at_ == TimePoint {} ? 0 : decay(lengthSeconds_, at_, now);
-    sum_.prefillSeconds_ = kept * sum_.prefillSeconds_ + demand.prefillSeconds_;
-    sum_.decodeSeconds_ = kept * sum_.decodeSeconds_ + demand.decodeSeconds_;
-    at_ = now;
+    return count >= EnginesForTwoEach ? 2 : 1;
 }
 
-double StagePlan::Window::prefillShare(TimePoint now, double otherwise) const
+int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
 {
-    const double prefill = sum_.prefillSeconds_ / UsablePrefill;
-    const double whole = prefill + sum_.decodeSeconds_ / UsableDecode;
-    if (at_ == TimePoint {} || whole * decay(lengthSeconds_, at_, now) < LeastDemandSeconds) {
-        return otherwise;
-    }
-    return prefill / whole;
+    return static_cast<int>(
+        std::count_if(engines.begin(), engines.end(),
+                      [&](const Endpoint *engine) { return engine->listed_.stage_ == stage; }));
 }
 
+} // namespace
+
 StagePlan::StagePlan(StagePlanSettings settings)
     : settings_(settings)
-    , shortWindow_(settings.shortWindowMillis_)
-    , longWindow_(settings.longWindowMillis_)
 { }
 
-void StagePlan::onDemand(const StageDemand &demand, TimePoint now)
-{
-    shortWindow_.add(demand, now);
-    longWindow_.add(demand, now);
-}
-
 double typicalPrefillShare(int slots)
 {
     const double generate = TypicalGenerateMillis / std::max(1, slots);
     return TypicalReadMillis / (TypicalReadMillis + generate);
 }
 
-int StagePlan::wantedPrefill(int count, int slots, TimePoint now) const
+int StagePlan::wantedPrefill(int count, int prefill, const StageDemand &demand)
 {
-    const double expected = typicalPrefillShare(slots);
-    const double inLong = longWindow_.prefillShare(now, expected);
-    const double inShort = shortWindow_.prefillShare(now, inLong);
-    // Toward the typical split where the windows disagree: one of them sees a burst.
-    const double low = std::min(inLong, inShort);
-    const double high = std::max(inLong, inShort);
-    const double share = std::clamp(expected, low, high);
-    const int least = std::max(1, static_cast<int>(std::lround(LeastStageShare * count)));
-    return std::clamp(static_cast<int>(std::lround(share * count)), least,
-                      std::max(least, count - least));
+    const int least = leastOfAStage(count);
+    int best = std::clamp(prefill, least, count - least);
+    const double now = busiest(prefill, count - prefill, demand);
+    double lowest = now;
+    for (int wanted = least; wanted <= count - least; ++wanted) {
+        const double use = busiest(wanted, count - wanted, demand);
+        if (use < lowest) {
+            best = wanted;
+            lowest = use;
+        }
+    }
+    const bool worthIt = now >= UseWorthAnOrder && lowest <= (1 - GainWorthAnOrder) * now;
+    return worthIt ? best : std::clamp(prefill, least, count - least);
 }
 
 /** The engine to change: of the domain with most of its stage, and there the least busy one. */
@@ -151,14 +167,32 @@
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
-void StagePlan::watchWaits(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
-                           TimePoint now)
+void StagePlan::watch(const EndpointTable &table, const ServiceId &service, const StageLoad &load,
+                      TimePoint now)
 {
+    const double passed = watchedAt_ == TimePoint {} ? 0 : toSeconds(now - watchedAt_);
     const double weight =
-        watchedAt_ == TimePoint {} ? 1 : 1 - decay(WaitWindowSeconds, watchedAt_, now);
+        watchedAt_ == TimePoint {} ? 1 : 1 - std::exp(-passed / WaitWindowSeconds);
     watchedAt_ = now;
-    prefillWait_.add(meanWaitMillis(table, engines, Stage::Prefill), weight);
-    decodeWait_.add(meanWaitMillis(table, engines, Stage::Decode), weight);
+    const std::vector<const Endpoint *> engines = table.usable(service, now);
+    prefillWait_.add(meanReadWait(engines, load.millisPerToken_), weight);
+    decodeWait_.add(meanSlotWait(engines, load.slotMillis_), weight);
+    const double kept = std::exp(-passed / PeakSeconds);
+    peak_.readers_ = std::max(kept * peak_.readers_, load.demand_.readers_);
+    peak_.generators_ = std::max(kept * peak_.generators_, load.demand_.generators_);
+    idle_ = load.demand_.all() < LeastDemand;
+    if (!idle_ && !sawDemand_) {
+        sawDemand_ = true;
+        demandSince_ = now;
+    }
+}
+
+bool StagePlan::isWorthIt(bool toRead, TimePoint now) const
+{
+    if (!toRead) {
+        return decodeWait_.millis_ >= SlotWaitWorthAnOrder && now - demandSince_ >= FirstLook;
+    }
+    return prefillWait_.millis_ >= ReadWaitWorthAnOrder && now - demandSince_ >= LookForReaders;
 }
 
 bool StagePlan::settled(int count, TimePoint now)
@@ -182,7 +216,6 @@
                || engine->listed_.stage_ == entry.second.stage_
                || engine->lifetime_ != entry.second.lifetime_;
     });
-    watchWaits(table, table.usable(service, now), now);
     const int count = static_cast<int>(engines.size());
     if (count < 2 || !settled(count, now)) {
         return {};
@@ -191,20 +224,20 @@
     for (const auto &[id, order] : ordered_) {
         prefill += order.stage_ == Stage::Prefill ? 1 : -1;
     }
-    const bool idle = longWindow_.prefillShare(now, -1) < 0;
-    const int wanted = wantedPrefill(count, engines.front()->listed_.slots_, now);
-    const int least =
-        std::max(1, static_cast<int>(std::lround(settings_.leastDifference_ * count)));
-    const int difference = std::abs(wanted - prefill);
-    if (difference == 0 || (!idle && difference < least && ordered_.empty())) {
-        return {};
+    if (idle_ && sawDemand_) {
+        return {}; // A pause says nothing of the mix that comes after it.
     }
-    const double wait = waitMillis(wanted > prefill ? Stage::Prefill : Stage::Decode);
+    const int slots = engines.front()->listed_.slots_;
+    const int typical = static_cast<int>(std::lround(typicalPrefillShare(slots) * count));
+    const int least = leastOfAStage(count);
+    const int wanted =
+        idle_ ? std::clamp(typical, least, count - least) : wantedPrefill(count, prefill, peak_);
+    const int difference = std::abs(wanted - prefill);
     const bool stageIsEmpty = prefill == 0 || prefill == count;
-    if (!idle && !stageIsEmpty && wait < WaitWorthAnOrder) {
+    if (!idle_ && !stageIsEmpty && !isWorthIt(wanted > prefill, now)) {
         return {};
     }
-    const int room = idle ? count : std::max(1, static_cast<int>(settings_.awayShare_ * count));
+    const int room = idle_ ? count : std::max(1, static_cast<int>(settings_.awayShare_ * count));
     std::vector<StageChange> changes;
     const Stage to = wanted > prefill ? Stage::Prefill : Stage::Decode;
     const Stage from = wanted > prefill ? Stage::Decode : Stage::Prefill;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -1,46 +1,17 @@
+#include "enginefleet.h"
+
 #include "almondridge/gateway/peerload.h"
 #include "almondridge/gateway/placement.h"
-#include "almondridge/gateway/stageplan.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 using namespace almondridge;
 using namespace almondridge::gateway;
+using namespace almondridge::gateway::testing;
 
 namespace {
 
-const ServiceId Models("models");
-
-TimePoint at(std::int64_t milliseconds)
-{
-    return TimePoint {} + millis(1'000'000 + milliseconds);
-}
-
-ListedEndpoint engine(int number, Stage stage, const std::string &domain = "a")
-{
-    ListedEndpoint listed;
-    listed.id_ = EndpointId("engine-" + std::to_string(number));
-    listed.service_ = Models;
-    listed.address_ = {"127.0.0.1", static_cast<std::uint16_t>(number + 1)};
-    listed.domain_ = DomainId(domain);
-    listed.slots_ = 64;
-    listed.stage_ = stage;
-    return listed;
-}
-
-/** prefill engines that read, then decode engines that generate, over three failure domains. */
-EndpointTable fleet(int prefill, int decode)
-{
-    constexpr std::array<const char *, 3> Domains {"a", "b", "c"};
-    EndpointTable table;
-    for (int number = 0; number < prefill + decode; ++number) {
-        const Stage stage = number < prefill ? Stage::Prefill : Stage::Decode;
-        table.list(engine(number, stage, Domains[number % Domains.size()]), at(0));
-    }
-    return table;
-}
-
 Prompt promptWith(std::uint64_t sharedPart, std::int64_t sharedTokens = 13'000)
 {
     Prompt prompt;
@@ -60,27 +31,6 @@
     return placement.planPrompt(table, query(prompt), at(0));
 }
 
-int countPrefill(const EndpointTable &table)
-{
-    int count = 0;
-    for (const Endpoint *one : table.listed(Models)) {
-        count += one->listed_.stage_ == Stage::Prefill ? 1 : 0;
-    }
-    return count;
-}
-
-/** Carries the plan's orders out at once and says how many there were. */
-int obey(EndpointTable &table, StagePlan &plan, TimePoint now)
-{
-    const auto changes = plan.plan(table, Models, now);
-    for (const StageChange &change : changes) {
-        ListedEndpoint listed = table.find(change.engine_)->listed_;
-        listed.stage_ = change.stage_;
-        table.list(listed, now);
-    }
-    return static_cast<int>(changes.size());
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Endpoints)
@@ -104,7 +54,7 @@
     table.onSent(id, 0, 0, at(0));
     table.unlist(id);
     BOOST_TEST((table.find(id) != nullptr));
-    table.onClosed(id);
+    table.onClosed(id, 0);
     BOOST_TEST((table.find(id) == nullptr));
 }
 
@@ -248,7 +198,7 @@
         for (int request = 0; request < 2; ++request) {
             table.onSent(id, 0, 0, at(0));
             table.onEvidence(id, Evidence::Sound, at(0));
-            table.onClosed(id);
+            table.onClosed(id, 0);
         }
     }
     for (int peer = 0; peer < 7; ++peer) {
@@ -566,7 +516,7 @@
     EndpointTable table = fleet(0, 6);
     const Placement placement({DomainId("a")});
     const auto choose = [&] {
-        return *placement.chooseDecode(table, Models, DomainId("b"), {}, 0, at(0));
+        return placement.chooseGenerator(table, {Models, DomainId("b")}, 0, at(0))->engine_;
     };
     BOOST_TEST(table.find(choose())->listed_.domain_.value() == "b");
     for (int request = 0; request < 40; ++request) {
@@ -576,7 +526,6 @@
     BOOST_TEST(table.find(choose())->listed_.domain_.value() != "b");
 }
 
-/** All engines are idle: instances that each take the first one would all take the same one. */
 /**
  * A fifth of the generating engines moves memory eight times as slowly. They run few requests, so
  * they look empty, and each instance meets one of them only every few seconds: their callers
@@ -596,105 +545,56 @@
         loads.onNote(note, table, at(0));
     }
     for (std::uint64_t ticket = 0; ticket < 30; ++ticket) {
-        const auto chosen = placement.chooseDecode(table, Models, DomainId("a"), {}, ticket, at(0));
+        const auto chosen =
+            placement.chooseGenerator(table, {Models, DomainId("a")}, ticket, at(0));
         BOOST_REQUIRE(chosen.has_value());
-        BOOST_TEST(chosen->value() != "engine-0");
+        BOOST_TEST(chosen->engine_.value() != "engine-0");
     }
 }
 
+/** All engines are idle: instances that each take the first one would all take the same one. */
 BOOST_AUTO_TEST_CASE(idleEnginesAreTakenInAnyOrder)
 {
     const EndpointTable table = fleet(0, 9);
     const Placement placement({DomainId("a")});
     std::set<EndpointId> taken;
     for (std::uint64_t ticket = 0; ticket < 9; ++ticket) {
-        taken.insert(*placement.chooseDecode(table, Models, DomainId("b"), {}, ticket, at(0)));
+        taken.insert(
+            placement.chooseGenerator(table, {Models, DomainId("b")}, ticket, at(0))->engine_);
     }
     BOOST_TEST(taken.size() == 3U); // Those of the failure domain that the prompt lies in.
 }
 
-/** Before any traffic the engines take the split of a typical load, all at once. */
-BOOST_AUTO_TEST_CASE(theTypicalSplitIsTakenBeforeTheFirstRequest)
-{
-    EndpointTable table = fleet(6, 12);
-    StagePlan plan({});
-    BOOST_TEST(obey(table, plan, at(-2'000)) == 0); // More engines may be on their way.
-    BOOST_TEST(obey(table, plan, at(0)) == 8);
-    BOOST_TEST(countPrefill(table) == 14);
-    BOOST_TEST(obey(table, plan, at(1'000)) == 0);
-}
-
 /**
- * Sixty engines that generate for 16 requests each. By a share that suited engines with 64 slots
- * 47 of them were made to read, and the other 13 were full before the first second was over.
+ * A burst of short prompts with long answers: more come than the generating engines have slots
+ * for. Served in the order of arrival, each waits until it is just too late, and all are: one
+ * second of a day had 161 of 1,364 in time. Those that cannot be in time have to be told apart.
  */
-BOOST_AUTO_TEST_CASE(enginesWithFewSlotsAreLeftToGenerate)
+BOOST_AUTO_TEST_CASE(aRequestIsToldHowLongItWaitsForASlot)
 {
-    BOOST_TEST(typicalPrefillShare(64) > 0.7);
-    BOOST_TEST(typicalPrefillShare(16) < 0.5);
-    BOOST_TEST(typicalPrefillShare(0) > 0);
-    EndpointTable table;
-    for (int number = 0; number < 60; ++number) {
-        ListedEndpoint listed = engine(number, number < 20 ? Stage::Prefill : Stage::Decode);
-        listed.slots_ = 16;
-        table.list(listed, at(0));
-    }
-    StagePlan plan({});
-    obey(table, plan, at(-2'000));
-    obey(table, plan, at(0));
-    BOOST_TEST(countPrefill(table) == 27);
-}
-
-/**
- * Half of the engines are replaced during the day, and most come back as engines that generate.
- * The share is far from the expected one, but nobody waits for a reader: changing them would take
- * each away for seconds and have their prompts read again. Once prompts wait, engines change.
- */
-BOOST_AUTO_TEST_CASE(enginesChangeUnderTrafficOnlyForAStageWherePromptsWait)
-{
-    EndpointTable table = fleet(24, 36);
-    StagePlan plan({});
-    for (int now = 0; now < 4'000; now += 500) {
-        plan.onDemand({3, 0.2}, at(now));
-        BOOST_TEST(plan.plan(table, Models, at(now)).empty());
-    }
-    for (int number = 0; number < 24; ++number) {
-        table.onSent(EndpointId("engine-" + std::to_string(number)), 1, 20'000, at(4'000));
-    }
-    std::size_t changes = 0;
-    for (int now = 4'000; now < 6'500; now += 500) {
-        plan.onDemand({3, 0.2}, at(now));
-        changes += plan.plan(table, Models, at(now)).size();
-    }
-    BOOST_TEST(changes == 7U); // As many as may be away at once.
-}
-
-/** Engines to change come from all failure domains alike, so that a cut leaves both stages. */
-BOOST_AUTO_TEST_CASE(changesAreSpreadOverFailureDomains)
-{
-    EndpointTable table = fleet(0, 18);
-    StagePlan plan({});
-    obey(table, plan, at(-2'000));
-    obey(table, plan, at(0));
-    std::map<DomainId, int> perDomain;
-    for (const Endpoint *one : table.listed(Models)) {
-        perDomain[one->listed_.domain_] += one->listed_.stage_ == Stage::Prefill ? 1 : 0;
-    }
-    for (const auto &[domain, count] : perDomain) {
-        BOOST_TEST(count >= 4);
-        BOOST_TEST(count <= 5);
+    EndpointTable table = fleet(0, 1);
+    const EndpointId id("engine-0");
+    const Placement placement({DomainId("a")});
+    const auto choose = [&] {
+        return *placement.chooseGenerator(table, {Models, DomainId("a"), {}, 640}, 0, at(0));
+    };
+    BOOST_TEST(choose().waitMillis_ == 0);
+    for (int request = 0; request < 64; ++request) {
+        table.onSent(id, 0, 0, at(0));
     }
-}
-
-/** An engine without an answer to its order is not ordered again until it had the time to act. */
-BOOST_AUTO_TEST_CASE(anEngineHasOneOrderOnItsWay)
-{
-    const EndpointTable table = fleet(6, 12);
-    StagePlan plan({});
-    plan.plan(table, Models, at(-2'000));
-    BOOST_TEST(plan.plan(table, Models, at(0)).size() == 8U);
-    BOOST_TEST(plan.plan(table, Models, at(1'000)).empty());
-    BOOST_TEST(plan.plan(table, Models, at(5'000)).size() == 8U);
+    BOOST_TEST(choose().waitMillis_ == 10); // One of 64 slots gets free each 10 ms.
+    PeerLoads loads;
+    LoadNote note;
+    note.sender_ = InstanceId("peer");
+    note.number_ = 1;
+    note.slotUse_[id] = {20, 44};
+    loads.onNote(*decodeNote(encodeNote(note)), table, at(0));
+    BOOST_TEST(choose().waitMillis_ == 210); // The late ones of the peer wait behind.
+    BOOST_TEST(choose().lateWaitMillis_ == 650);
+    BOOST_TEST(choose().full_);
+    table.onClosed(id, 0);
+    BOOST_TEST(choose().waitMillis_ == 200);
+    BOOST_TEST(!choose().full_);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/gateway/tests/requestcoststest.cpp
@@ -0,0 +1,102 @@
+#include "almondridge/gateway/requestcosts.h"
+#include "almondridge/gateway/demandmeter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace almondridge;
+using namespace almondridge::gateway;
+
+namespace {
+
+TimePoint at(std::int64_t milliseconds)
+{
+    return TimePoint {} + millis(1'000'000 + milliseconds);
+}
+
+/**
+ * Reads of both sizes by an engine with these costs. Of one in four another instance's prompt was
+ * read at the same time.
+ */
+void readSome(RequestCosts &costs, double fixedMillis, double millisPerToken)
+{
+    for (int read = 0; read < 300; ++read) {
+        const std::int64_t tokens = read % 3 == 0 ? 4'000 + 40 * read : 100 + 5 * read;
+        const double shared = read % 4 == 1 ? 1.8 : 1;
+        costs.onReadAlone(tokens, shared * (fixedMillis + millisPerToken * double(tokens)));
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Costs)
+
+/**
+ * Engines that read 15, 40 or 150 tokens a millisecond. By one assumed rate prompts at the slow
+ * ones were late by seconds, and half of the fast ones' time was planned for nobody.
+ */
+BOOST_AUTO_TEST_CASE(theReadingRateOfAnyEngineIsLearnt)
+{
+    for (const double tokensPerMilli : {15.0, 40.0, 150.0}) {
+        RequestCosts costs;
+        BOOST_TEST(costs.readMillis(10'000) > 0); // Sensible before the first read.
+        readSome(costs, 25, 1 / tokensPerMilli);
+        BOOST_TEST(costs.readingMillis(10'000) == 10'000 / tokensPerMilli,
+                   boost::test_tools::tolerance(0.15));
+        BOOST_TEST(costs.readMillis(300) < 25 + 300 / tokensPerMilli + 20);
+    }
+}
+
+/** An engine that stood still for seconds says nothing of how it reads. */
+BOOST_AUTO_TEST_CASE(aStalledReadChangesNothing)
+{
+    RequestCosts costs;
+    readSome(costs, 25, 0.025);
+    const double before = costs.readMillis(5'000);
+    costs.onReadAlone(300, 8'000);
+    costs.onReadAlone(0, 20);
+    BOOST_TEST(costs.readMillis(5'000) == before);
+}
+
+BOOST_AUTO_TEST_CASE(answersOfEachRouteHaveTheirOwnLength)
+{
+    RequestCosts costs;
+    for (int answer = 0; answer < 200; ++answer) {
+        costs.onGenerated("long", 2'000);
+        costs.onGenerated("short", 200);
+    }
+    BOOST_TEST(costs.generateMillis("long") == 2'000);
+    BOOST_TEST(costs.generateMillis("short") == 200);
+    BOOST_TEST(costs.meanGenerateMillis() == 1'100, boost::test_tools::tolerance(0.1));
+    BOOST_TEST(costs.generateMillis("new") > 0);
+}
+
+/** The first second of a day, a steady rate, and the end of it. */
+BOOST_AUTO_TEST_CASE(demandIsTheRateOfTheLastSeconds)
+{
+    DemandMeter meter;
+    BOOST_TEST(meter.at(at(0)).all() == 0);
+    for (int now = 0; now < 30'000; now += 10) {
+        meter.onRequest(0.03, 0.01, at(now));
+        if (now == 2'000 || now == 29'990) {
+            BOOST_TEST(meter.at(at(now)).readers_ == 3, boost::test_tools::tolerance(0.1));
+            BOOST_TEST(meter.at(at(now)).generators_ == 1, boost::test_tools::tolerance(0.1));
+        }
+    }
+    BOOST_TEST(meter.at(at(60'000)).all() < 0.02);
+}
+
+/** A burst of three seconds among quiet ones: its height has to be seen while it lasts. */
+BOOST_AUTO_TEST_CASE(aBurstIsSeenAtNearlyItsHeight)
+{
+    DemandMeter meter;
+    double most = 0;
+    for (int now = 0; now < 12'000; now += 10) {
+        const bool burst = now >= 6'000 && now < 9'000;
+        meter.onRequest(burst ? 0.04 : 0.01, 0, at(now));
+        most = std::max(most, meter.at(at(now)).readers_);
+    }
+    BOOST_TEST(most > 3.2);
+    BOOST_TEST(most < 4.1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
