--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -74,7 +74,7 @@
     SlotUse foreignSlotUse_;    ///< By the other instances', as they told.
     PromptQueue queued_;        ///< Of this instance's requests.
     PromptQueue foreignQueued_; ///< Of the other instances', as they told.
-    double readingSpeed_ = 1;   ///< Against the usual rate, as measured.
+    double readingSpeed_ = 1;   ///< Against what is expected of a usual engine.
     LoadSample load_;
     TimePoint loadAt_ {};
 
@@ -149,16 +149,14 @@
     void setInstances(int count) { instances_ = count; }
     /** Those of a service that are listed and not draining, trusted or not. */
     std::vector<const Endpoint *> listed(const ServiceId &service) const;
-    /** Prompt tokens that an engine usually reads in a millisecond; assumed until measured. */
-    double usualRate() const noexcept;
     const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
 
     /** An order was given to it, or a peer said so. */
     void onChanging(const EndpointId &id, TimePoint until);
     void onSent(const EndpointId &id, int urgency, std::int64_t promptTokens, TimePoint now);
     void onRead(const EndpointId &id, int urgency, std::int64_t promptTokens);
-    /** It read this many tokens, its queue included, in the time. */
-    void onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds);
+    /** A prompt that a usual engine reads in the expected time, its queue included, took this. */
+    void onReadTime(const EndpointId &id, double expectedMillis, double milliseconds);
     void onClosed(const EndpointId &id, int urgency);
     /** The same for a request that was sent before the endpoint restarted. */
     void onClosedOfEarlierLifetime(const EndpointId &id);
@@ -193,7 +191,6 @@
     std::map<EndpointId, Endpoint> endpoints_;
     /** Of endpoints that are forgotten: an entry of before must not bring them back. */
     std::map<EndpointId, std::int64_t> lastStarts_;
-    double usualRate_ = 0; ///< 0: not measured yet.
     int instances_ = 1;
 };
 
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -11,6 +11,7 @@
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/promptmemory.h"
+#include "almondridge/gateway/requestcosts.h"
 
 #include <optional>
 #include <string>
@@ -48,6 +49,7 @@
     int priority_ = 0;    ///< Of its route; 0 is the most urgent.
     TimePoint inTime_ {}; ///< The first event is in time until then.
     std::vector<EndpointId> excluded_ {};
+    const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Of the service's requests.
     double slotWaitMillis_ = 0; ///< Once it is read, as far as is known now.
 };
 
@@ -57,7 +59,7 @@
     ServiceId service_;
     DomainId source_; ///< Where the prompt was read.
     std::vector<EndpointId> excluded_ {};
-    double slotMillis_ = 0; ///< How long a request takes a slot, on average.
+    const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Of the service's requests.
 };
 
 struct GeneratorChoice
@@ -100,10 +102,8 @@
      * How long it took to read a prompt whose shared parts nobody had told of: tells whether they
      * were cached all the same, and so how the next such prompt is estimated.
      */
-    void onUnknownRead(const EndpointTable &table, const Endpoint &engine, const Prompt &prompt,
+    void onUnknownRead(const RequestCosts &costs, const Endpoint &engine, const Prompt &prompt,
                        std::int64_t aheadTokens, double milliseconds);
-    /** The rate at which an engine reads prompts. */
-    double readingRate(const EndpointTable &table, const Endpoint &engine) const;
 
 private:
     struct Offer;
@@ -111,11 +111,12 @@
     std::vector<const Endpoint *> enginesInOrder(const EndpointTable &table,
                                                  const PromptQuery &query, TimePoint now) const;
     Offer offerOf(const Endpoint &engine, const PromptQuery &query, bool mayHold) const;
-    Offer rank(const EndpointTable &table, const Endpoint &engine, const PromptQuery &query,
-               bool mayHold, int urgency) const;
-    Offer bestReader(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
-                     const PromptQuery &query, TimePoint now) const;
-    Offer bestGenerator(const EndpointTable &table, const std::vector<const Endpoint *> &engines,
+    /** The time in which an engine reads a token. */
+    double millisPerToken(const RequestCosts &costs, const Endpoint &engine) const;
+    Offer rank(const Endpoint &engine, const PromptQuery &query, bool mayHold, int urgency) const;
+    Offer bestReader(const std::vector<const Endpoint *> &engines, const PromptQuery &query,
+                     TimePoint now) const;
+    Offer bestGenerator(const std::vector<const Endpoint *> &engines,
                         const PromptQuery &query) const;
 
     PlacementSettings settings_;
--- a/libs/gateway/include/almondridge/gateway/requestcosts.h
+++ b/libs/gateway/include/almondridge/gateway/requestcosts.h
@@ -16,6 +16,10 @@
 class RequestCosts
 {
 public:
+    RequestCosts();
+    /** What is assumed before the first request. */
+    static const RequestCosts &assumed();
+
     /** A prompt was read by an engine that had nothing else to read, in this time. */
     void onReadAlone(std::int64_t tokens, double milliseconds);
     /** Until so many tokens are read by an engine that has nothing else to read. */
@@ -49,9 +53,6 @@
     double fixedMillis_ = 0;
     std::unordered_map<std::string, double> generated_; ///< Milliseconds by route.
     double meanGenerated_ = 0;                          ///< 0: none yet.
-
-public:
-    RequestCosts();
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -41,19 +41,15 @@
 /** An endpoint that answered us within this time is sound, whatever a peer met before. */
 constexpr Duration SoundIsFresh = millis(300);
 
-/** Prompt tokens that one accelerator node reads of a large model in a millisecond. */
-constexpr double AssumedTokensPerMilli = 50;
-/** How much a new measurement counts for the usual rate, and for one engine's own speed. */
-constexpr double UsualRateWeight = 0.02;
+/** How much a new measurement counts for an engine's own speed. */
 constexpr double SpeedWeight = 0.1;
-/** A rate beyond these is a measurement of something else: a stalled engine, or a cache hit. */
-constexpr double LeastTokensPerMilli = 5;
-constexpr double MostTokensPerMilli = 300;
+/** Shorter reads tell fixed costs rather than the speed. */
+constexpr double LeastSampleMillis = 80;
+/** Speeds beyond these are measurements of something else: a stalled engine, or a cached prompt. */
+constexpr double LeastSpeed = 0.1;
+constexpr double MostSpeed = 4;
 /** Forgotten endpoints whose last start is remembered: far more than leave within minutes. */
 constexpr std::size_t RememberedStarts = 2'048;
-/** Fewer tokens tell fixed costs rather than the rate. */
-constexpr std::int64_t LeastSampleTokens = 4'000;
-
 const EvidenceRule &ruleFor(Evidence evidence)
 {
     return *std::find_if(EvidenceRules.begin(), EvidenceRules.end(),
@@ -225,11 +221,6 @@
     return found;
 }
 
-double EndpointTable::usualRate() const noexcept
-{
-    return usualRate_ > 0 ? usualRate_ : AssumedTokensPerMilli;
-}
-
 void EndpointTable::onChanging(const EndpointId &id, TimePoint until)
 {
     Endpoint *endpoint = find(id);
@@ -263,16 +254,14 @@
     }
 }
 
-void EndpointTable::onReadTime(const EndpointId &id, std::int64_t tokens, double milliseconds)
+void EndpointTable::onReadTime(const EndpointId &id, double expectedMillis, double milliseconds)
 {
     Endpoint *endpoint = find(id);
-    if (endpoint == nullptr || tokens < LeastSampleTokens || milliseconds <= 0) {
+    if (endpoint == nullptr || expectedMillis < LeastSampleMillis || milliseconds <= 0) {
         return;
     }
-    const double sample = std::clamp(static_cast<double>(tokens) / milliseconds,
-                                     LeastTokensPerMilli, MostTokensPerMilli);
-    usualRate_ = usualRate_ > 0 ? usualRate_ + UsualRateWeight * (sample - usualRate_) : sample;
-    endpoint->readingSpeed_ += SpeedWeight * (sample / usualRate_ - endpoint->readingSpeed_);
+    const double speed = std::clamp(expectedMillis / milliseconds, LeastSpeed, MostSpeed);
+    endpoint->readingSpeed_ += SpeedWeight * (speed - endpoint->readingSpeed_);
 }
 
 void EndpointTable::onClosed(const EndpointId &id, int urgency)
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -76,6 +76,7 @@
     void watchStream();
     bool isStream() const;
     const Prompt &prompt() const { return *facts().prompt_; }
+    RequestCosts &costs() const { return gateway_.costs_[input_.service_]; }
 
     ModelPhase phase_ = ModelPhase::Idle;
     std::optional<PromptHandle> handle_; ///< Read, and not fetched by an engine as far as we know.
@@ -106,6 +107,7 @@
     query.prompt_ = &prompt();
     query.priority_ = route().priority_;
     query.inTime_ = inTimeUntil();
+    query.costs_ = &costs();
     query.excluded_ = excluded_;
     const ServiceTraits *service = input_.config_->service(input_.service_);
     const EngineTraits traits =
@@ -160,9 +162,8 @@
     const double memory = engine.kvTokens_ > 0 ? static_cast<double>(prompt().tokens_)
                                                      / static_cast<double>(engine.kvTokens_)
                                                : 0;
-    const RequestCosts &costs = gateway_.costs_[input_.service_];
-    gateway_.demand_[input_.service_].onRequest(costs.readingMillis(newTokens) / MillisPerSecond,
-                                                costs.generateMillis(route().name_)
+    gateway_.demand_[input_.service_].onRequest(costs().readingMillis(newTokens) / MillisPerSecond,
+                                                costs().generateMillis(route().name_)
                                                     / MillisPerSecond * std::max(slot, memory),
                                                 BootClock::now());
 }
@@ -247,7 +248,7 @@
     query.service_ = input_.service_;
     query.source_ = source;
     query.excluded_ = excluded_;
-    query.slotMillis_ = gateway_.costs_[input_.service_].meanGenerateMillis();
+    query.costs_ = &costs();
     return gateway_.placement_.chooseGenerator(gateway_.table_, query, gateway_.random_(),
                                                BootClock::now());
 }
@@ -375,13 +376,13 @@
     handle_ = PromptHandle {engine->listed_.address_, handle};
     const auto tookMillis = static_cast<double>(toMillis(readAt_ - attempt_.sentAt_));
     if (aheadTokens_ == 0 && !partsUnknown_) {
-        gateway_.costs_[input_.service_].onReadAlone(readTokens_, tookMillis);
+        costs().onReadAlone(readTokens_, tookMillis);
     }
     if (partsUnknown_) {
-        gateway_.placement_.onUnknownRead(gateway_.table_, *engine, prompt(), aheadTokens_,
-                                          tookMillis);
+        gateway_.placement_.onUnknownRead(costs(), *engine, prompt(), aheadTokens_, tookMillis);
     } else {
-        gateway_.table_.onReadTime(attempt_.endpoint_, aheadTokens_ + readTokens_, tookMillis);
+        gateway_.table_.onReadTime(attempt_.endpoint_,
+                                   costs().readMillis(aheadTokens_ + readTokens_), tookMillis);
     }
     closeAttempt(Evidence::Sound);
     sendToDecode();
@@ -449,8 +450,8 @@
         passEvents(rest);
     }
     if (firstByteAt_ >= attempt_.sentAt_) {
-        gateway_.costs_[input_.service_].onGenerated(
-            route().name_, static_cast<double>(toMillis(BootClock::now() - firstByteAt_)));
+        costs().onGenerated(route().name_,
+                            static_cast<double>(toMillis(BootClock::now() - firstByteAt_)));
     }
     closeAttempt(Evidence::Sound);
     gateway_.server_.endStream(input_.request_.id_);
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -131,13 +131,13 @@
     , memory_(RememberedParts)
 { }
 
-double Placement::readingRate(const EndpointTable &table, const Endpoint &engine) const
+double Placement::millisPerToken(const RequestCosts &costs, const Endpoint &engine) const
 {
-    double rate = table.usualRate();
+    double millis = costs.readingMillis(1);
     if (engine.readingSpeed_ < SlowSpeed) {
-        rate *= engine.readingSpeed_;
+        millis /= engine.readingSpeed_;
     }
-    return engine.listed_.stage_ == Stage::Prefill ? rate : rate * settings_.decodeReadShare_;
+    return engine.listed_.stage_ == Stage::Prefill ? millis : millis / settings_.decodeReadShare_;
 }
 
 Placement::Offer Placement::offerOf(const Endpoint &engine, const PromptQuery &query,
@@ -157,20 +157,22 @@
     return offer;
 }
 
-Placement::Offer Placement::rank(const EndpointTable &table, const Endpoint &engine,
-                                 const PromptQuery &query, bool mayHold, int urgency) const
+Placement::Offer Placement::rank(const Endpoint &engine, const PromptQuery &query, bool mayHold,
+                                 int urgency) const
 {
     Offer offer = offerOf(engine, query, mayHold);
-    const double rate = readingRate(table, engine);
+    const double perToken = millisPerToken(*query.costs_, engine);
     offer.urgency_ = urgency;
     // All that can be in time counts as ahead, also what is less urgent: an engine reads several
     // prompts at once, and does not stop those that it has begun.
     const int counted = urgency < LateUrgencies ? LateUrgencies - 1 : Urgencies - 1;
     offer.aheadTokens_ = engine.queued_.ahead(counted) + engine.foreignQueued_.ahead(counted);
-    offer.millis_ = static_cast<double>(offer.aheadTokens_ + offer.newTokens_) / rate;
+    offer.millis_ = query.costs_->readMillis(0)
+                    + perToken * static_cast<double>(offer.aheadTokens_ + offer.newTokens_);
     const std::int64_t again = offer.newTokens_ - query.prompt_->ownTokens();
-    offer.cost_ = offer.millis_
-                  + ReadAgainWeight * static_cast<double>(std::max<std::int64_t>(0, again)) / rate;
+    offer.cost_ =
+        offer.millis_
+        + ReadAgainWeight * perToken * static_cast<double>(std::max<std::int64_t>(0, again));
     return offer;
 }
 
@@ -194,8 +196,7 @@
     return engines;
 }
 
-Placement::Offer Placement::bestReader(const EndpointTable &table,
-                                       const std::vector<const Endpoint *> &engines,
+Placement::Offer Placement::bestReader(const std::vector<const Endpoint *> &engines,
                                        const PromptQuery &query, TimePoint now) const
 {
     std::vector<const Endpoint *> homes;
@@ -213,7 +214,7 @@
         Offer best;
         for (const Endpoint *home : homes) {
             const bool mayHold = !known && home == homes.front();
-            const Offer offer = rank(table, *home, query, mayHold, urgency);
+            const Offer offer = rank(*home, query, mayHold, urgency);
             if (offer.betterThan(best)) {
                 best = offer;
             }
@@ -227,8 +228,7 @@
     return best.engine_ == nullptr || best.millis_ <= left ? best : bestAt(LateUrgencies + inTime);
 }
 
-Placement::Offer Placement::bestGenerator(const EndpointTable &table,
-                                          const std::vector<const Endpoint *> &engines,
+Placement::Offer Placement::bestGenerator(const std::vector<const Endpoint *> &engines,
                                           const PromptQuery &query) const
 {
     Offer best;
@@ -237,7 +237,7 @@
             continue;
         }
         const Offer offer =
-            rank(table, *engine, query, false, std::clamp(query.priority_, 0, LateUrgencies - 1));
+            rank(*engine, query, false, std::clamp(query.priority_, 0, LateUrgencies - 1));
         if (offer.betterThan(best)) {
             best = offer;
         }
@@ -249,11 +249,11 @@
                                                 const PromptQuery &query, TimePoint now) const
 {
     const std::vector<const Endpoint *> engines = enginesInOrder(table, query, now);
-    const Offer generator = bestGenerator(table, engines, query);
+    const Offer generator = bestGenerator(engines, query);
     if (generator.engine_ == nullptr) {
         return std::nullopt;
     }
-    const Offer reader = bestReader(table, engines, query, now);
+    const Offer reader = bestReader(engines, query, now);
     const Offer &reads = reader.engine_ != nullptr ? reader : generator;
     PromptPlan plan;
     if (reader.engine_ != nullptr) {
@@ -284,7 +284,7 @@
                   [](const Endpoint *one) { return one->listed_.stage_ == Stage::Prefill; });
     const Endpoint *best = cheapest(engines, ticket, [&](const Endpoint &one) {
         const double waitMillis = static_cast<double>(one.queued_.all() + one.foreignQueued_.all())
-                                  / readingRate(table, one);
+                                  * millisPerToken(*query.costs_, one);
         return generatorFullness(one, now) + waitMillis / WaitOfAFullEngine
                + (one.listed_.domain_ == query.source_ ? 0 : OtherDomainCost);
     });
@@ -295,7 +295,7 @@
     use.add(best->foreignSlotUse_);
     const int slots = std::max(1, best->listed_.slots_);
     const auto wait = [&](int before) {
-        return std::max(0, before + 1 - slots) * query.slotMillis_ / slots;
+        return std::max(0, before + 1 - slots) * query.costs_->meanGenerateMillis() / slots;
     };
     return GeneratorChoice {best->listed_.id_, wait(use.inTime_), wait(use.all()),
                             use.all() >= 2 * slots};
@@ -360,14 +360,14 @@
     }
 }
 
-void Placement::onUnknownRead(const EndpointTable &table, const Endpoint &engine,
+void Placement::onUnknownRead(const RequestCosts &costs, const Endpoint &engine,
                               const Prompt &prompt, std::int64_t aheadTokens, double milliseconds)
 {
     const auto shared = static_cast<double>(prompt.tokens_ - prompt.ownTokens());
     if (shared < LeastTellingTokens) {
         return;
     }
-    const double read = milliseconds * readingRate(table, engine)
+    const double read = (milliseconds - costs.readMillis(0)) / millisPerToken(costs, engine)
                         - static_cast<double>(aheadTokens + prompt.ownTokens());
     const double cached = read < shared / 2 ? 1 : 0;
     unknownCached_ += UnknownWeight * (cached - unknownCached_);
--- a/libs/gateway/src/requestcosts.cpp
+++ b/libs/gateway/src/requestcosts.cpp
@@ -64,6 +64,12 @@
     fit();
 }
 
+const RequestCosts &RequestCosts::assumed()
+{
+    static const RequestCosts costs;
+    return costs;
+}
+
 void RequestCosts::fit()
 {
     const double spread = reads_.weight_ * reads_.tokensSquared_ - reads_.tokens_ * reads_.tokens_;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -335,7 +335,7 @@
     const Endpoint &engine = *table.find(EndpointId("engine-0"));
     const auto readIn = [&](double milliseconds) {
         for (int sample = 0; sample < 40; ++sample) {
-            placement.onUnknownRead(table, engine, prompt, 0, milliseconds);
+            placement.onUnknownRead(RequestCosts::assumed(), engine, prompt, 0, milliseconds);
         }
         return planFor(placement, table, prompt)->newTokens_;
     };
@@ -500,13 +500,13 @@
     for (int sample = 0; sample < 30; ++sample) {
         for (int number = 0; number < 12; ++number) {
             const EndpointId id("engine-" + std::to_string(number));
-            table.onReadTime(id, 10'000, id == home ? 220 : 180);
+            table.onReadTime(id, 200, id == home ? 220 : 180);
         }
     }
     table.onSent(home, 1, 10'000, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
     for (int sample = 0; sample < 30; ++sample) {
-        table.onReadTime(home, 10'000, 2'000);
+        table.onReadTime(home, 200, 2'000);
     }
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ != home));
 }
@@ -575,8 +575,10 @@
     EndpointTable table = fleet(0, 1);
     const EndpointId id("engine-0");
     const Placement placement({DomainId("a")});
+    RequestCosts costs;
+    costs.onGenerated("route", 640);
     const auto choose = [&] {
-        return *placement.chooseGenerator(table, {Models, DomainId("a"), {}, 640}, 0, at(0));
+        return *placement.chooseGenerator(table, {Models, DomainId("a"), {}, &costs}, 0, at(0));
     };
     BOOST_TEST(choose().waitMillis_ == 0);
     for (int request = 0; request < 64; ++request) {
