--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -58,6 +58,8 @@
     std::optional<int> urgency_; ///< Engines serve 0 first.
     bool prefillOnly_ = false;
     std::optional<PromptHandle> prompt_;
+    /** Another engine that has parts of the prompt cached: they are copied instead of read. */
+    std::optional<net::Address> copyPartsFrom_;
     std::string resumeAfter_; ///< Go on after this event; empty: as the caller asked.
 };
 
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -38,6 +38,7 @@
     std::int64_t newTokens_ = 0;   ///< To be read where it is read first.
     std::int64_t aheadTokens_ = 0; ///< What is read there before it.
     bool partsUnknown_ = false;    ///< Whether its shared parts are cached there is a guess.
+    std::optional<EndpointId> copyFrom_; ///< Has shared parts cached that the reader lacks.
     double readMillis_ = 0;        ///< Estimate until it is read, queue included.
 };
 
@@ -93,11 +94,11 @@
                                             std::uint64_t ticket, TimePoint now) const;
 
     /** A prompt is read there: its parts are in the engine's cache from now on. */
-    void onPromptRead(const ListedEndpoint &engine, const Prompt &prompt);
+    void onPromptRead(const ListedEndpoint &engine, const Prompt &prompt, TimePoint now);
     /** Shared parts that came to engines by this instance since the last call. */
     std::vector<PromptMemory::Key> takeReadParts() { return std::exchange(readParts_, {}); }
     /** The same as another instance told. */
-    void onPartsTold(const std::vector<PromptMemory::Key> &parts);
+    void onPartsTold(const std::vector<PromptMemory::Key> &parts, TimePoint now);
     /**
      * How long it took to read a prompt whose shared parts nobody had told of: tells whether they
      * were cached all the same, and so how the next such prompt is estimated.
@@ -113,6 +114,9 @@
     Offer offerOf(const Endpoint &engine, const PromptQuery &query, bool mayHold) const;
     /** The time in which an engine reads a token. */
     double millisPerToken(const RequestCosts &costs, const Endpoint &engine) const;
+    /** An engine to copy shared parts from that the reader lacks; null when there is none. */
+    const Endpoint *partsSource(const std::vector<const Endpoint *> &engines,
+                                const Endpoint &reader, const Prompt &prompt, TimePoint now) const;
     Offer rank(const Endpoint &engine, const PromptQuery &query, bool mayHold, int urgency) const;
     Offer bestReader(const std::vector<const Endpoint *> &engines, const PromptQuery &query,
                      TimePoint now) const;
--- a/libs/gateway/include/almondridge/gateway/promptmemory.h
+++ b/libs/gateway/include/almondridge/gateway/promptmemory.h
@@ -28,15 +28,24 @@
     static Key keyOf(const ListedEndpoint &engine, std::uint64_t part);
 
     /** True when it was not known. */
-    bool remember(Key key);
+    bool remember(Key key, TimePoint now);
     bool holds(const ListedEndpoint &engine, std::uint64_t part) const;
     /** Tokens of the prompt's leading parts that the engine has cached. */
     std::int64_t cachedTokens(const ListedEndpoint &engine, const Prompt &prompt) const;
+    /** The same of parts that came there before a point in time. */
+    std::int64_t cachedTokens(const ListedEndpoint &engine, const Prompt &prompt,
+                              TimePoint before) const;
 
 private:
     std::size_t capacity_;
+    struct Entry
+    {
+        std::list<Key>::iterator use_;
+        TimePoint since_ {};
+    };
+
     std::list<Key> byUse_; ///< Latest first.
-    std::unordered_map<Key, std::list<Key>::iterator> entries_;
+    std::unordered_map<Key, Entry> entries_;
 };
 
 /**
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -63,7 +63,7 @@
 
 void Gateway::onPartsTold(const std::vector<PromptMemory::Key> &parts)
 {
-    state_->placement_.onPartsTold(parts);
+    state_->placement_.onPartsTold(parts, BootClock::now());
 }
 
 std::map<ServiceId, StageDemand> Gateway::demand() const
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -44,6 +44,7 @@
     void place();
     bool comesTooLate(const PromptPlan &plan, TimePoint now);
     void sendPrefill(const PromptPlan &plan);
+    std::optional<net::Address> partsSource(const PromptPlan &plan) const;
     void sendInPlace(const PromptPlan &plan);
     void sendToDecode();
     TimePoint inTimeUntil() const;
@@ -179,6 +180,12 @@
     return after.has_value();
 }
 
+std::optional<net::Address> ModelCall::partsSource(const PromptPlan &plan) const
+{
+    const Endpoint *source = plan.copyFrom_ ? gateway_.table_.find(*plan.copyFrom_) : nullptr;
+    return source != nullptr ? std::optional(source->listed_.address_) : std::nullopt;
+}
+
 void ModelCall::sendPrefill(const PromptPlan &plan)
 {
     phase_ = ModelPhase::Prefilling;
@@ -187,10 +194,11 @@
     const Endpoint &reader = *gateway_.table_.find(prefillEngine_);
     prefillLifetime_ = reader.lifetime_;
     prefillDomain_ = reader.listed_.domain_;
-    gateway_.placement_.onPromptRead(reader.listed_, prompt());
+    gateway_.placement_.onPromptRead(reader.listed_, prompt(), BootClock::now());
     SendOrder order;
     order.urgency_ = plan.urgency_;
     order.prefillOnly_ = true;
+    order.copyPartsFrom_ = partsSource(plan);
     send(prefillEngine_, order, plan.newTokens_);
     const Duration patience =
         SilentAtLeast + millis(static_cast<std::int64_t>(SilentAfterEstimates * plan.readMillis_));
@@ -202,11 +210,13 @@
     phase_ = ModelPhase::Waiting;
     ++runs_;
     countRead(plan);
-    gateway_.placement_.onPromptRead(gateway_.table_.find(plan.decode_)->listed_, prompt());
+    gateway_.placement_.onPromptRead(gateway_.table_.find(plan.decode_)->listed_, prompt(),
+                                     BootClock::now());
     fetches_ = false;
     SendOrder order;
     order.urgency_ = plan.urgency_;
     order.resumeAfter_ = events_.lastId();
+    order.copyPartsFrom_ = partsSource(plan);
     send(plan.decode_, order, plan.newTokens_);
     watchStream();
 }
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -245,6 +245,34 @@
     return best;
 }
 
+const Endpoint *Placement::partsSource(const std::vector<const Endpoint *> &engines,
+                                       const Endpoint &reader, const Prompt &prompt,
+                                       TimePoint now) const
+{
+    // What was sent to be read a moment ago is not there yet.
+    constexpr Duration ReadBy = millis(1'500);
+    // Fewer tokens are read about as fast as a copy is set up.
+    constexpr std::int64_t LeastTokens = 1'000;
+    const std::int64_t shared = prompt.tokens_ - prompt.ownTokens();
+    std::int64_t most = memory_.cachedTokens(reader.listed_, prompt) + LeastTokens;
+    const Endpoint *best = nullptr;
+    for (const Endpoint *engine : engines) {
+        if (engine == &reader) {
+            continue;
+        }
+        const std::int64_t kept =
+            std::min(shared, memory_.cachedTokens(engine->listed_, prompt, now - ReadBy));
+        const bool nearer = best != nullptr && kept == most
+                            && engine->listed_.domain_ == reader.listed_.domain_
+                            && best->listed_.domain_ != reader.listed_.domain_;
+        if (kept > most || nearer) {
+            best = engine;
+            most = kept;
+        }
+    }
+    return best;
+}
+
 std::optional<PromptPlan> Placement::planPrompt(const EndpointTable &table,
                                                 const PromptQuery &query, TimePoint now) const
 {
@@ -264,6 +292,10 @@
     plan.newTokens_ = reads.newTokens_;
     plan.aheadTokens_ = reads.aheadTokens_;
     plan.partsUnknown_ = reads.partsUnknown_;
+    const Endpoint *source = partsSource(engines, *reads.engine_, *query.prompt_, now);
+    if (source != nullptr) {
+        plan.copyFrom_ = source->listed_.id_;
+    }
     plan.readMillis_ = reads.millis_;
     return plan;
 }
@@ -342,21 +374,21 @@
     return prompt.tokens_ / MovedPerRead;
 }
 
-void Placement::onPromptRead(const ListedEndpoint &engine, const Prompt &prompt)
+void Placement::onPromptRead(const ListedEndpoint &engine, const Prompt &prompt, TimePoint now)
 {
     for (std::size_t index = 0; index < prompt.parts_.size(); ++index) {
         const PromptMemory::Key key = PromptMemory::keyOf(engine, prompt.parts_[index].id_);
         const bool shared = index + 1 < prompt.parts_.size();
-        if (memory_.remember(key) && shared && readParts_.size() < MostPartsToTell) {
+        if (memory_.remember(key, now) && shared && readParts_.size() < MostPartsToTell) {
             readParts_.push_back(key);
         }
     }
 }
 
-void Placement::onPartsTold(const std::vector<PromptMemory::Key> &parts)
+void Placement::onPartsTold(const std::vector<PromptMemory::Key> &parts, TimePoint now)
 {
     for (const PromptMemory::Key part : parts) {
-        memory_.remember(part);
+        memory_.remember(part, now);
     }
 }
 
--- a/libs/gateway/src/promptmemory.cpp
+++ b/libs/gateway/src/promptmemory.cpp
@@ -41,15 +41,15 @@
     return rendezvousWeight(engine.id_.value(), part ^ mix(start));
 }
 
-bool PromptMemory::remember(Key key)
+bool PromptMemory::remember(Key key, TimePoint now)
 {
     const auto found = entries_.find(key);
     if (found != entries_.end()) {
-        byUse_.splice(byUse_.begin(), byUse_, found->second);
+        byUse_.splice(byUse_.begin(), byUse_, found->second.use_);
         return false;
     }
     byUse_.push_front(key);
-    entries_.emplace(key, byUse_.begin());
+    entries_.emplace(key, Entry {byUse_.begin(), now});
     if (entries_.size() > capacity_) {
         entries_.erase(byUse_.back());
         byUse_.pop_back();
@@ -63,10 +63,17 @@
 }
 
 std::int64_t PromptMemory::cachedTokens(const ListedEndpoint &engine, const Prompt &prompt) const
+{
+    return cachedTokens(engine, prompt, TimePoint::max());
+}
+
+std::int64_t PromptMemory::cachedTokens(const ListedEndpoint &engine, const Prompt &prompt,
+                                        TimePoint before) const
 {
     std::int64_t tokens = 0;
     for (const PromptPart &part : prompt.parts_) {
-        if (!holds(engine, part.id_)) {
+        const auto found = entries_.find(keyOf(engine, part.id_));
+        if (found == entries_.end() || found->second.since_ >= before) {
             break;
         }
         tokens += part.tokens_;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -76,7 +76,7 @@
     const EndpointId id = listed.id_;
     Placement placement({DomainId("a")});
     const Prompt prompt = promptWith(1);
-    placement.onPromptRead(listed, prompt);
+    placement.onPromptRead(listed, prompt, at(0));
     table.onSent(id, 1, 30'000, at(0));
     table.onEvidence(id, Evidence::Silent, at(0));
     table.onChanging(id, at(3'000));
@@ -292,7 +292,7 @@
     EndpointTable table = fleet(12, 6);
     Placement placement({DomainId("a")});
     const auto home = *planFor(placement, table, promptWith(1))->prefill_;
-    placement.onPromptRead(table.find(home)->listed_, promptWith(1));
+    placement.onPromptRead(table.find(home)->listed_, promptWith(1), at(0));
     table.onSent(home, 1, 20'000, at(0));
     BOOST_TEST((planFor(placement, table, promptWith(1))->prefill_ == home));
     table.onSent(home, 1, 30'000, at(0));
@@ -313,12 +313,12 @@
     const PromptPlan first = *planFor(reader, table, prompt);
     BOOST_TEST(first.partsUnknown_);
     BOOST_TEST(first.newTokens_ > prompt.ownTokens());
-    reader.onPromptRead(table.find(*first.prefill_)->listed_, prompt);
+    reader.onPromptRead(table.find(*first.prefill_)->listed_, prompt, at(0));
     LoadNote note {InstanceId("reader"), 1, 1};
     note.readParts_ = reader.takeReadParts();
     BOOST_TEST(note.readParts_.size() == 1U); // Nobody else asks with the prompt's own part.
     BOOST_TEST(reader.takeReadParts().empty());
-    other.onPartsTold(decodeNote(encodeNote(note))->readParts_);
+    other.onPartsTold(decodeNote(encodeNote(note))->readParts_, at(0));
     BOOST_TEST(other.takeReadParts().empty()); // Hearsay is not passed on.
     const PromptPlan second = *planFor(other, table, prompt);
     BOOST_TEST((second.prefill_ == first.prefill_));
