--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -35,11 +35,11 @@
     std::optional<EndpointId> prefill_; ///< Empty: read where it is generated.
     EndpointId decode_;
     int urgency_ = 0;
-    std::int64_t newTokens_ = 0;   ///< To be read where it is read first.
-    std::int64_t aheadTokens_ = 0; ///< What is read there before it.
-    bool partsUnknown_ = false;    ///< Whether its shared parts are cached there is a guess.
+    std::int64_t newTokens_ = 0;         ///< To be read where it is read first.
+    std::int64_t aheadTokens_ = 0;       ///< What is read there before it.
+    bool partsUnknown_ = false;          ///< Whether its shared parts are cached there is a guess.
     std::optional<EndpointId> copyFrom_; ///< Has shared parts cached that the reader lacks.
-    double readMillis_ = 0;        ///< Estimate until it is read, queue included.
+    double readMillis_ = 0;              ///< Estimate until it is read, queue included.
 };
 
 /** What is asked of a placement. */
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 /**
- * A request of a conversation: some 2,000 tokens that are not cached, read at 50 a millisecond, and
+ * A request of a conversation: some 2,200 tokens that are not cached, read at 40 a millisecond, and
  * 100 tokens generated at eight milliseconds each, in a slot that is taken meanwhile. Nothing that
  * the list of engines tells is a better ground before the first request: their stages are as the
  * last load left them.
  */
-constexpr double TypicalReadMillis = 40;
+constexpr double TypicalReadMillis = 55;
 constexpr double TypicalGenerateMillis = 800;
 
 /** Less than this much of an engine's time says nothing of the mix. */
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -326,6 +326,32 @@
     BOOST_TEST(second.newTokens_ == prompt.ownTokens());
 }
 
+/**
+ * A home of many parts has crashed, and another engine is their home now. Each part was read whole
+ * again, a quarter of all that a loaded fleet read, while an engine beside it had it in memory.
+ */
+BOOST_AUTO_TEST_CASE(aNewHomeCopiesPartsFromAnEngineThatHasThem)
+{
+    EndpointTable table = fleet(12, 6);
+    Placement placement({DomainId("a")});
+    const Prompt prompt = promptWith(1);
+    const EndpointId home = *planFor(placement, table, prompt)->prefill_;
+    placement.onPromptRead(table.find(home)->listed_, prompt, at(-5'000));
+    BOOST_TEST(!planFor(placement, table, prompt)->copyFrom_.has_value()); // It has them itself.
+    table.onSent(home, 1, 60'000, at(0));
+    const PromptPlan elsewhere = *planFor(placement, table, prompt);
+    BOOST_TEST((*elsewhere.prefill_ != home));
+    BOOST_TEST((elsewhere.copyFrom_ == home));
+    // What was sent to be read a moment ago is not there to be copied yet.
+    Placement recent({DomainId("a")});
+    recent.onPromptRead(table.find(home)->listed_, prompt, at(-200));
+    BOOST_TEST(!planFor(recent, table, prompt)->copyFrom_.has_value());
+    // Short parts are read as fast as a copy is set up.
+    const Prompt shorter = promptWith(2, 500);
+    placement.onPromptRead(table.find(home)->listed_, shorter, at(-5'000));
+    BOOST_TEST(!planFor(placement, table, shorter)->copyFrom_.has_value());
+}
+
 /** An instance that was started anew knows no parts, and learns that the others have read them. */
 BOOST_AUTO_TEST_CASE(howOftenUnknownPartsAreCachedIsLearned)
 {
