--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -82,7 +82,7 @@
     bool isWorthIt(bool toRead, TimePoint now) const;
     bool settled(int count, TimePoint now);
     /** How many engines should read prompts, of count, of which prefill do so now. */
-    int wantedPrefill(int count, int prefill);
+    int wantedPrefill(int count, int prefill, int least);
     std::optional<EndpointId> pick(const std::vector<const Endpoint *> &engines, Stage from) const;
 
     StagePlanSettings settings_;
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -3,17 +3,18 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 
 namespace almondridge::gateway {
 namespace {
 
 /**
- * A request of a conversation: some 2,200 tokens that are not cached, read at 40 a millisecond, and
+ * A request of a conversation: some 2,000 tokens that are not cached, read at 40 a millisecond, and
  * 100 tokens generated at eight milliseconds each, in a slot that is taken meanwhile. Nothing that
  * the list of engines tells is a better ground before the first request: their stages are as the
  * last load left them.
  */
-constexpr double TypicalReadMillis = 55;
+constexpr double TypicalReadMillis = 50;
 constexpr double TypicalGenerateMillis = 800;
 
 /** Less than this much of an engine's time says nothing of the mix. */
@@ -52,9 +53,6 @@
  * others, which put back what they had begun; prompts that wait cost less.
  */
 constexpr Duration LookForReaders = millis(16'000);
-/** Of this many engines or more each stage keeps two: with one, its crash stops everything. */
-constexpr int EnginesForTwoEach = 6;
-
 /** How busy the busier one of the two stages is; infinite when it has no engine. */
 double busiest(int prefill, int decode, const StageDemand &demand)
 {
@@ -111,9 +109,19 @@
     return count > 0 ? wait / count : 0;
 }
 
-int leastOfAStage(int count)
+/**
+ * What each stage keeps: an engine in each failure domain, where there are enough. A domain that is
+ * cut off goes on with its own, and a crash of some engines leaves some of both stages. With two
+ * that generate of nine, two crashes stopped a day's every answer for two seconds.
+ */
+int leastOfAStage(const std::vector<const Endpoint *> &engines)
 {
-    return count >= EnginesForTwoEach ? 2 : 1;
+    std::set<DomainId> domains;
+    for (const Endpoint *engine : engines) {
+        domains.insert(engine->listed_.domain_);
+    }
+    const int count = static_cast<int>(engines.size());
+    return std::clamp(static_cast<int>(domains.size()), 1, std::max(1, count / 2));
 }
 
 int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
@@ -135,9 +143,8 @@
     return TypicalReadMillis / (TypicalReadMillis + generate);
 }
 
-int StagePlan::wantedPrefill(int count, int prefill)
+int StagePlan::wantedPrefill(int count, int prefill, int least)
 {
-    const int least = leastOfAStage(count);
     int best = std::clamp(prefill, least, count - least);
     const double now = busiest(prefill, count - prefill, peak_);
     double lowest = now;
@@ -238,9 +245,9 @@
     }
     const int slots = engines.front()->listed_.slots_;
     const int typical = static_cast<int>(std::lround(typicalPrefillShare(slots) * count));
-    const int least = leastOfAStage(count);
+    const int least = leastOfAStage(engines);
     const int wanted =
-        idle_ ? std::clamp(typical, least, count - least) : wantedPrefill(count, prefill);
+        idle_ ? std::clamp(typical, least, count - least) : wantedPrefill(count, prefill, least);
     const int difference = std::abs(wanted - prefill);
     const bool stageIsEmpty = prefill == 0 || prefill == count;
     if (!idle_ && !stageIsEmpty && !isWorthIt(wanted > prefill, now)) {
