--- a/libs/gateway/tests/stageplantest.cpp
+++ b/libs/gateway/tests/stageplantest.cpp
@@ -154,8 +154,9 @@
     fill(table);
     StagePlan plan({});
     for (int swing = 0; swing < 10; ++swing) {
+        const std::int64_t from = 3'000LL * swing;
         const StageDemand demand = swing % 2 == 0 ? StageDemand {3.4, 3.6} : StageDemand {6, 1};
-        obeyFor(table, plan, demand, 3'000 * swing, 3'000 * (swing + 1));
+        obeyFor(table, plan, demand, from, from + 3'000);
     }
     const int readers = countPrefill(table);
     BOOST_TEST(readers >= 5);
