--- a/libs/relay/tests/badinputtest.cpp
+++ b/libs/relay/tests/badinputtest.cpp
@@ -4,6 +4,8 @@
 #include "modelrequest.h"
 #include "ssereader.h"
 
+#include "../../../tests/support/mutatebytes.h"
+
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -12,6 +14,7 @@
 using namespace almondridge;
 using namespace almondridge::relay;
 using namespace almondridge::relay::test;
+using almondridge::testing::mutateBytes;
 
 namespace {
 
@@ -55,29 +58,6 @@
            + "}";
 }
 
-/** Changes, drops, doubles or inserts a few bytes. */
-std::string mutate(std::string text, std::mt19937 &random)
-{
-    for (std::size_t change = 1 + random() % 4; change > 0 && !text.empty(); --change) {
-        const std::size_t at = random() % text.size();
-        switch (random() % 4) {
-        case 0:
-            text[at] = static_cast<char>(random());
-            break;
-        case 1:
-            text.erase(at, 1 + random() % 8);
-            break;
-        case 2:
-            text.insert(at, text.substr(random() % text.size(), 12));
-            break;
-        default:
-            text.insert(at, 1, "{}[]\",:0-e\\"[random() % 11]);
-            break;
-        }
-    }
-    return text;
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(BadInput, Front)
@@ -208,7 +188,7 @@
         R"("max_tokens":5,"stream":true,"stream_options":{"include_usage":true},"n":1})";
     int read = 0;
     for (int round = 0; round < 20'000; ++round) {
-        const std::string text = mutate(seed, random);
+        const std::string text = mutateBytes(seed, random);
         const auto request = capture([&] { return parseModelRequest(Api::Chat, text); });
         if (request.index() == 0) {
             ++read;
@@ -228,7 +208,7 @@
         "{\"cached_tokens\":1}}}\n\ndata: [DONE]\n\n";
     int events = 0;
     for (int round = 0; round < 20'000; ++round) {
-        const std::string text = round == 0 ? seed : mutate(seed, random);
+        const std::string text = round == 0 ? seed : mutateBytes(seed, random);
         SseReader reader(512);
         bool understood = true;
         for (std::size_t at = 0; at < text.size() && understood;) {
