--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -68,10 +68,9 @@
     bool listedNow_ = true;      ///< False: its entry is gone and it gets no new work.
     std::uint64_t lifetime_ = 0; ///< Counts the restarts that this instance has seen.
 
-    int outstanding_ = 0;       ///< Requests of ours without a whole answer, of this lifetime.
-    int openSends_ = 0;         ///< The same of all lifetimes: the entry is needed until they end.
-    SlotUse slotUse_;           ///< By this instance's requests; of engines that generate.
-    SlotUse foreignSlotUse_;    ///< By the other instances', as they told.
+    SlotUse slotUse_;           ///< By requests of ours without a whole answer, of this lifetime.
+    SlotUse foreignSlotUse_;    ///< By the other instances'; told of engines that generate.
+    int openSends_ = 0;         ///< Ours of all lifetimes: the entry is needed until they end.
     PromptQueue queued_;        ///< Of this instance's requests.
     PromptQueue foreignQueued_; ///< Of the other instances', as they told.
     double readingSpeed_ = 1;   ///< Against what is expected of a usual engine.
@@ -84,6 +83,12 @@
     double toldFailures_ = 0;    ///< The other instances' recent ones, as they told.
     TimePoint distrustedUntil_ {};
     TimePoint changingUntil_ {}; ///< It carries out an order until about then, and refuses work.
+    /** Requests of ours without a whole answer, of this lifetime. */
+    int outstanding() const noexcept { return slotUse_.all(); }
+    /** Slots that requests of all instances take or wait for, as far as is known. */
+    SlotUse usedByAll() const noexcept;
+    /** Prompt tokens of all instances that it has still to read, up to an urgency. */
+    std::int64_t queuedByAll(int urgency = Urgencies - 1) const noexcept;
     /** In a word, for metrics. */
     std::string_view stateName(TimePoint now) const noexcept;
 
@@ -179,6 +184,7 @@
 
 private:
     void forgetIfDone(const EndpointId &id);
+    std::int64_t knownStart(const EndpointId &id) const;
     static void restart(Endpoint &endpoint, TimePoint now);
     static void awaitTest(Endpoint &endpoint, TimePoint testAt);
     /** Those that may get new work by all that is known of each alone. */
--- a/libs/gateway/include/almondridge/gateway/slotuse.h
+++ b/libs/gateway/include/almondridge/gateway/slotuse.h
@@ -30,4 +30,11 @@
     friend bool operator==(const SlotUse &, const SlotUse &) = default;
 };
 
+/** Until the last of so many requests gets a slot of an engine, in milliseconds. */
+inline double slotWaitMillis(int requests, int slots, double meanSlotMillis)
+{
+    const int most = std::max(1, slots);
+    return std::max(0, requests - most) * meanSlotMillis / most;
+}
+
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -4,10 +4,9 @@
  *
  * Both stages are to be equally busy in their own peaks of the last half minute, which come at
  * different times where the mix swings: engines cannot follow swings of seconds, as each change
- * takes one away for as long, so the split has to bear them. A
- * change takes an engine away for seconds and empties its cache: it is made only when the busier
- * stage gains by it. Before the first request the split of a typical load is used, since engines
- * change for nothing then.
+ * takes one away for as long, so the split has to bear them. A change also empties the engine's
+ * cache: it is made only when the busier stage gains by it. Before the first request the split of a
+ * typical load is used, since engines change for nothing then.
  */
 #pragma once
 
@@ -15,7 +14,7 @@
 #include "almondridge/gateway/demandmeter.h"
 #include "almondridge/gateway/endpoints.h"
 
-#include <optional>
+#include <map>
 #include <vector>
 
 namespace almondridge::gateway {
@@ -81,9 +80,14 @@
 
     bool isWorthIt(bool toRead, TimePoint now) const;
     bool settled(int count, TimePoint now);
-    /** How many engines should read prompts, of count, of which prefill do so now. */
+    /** How many engines should read prompts, of count, of which prefill do so now; at least so many
+     * stay in each stage. */
     int wantedPrefill(int count, int prefill, int least);
-    std::optional<EndpointId> pick(const std::vector<const Endpoint *> &engines, Stage from) const;
+    /** Null when no engine of the stage may be changed. */
+    const Endpoint *pick(const std::vector<const Endpoint *> &engines, Stage from) const;
+    void forgetOrders(const EndpointTable &table, TimePoint now);
+    std::vector<StageChange> order(std::vector<const Endpoint *> engines, int difference, int room,
+                                   TimePoint now);
 
     StagePlanSettings settings_;
     std::map<EndpointId, Ordered> ordered_;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -80,8 +80,7 @@
     /** The attempt came to nothing: this request does not go to its endpoint again. */
     void leaveEndpoint(std::optional<Evidence> evidence);
     void promptWasRead();
-    /** The endpoint has restarted since: what becomes of the attempt says nothing of it any more.
-     */
+    /** Whether what becomes of the attempt says nothing of its endpoint any more. */
     bool endpointRestarted() const;
     /** Calls attemptSilent() then, unless the attempt is over before. */
     void watchSilence(TimePoint until);
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -50,6 +50,7 @@
 constexpr double MostSpeed = 4;
 /** Forgotten endpoints whose last start is remembered: far more than leave within minutes. */
 constexpr std::size_t RememberedStarts = 2'048;
+
 const EvidenceRule &ruleFor(Evidence evidence)
 {
     return *std::find_if(EvidenceRules.begin(), EvidenceRules.end(),
@@ -67,6 +68,18 @@
 
 } // namespace
 
+SlotUse Endpoint::usedByAll() const noexcept
+{
+    SlotUse use = slotUse_;
+    use.add(foreignSlotUse_);
+    return use;
+}
+
+std::int64_t Endpoint::queuedByAll(int urgency) const noexcept
+{
+    return queued_.ahead(urgency) + foreignQueued_.ahead(urgency);
+}
+
 std::string_view Endpoint::stateName(TimePoint now) const noexcept
 {
     if (!listedNow_) {
@@ -86,19 +99,14 @@
 
 Listing EndpointTable::list(const ListedEndpoint &listed, TimePoint now)
 {
-    const auto before = lastStarts_.find(listed.id_);
-    const std::int64_t lastStart = before != lastStarts_.end() ? before->second : 0;
-    const auto [place, added] = endpoints_.try_emplace(listed.id_);
-    Endpoint &endpoint = place->second;
-    const std::int64_t knownStart = added ? lastStart : endpoint.listed_.startedAtMillis_;
+    const std::int64_t known = knownStart(listed.id_);
     // Old entries come late and in any order: only a later start is news.
-    if (listed.startedAtMillis_ != 0 && listed.startedAtMillis_ < knownStart) {
-        if (added) {
-            endpoints_.erase(place);
-        }
+    if (listed.startedAtMillis_ != 0 && listed.startedAtMillis_ < known) {
         return Listing::Same;
     }
-    const bool restarted = !added && knownStart != 0 && listed.startedAtMillis_ > knownStart;
+    const auto [place, added] = endpoints_.try_emplace(listed.id_);
+    Endpoint &endpoint = place->second;
+    const bool restarted = !added && known != 0 && listed.startedAtMillis_ > known;
     const bool changed = added || !endpoint.listedNow_ || endpoint.listed_ != listed;
     if (restarted) {
         restart(endpoint, now);
@@ -106,7 +114,7 @@
         endpoint.changingUntil_ = {}; // The order is done.
     }
     endpoint.listed_ = listed;
-    endpoint.listed_.startedAtMillis_ = std::max(knownStart, listed.startedAtMillis_);
+    endpoint.listed_.startedAtMillis_ = std::max(known, listed.startedAtMillis_);
     endpoint.listedNow_ = true;
     if (added) {
         endpoint.loadAt_ = now;
@@ -117,6 +125,16 @@
     return changed ? Listing::Changed : Listing::Same;
 }
 
+/** The latest start that was told of an endpoint, known or forgotten; 0: none. */
+std::int64_t EndpointTable::knownStart(const EndpointId &id) const
+{
+    if (const Endpoint *endpoint = find(id)) {
+        return endpoint->listed_.startedAtMillis_;
+    }
+    const auto found = lastStarts_.find(id);
+    return found != lastStarts_.end() ? found->second : 0;
+}
+
 /** Queues, load, trust and orders of the lifetime before say nothing of the new one. */
 void EndpointTable::restart(Endpoint &endpoint, TimePoint now)
 {
@@ -236,7 +254,6 @@
     if (endpoint == nullptr) {
         return;
     }
-    ++endpoint->outstanding_;
     endpoint->slotUse_.add(urgency >= LateUrgencies);
     ++endpoint->openSends_;
     endpoint->recentSends_.add(1, now);
@@ -270,10 +287,9 @@
     if (endpoint == nullptr) {
         return;
     }
-    --endpoint->outstanding_;
     endpoint->slotUse_.remove(urgency >= LateUrgencies);
     --endpoint->openSends_;
-    if (endpoint->outstanding_ == 0) {
+    if (endpoint->outstanding() == 0) {
         endpoint->probing_ = false;
     }
     forgetIfDone(id);
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -3,8 +3,10 @@
 #include "almondridge/gateway/promptmemory.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -25,6 +27,54 @@
 /** Demand is told in thousandths of an engine: each of hundreds of instances has little. */
 constexpr double DemandParts = 1'000;
 
+/** Where each field of a note stands: names would be longer than what they name. */
+enum class Field : std::uint8_t {
+    Sender,
+    Lifetime,
+    Number,
+    MayLead,
+    Leads,
+    Queued,
+    Changing,
+    Unreached,
+    Failures,
+    ReadParts,
+    Demand,
+    SlotUse,
+};
+
+constexpr std::size_t at(Field field)
+{
+    return static_cast<std::size_t>(field);
+}
+
+/** What a field has to be, in the order of the fields. */
+constexpr std::array<bool (Json::*)() const noexcept, at(Field::SlotUse) + 1> FieldTypes {
+    &Json::is_string,  &Json::is_number_unsigned, &Json::is_number_unsigned, &Json::is_boolean,
+    &Json::is_boolean, &Json::is_object,          &Json::is_object,          &Json::is_array,
+    &Json::is_object,  &Json::is_array,           &Json::is_object,          &Json::is_object,
+};
+
+bool isShaped(const Json &json)
+{
+    if (!json.is_array() || json.size() != FieldTypes.size()) {
+        return false;
+    }
+    for (std::size_t field = 0; field < FieldTypes.size(); ++field) {
+        if (!(json[field].*FieldTypes.at(field))()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Two counts, as endpoints and services have them. */
+bool isPair(const Json &json)
+{
+    return json.is_array() && json.size() == 2 && json[0].is_number_unsigned()
+           && json[1].is_number_unsigned();
+}
+
 /** Tokens by urgency, without the zeros at the end. */
 Json encodeQueue(const PromptQueue &queue)
 {
@@ -81,9 +131,19 @@
     for (const EndpointId &endpoint : note.unreached_) {
         unreached.push_back(endpoint.value());
     }
-    const Json json =
-        Json::array({note.sender_.value(), note.lifetime_, note.number_, note.mayLead_, note.leads_,
-                     queued, changing, unreached, failures, note.readParts_, demand, slotUse});
+    Json json = Json::array();
+    json[at(Field::Sender)] = note.sender_.value();
+    json[at(Field::Lifetime)] = note.lifetime_;
+    json[at(Field::Number)] = note.number_;
+    json[at(Field::MayLead)] = note.mayLead_;
+    json[at(Field::Leads)] = note.leads_;
+    json[at(Field::Queued)] = std::move(queued);
+    json[at(Field::Changing)] = std::move(changing);
+    json[at(Field::Unreached)] = std::move(unreached);
+    json[at(Field::Failures)] = std::move(failures);
+    json[at(Field::ReadParts)] = note.readParts_;
+    json[at(Field::Demand)] = std::move(demand);
+    json[at(Field::SlotUse)] = std::move(slotUse);
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -92,63 +152,55 @@
 std::optional<LoadNote> decodeNote(std::string_view bytes)
 {
     const Json json = Json::from_cbor(bytes, true, false);
-    constexpr std::size_t Fields = 12;
-    const bool shaped = json.is_array() && json.size() == Fields && json[0].is_string()
-                        && json[1].is_number_unsigned() && json[2].is_number_unsigned()
-                        && json[3].is_boolean() && json[4].is_boolean() && json[5].is_object()
-                        && json[6].is_object() && json[7].is_array() && json[8].is_object()
-                        && json[9].is_array() && json[10].is_object() && json[11].is_object();
-    if (!shaped) {
+    if (!isShaped(json)) {
         return std::nullopt;
     }
     LoadNote note;
-    note.sender_ = InstanceId(json[0].get<std::string>());
-    note.lifetime_ = json[1].get<std::uint64_t>();
-    note.number_ = json[2].get<std::uint64_t>();
-    note.mayLead_ = json[3].get<bool>();
-    note.leads_ = json[4].get<bool>();
-    for (const auto &[endpoint, tokens] : json[5].items()) {
+    note.sender_ = InstanceId(json[at(Field::Sender)].get<std::string>());
+    note.lifetime_ = json[at(Field::Lifetime)].get<std::uint64_t>();
+    note.number_ = json[at(Field::Number)].get<std::uint64_t>();
+    note.mayLead_ = json[at(Field::MayLead)].get<bool>();
+    note.leads_ = json[at(Field::Leads)].get<bool>();
+    for (const auto &[endpoint, tokens] : json[at(Field::Queued)].items()) {
         const auto queue = decodeQueue(tokens);
         if (!queue) {
             return std::nullopt;
         }
         note.queued_[EndpointId(endpoint)] = *queue;
     }
-    for (const auto &[endpoint, left] : json[6].items()) {
+    for (const auto &[endpoint, left] : json[at(Field::Changing)].items()) {
         if (!left.is_number_unsigned()) {
             return std::nullopt;
         }
         note.changingMillis_[EndpointId(endpoint)] = left.get<std::int64_t>();
     }
-    for (const Json &endpoint : json[7]) {
+    for (const Json &endpoint : json[at(Field::Unreached)]) {
         if (!endpoint.is_string()) {
             return std::nullopt;
         }
         note.unreached_.emplace_back(endpoint.get<std::string>());
     }
-    for (const auto &[endpoint, count] : json[8].items()) {
+    for (const auto &[endpoint, count] : json[at(Field::Failures)].items()) {
         if (!count.is_number_unsigned()) {
             return std::nullopt;
         }
         note.failures_[EndpointId(endpoint)] = count.get<double>() / FailureParts;
     }
-    for (const auto &[endpoint, use] : json[11].items()) {
-        if (!use.is_array() || use.size() != 2 || !use[0].is_number_unsigned()
-            || !use[1].is_number_unsigned()) {
+    for (const auto &[endpoint, use] : json[at(Field::SlotUse)].items()) {
+        if (!isPair(use)) {
             return std::nullopt;
         }
         note.slotUse_[EndpointId(endpoint)] = {std::min(use[0].get<int>(), MostUseTold),
                                                std::min(use[1].get<int>(), MostUseTold)};
     }
-    for (const auto &[service, busy] : json[10].items()) {
-        if (!busy.is_array() || busy.size() != 2 || !busy[0].is_number_unsigned()
-            || !busy[1].is_number_unsigned()) {
+    for (const auto &[service, busy] : json[at(Field::Demand)].items()) {
+        if (!isPair(busy)) {
             return std::nullopt;
         }
         note.demand_[ServiceId(service)] = {busy[0].get<double>() / DemandParts,
                                             busy[1].get<double>() / DemandParts};
     }
-    for (const Json &part : json[9]) {
+    for (const Json &part : json[at(Field::ReadParts)]) {
         if (!part.is_number_unsigned()) {
             return std::nullopt;
         }
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -58,7 +58,7 @@
 double fullness(const Endpoint &endpoint, TimePoint now)
 {
     const int slots = std::max(1, endpoint.listed_.slots_);
-    double busy = endpoint.outstanding_;
+    double busy = endpoint.outstanding();
     if (endpoint.loadAt_ + LoadIsFresh > now) {
         busy = std::max<double>(busy, endpoint.load_.running_ + endpoint.load_.waiting_);
     }
@@ -69,8 +69,8 @@
 double generatorFullness(const Endpoint &endpoint, TimePoint now)
 {
     const int slots = std::max(1, endpoint.listed_.slots_);
-    const int told = endpoint.slotUse_.all() + endpoint.foreignSlotUse_.all();
-    return std::max(static_cast<double>(told) / slots, fullness(endpoint, now));
+    return std::max(static_cast<double>(endpoint.usedByAll().all()) / slots,
+                    fullness(endpoint, now));
 }
 
 /**
@@ -166,7 +166,7 @@
     // All that can be in time counts as ahead, also what is less urgent: an engine reads several
     // prompts at once, and does not stop those that it has begun.
     const int counted = urgency < LateUrgencies ? LateUrgencies - 1 : Urgencies - 1;
-    offer.aheadTokens_ = engine.queued_.ahead(counted) + engine.foreignQueued_.ahead(counted);
+    offer.aheadTokens_ = engine.queuedByAll(counted);
     offer.millis_ = query.costs_->readMillis(0)
                     + perToken * static_cast<double>(offer.aheadTokens_ + offer.newTokens_);
     const std::int64_t again = offer.newTokens_ - query.prompt_->ownTokens();
@@ -255,6 +255,9 @@
     constexpr std::int64_t LeastTokens = 1'000;
     const std::int64_t shared = prompt.tokens_ - prompt.ownTokens();
     std::int64_t most = memory_.cachedTokens(reader.listed_, prompt) + LeastTokens;
+    if (most >= shared) {
+        return nullptr; // Most prompts: their shared parts are there, or are short.
+    }
     const Endpoint *best = nullptr;
     for (const Endpoint *engine : engines) {
         if (engine == &reader) {
@@ -315,22 +318,20 @@
     std::erase_if(engines,
                   [](const Endpoint *one) { return one->listed_.stage_ == Stage::Prefill; });
     const Endpoint *best = cheapest(engines, ticket, [&](const Endpoint &one) {
-        const double waitMillis = static_cast<double>(one.queued_.all() + one.foreignQueued_.all())
-                                  * millisPerToken(*query.costs_, one);
+        const double waitMillis =
+            static_cast<double>(one.queuedByAll()) * millisPerToken(*query.costs_, one);
         return generatorFullness(one, now) + waitMillis / WaitOfAFullEngine
                + (one.listed_.domain_ == query.source_ ? 0 : OtherDomainCost);
     });
     if (best == nullptr) {
         return std::nullopt;
     }
-    SlotUse use = best->slotUse_;
-    use.add(best->foreignSlotUse_);
-    const int slots = std::max(1, best->listed_.slots_);
-    const auto wait = [&](int before) {
-        return std::max(0, before + 1 - slots) * query.costs_->meanGenerateMillis() / slots;
-    };
-    return GeneratorChoice {best->listed_.id_, wait(use.inTime_), wait(use.all()),
-                            use.all() >= 2 * slots};
+    const SlotUse use = best->usedByAll();
+    const int slots = best->listed_.slots_;
+    const double slotMillis = query.costs_->meanGenerateMillis();
+    return GeneratorChoice {best->listed_.id_, slotWaitMillis(use.inTime_ + 1, slots, slotMillis),
+                            slotWaitMillis(use.all() + 1, slots, slotMillis),
+                            use.all() >= 2 * std::max(1, slots)};
 }
 
 bool Placement::someGeneratorHasRoom(const EndpointTable &table, const ServiceId &service,
@@ -346,7 +347,7 @@
         const bool full = engine->loadAt_ + WordHolds > now && load.slots_ > 0
                           && load.running_ + load.waiting_ >= load.slots_;
         return engine->listed_.stage_ != Stage::Prefill && !full
-               && engine->outstanding_ < engine->listed_.slots_;
+               && engine->outstanding() < engine->listed_.slots_;
     });
 }
 
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <set>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -53,6 +54,7 @@
  * others, which put back what they had begun; prompts that wait cost less.
  */
 constexpr Duration LookForReaders = millis(16'000);
+
 /** How busy the busier one of the two stages is; infinite when it has no engine. */
 double busiest(int prefill, int decode, const StageDemand &demand)
 {
@@ -86,7 +88,7 @@
     int count = 0;
     for (const Endpoint *engine : engines) {
         if (engine->listed_.stage_ == Stage::Prefill) {
-            queued += engine->queued_.all() + engine->foreignQueued_.all();
+            queued += engine->queuedByAll();
             ++count;
         }
     }
@@ -100,9 +102,7 @@
     int count = 0;
     for (const Endpoint *engine : engines) {
         if (engine->listed_.stage_ == Stage::Decode) {
-            const int use = engine->slotUse_.all() + engine->foreignSlotUse_.all();
-            const int slots = std::max(1, engine->listed_.slots_);
-            wait += slotMillis * std::max(0, use - slots) / slots;
+            wait += slotWaitMillis(engine->usedByAll().all(), engine->listed_.slots_, slotMillis);
             ++count;
         }
     }
@@ -145,7 +145,8 @@
 
 int StagePlan::wantedPrefill(int count, int prefill, int least)
 {
-    int best = std::clamp(prefill, least, count - least);
+    const int kept = std::clamp(prefill, least, count - least);
+    int best = kept;
     const double now = busiest(prefill, count - prefill, peak_);
     double lowest = now;
     for (int wanted = least; wanted <= count - least; ++wanted) {
@@ -158,12 +159,11 @@
     const double gain = best > prefill && !addsReaders_ ? GainWorthReading : GainWorthAnOrder;
     const bool worthIt = now >= UseWorthAnOrder && lowest <= (1 - gain) * now;
     addsReaders_ = worthIt && best > prefill;
-    return worthIt ? best : std::clamp(prefill, least, count - least);
+    return worthIt ? best : kept;
 }
 
 /** The engine to change: of the domain with most of its stage, and there the least busy one. */
-std::optional<EndpointId> StagePlan::pick(const std::vector<const Endpoint *> &engines,
-                                          Stage from) const
+const Endpoint *StagePlan::pick(const std::vector<const Endpoint *> &engines, Stage from) const
 {
     std::map<DomainId, int> perDomain;
     for (const Endpoint *engine : engines) {
@@ -172,7 +172,7 @@
     const Endpoint *best = nullptr;
     const auto rank = [&](const Endpoint *engine) {
         return std::make_pair(-perDomain[engine->listed_.domain_],
-                              engine->outstanding_ + engine->load_.running_);
+                              engine->outstanding() + engine->load_.running_);
     };
     for (const Endpoint *engine : engines) {
         const bool fits = engine->listed_.stage_ == from && !ordered_.contains(engine->listed_.id_);
@@ -180,7 +180,7 @@
             best = engine;
         }
     }
-    return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
+    return best;
 }
 
 void StagePlan::watch(const EndpointTable &table, const ServiceId &service, const StageLoad &load,
@@ -220,54 +220,66 @@
     return now - countedAt_ >= SettleTime;
 }
 
+/** Orders that were carried out, lapsed, or went to an engine that is another one now. */
+void StagePlan::forgetOrders(const EndpointTable &table, TimePoint now)
+{
+    std::erase_if(ordered_, [&](const auto &entry) {
+        const auto &[id, order] = entry;
+        const Endpoint *engine = table.find(id);
+        return engine == nullptr || order.until_ <= now || engine->listed_.stage_ == order.stage_
+               || engine->lifetime_ != order.lifetime_;
+    });
+}
+
 std::vector<StageChange> StagePlan::plan(const EndpointTable &table, const ServiceId &service,
                                          TimePoint now)
 {
     std::vector<const Endpoint *> engines = table.listed(service);
     std::erase_if(engines,
                   [](const Endpoint *engine) { return engine->listed_.stage_ == Stage::None; });
-    std::erase_if(ordered_, [&](const auto &entry) {
-        const Endpoint *engine = table.find(entry.first);
-        return engine == nullptr || entry.second.until_ <= now
-               || engine->listed_.stage_ == entry.second.stage_
-               || engine->lifetime_ != entry.second.lifetime_;
-    });
+    forgetOrders(table, now);
     const int count = static_cast<int>(engines.size());
     if (count < 2 || !settled(count, now)) {
         return {};
     }
+    if (idle_ && sawDemand_) {
+        return {}; // A pause says nothing of the mix that comes after it.
+    }
     int prefill = countStage(engines, Stage::Prefill);
     for (const auto &[id, order] : ordered_) {
         prefill += order.stage_ == Stage::Prefill ? 1 : -1;
     }
-    if (idle_ && sawDemand_) {
-        return {}; // A pause says nothing of the mix that comes after it.
-    }
+    const int least = leastOfAStage(engines);
     const int slots = engines.front()->listed_.slots_;
     const int typical = static_cast<int>(std::lround(typicalPrefillShare(slots) * count));
-    const int least = leastOfAStage(engines);
     const int wanted =
         idle_ ? std::clamp(typical, least, count - least) : wantedPrefill(count, prefill, least);
-    const int difference = std::abs(wanted - prefill);
     const bool stageIsEmpty = prefill == 0 || prefill == count;
     if (!idle_ && !stageIsEmpty && !isWorthIt(wanted > prefill, now)) {
         return {};
     }
     const int room = idle_ ? count : std::max(1, static_cast<int>(settings_.awayShare_ * count));
+    return order(std::move(engines), wanted - prefill, room, now);
+}
+
+/** Orders to read for a difference above zero, to generate below; so many away in all. */
+std::vector<StageChange> StagePlan::order(std::vector<const Endpoint *> engines, int difference,
+                                          int room, TimePoint now)
+{
+    const Stage to = difference > 0 ? Stage::Prefill : Stage::Decode;
+    const Stage from = difference > 0 ? Stage::Decode : Stage::Prefill;
     std::vector<StageChange> changes;
-    const Stage to = wanted > prefill ? Stage::Prefill : Stage::Decode;
-    const Stage from = wanted > prefill ? Stage::Decode : Stage::Prefill;
-    while (static_cast<int>(changes.size()) < difference
+    while (static_cast<int>(changes.size()) < std::abs(difference)
            && static_cast<int>(ordered_.size()) < room) {
-        const auto engine = pick(engines, from);
-        if (!engine) {
+        const Endpoint *engine = pick(engines, from);
+        if (engine == nullptr) {
             break;
         }
-        ordered_[*engine] = {to, now + millis(settings_.orderMillis_),
-                             table.find(*engine)->lifetime_};
-        changes.push_back({*engine, to});
+        ordered_[engine->listed_.id_] = {to, now + millis(settings_.orderMillis_),
+                                         engine->lifetime_};
+        changes.push_back({engine->listed_.id_, to});
         // Counted where it goes, so that the next pick spreads over the failure domains.
-        std::erase_if(engines, [&](const Endpoint *one) { return one->listed_.id_ == *engine; });
+        std::erase(engines, engine);
     }
     return changes;
 }
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -87,7 +87,7 @@
     BOOST_TEST((table.list(again, at(1)) == Listing::Restarted));
     BOOST_TEST(table.usable(Models, at(1)).size() == 1U);
     const Endpoint *restarted = table.find(id);
-    BOOST_TEST(restarted->outstanding_ == 0);
+    BOOST_TEST(restarted->outstanding() == 0);
     BOOST_TEST(restarted->queued_.all() == 0);
     BOOST_TEST(PromptMemory::keyOf(again, 1) != PromptMemory::keyOf(listed, 1));
 
@@ -111,7 +111,7 @@
     table.onSent(listed.id_, 1, 30'000, at(0));
     listed.startedAtMillis_ = 1'000;
     BOOST_TEST((table.list(listed, at(1)) == Listing::Changed));
-    BOOST_TEST(table.find(listed.id_)->outstanding_ == 1);
+    BOOST_TEST(table.find(listed.id_)->outstanding() == 1);
     listed.startedAtMillis_ = 0;
     table.list(listed, at(2));
     BOOST_TEST(table.find(listed.id_)->listed_.startedAtMillis_ == 1'000);
