Counts in a note are compared before they are made ints

Found by reading the change: MostUseTold was to bound what a peer tells of slots, but the count was made an int first, so 3,000,000,000 came out as -1,294,967,296 and a full engine looked idle. The new test failed so before; it reads 100,000 now.

--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -75,6 +75,12 @@
            && json[1].is_number_unsigned();
 }
 
+int useTold(const Json &count)
+{
+    // Compared before it is made an int, which a larger count would turn negative.
+    return static_cast<int>(std::min<std::uint64_t>(count.get<std::uint64_t>(), MostUseTold));
+}
+
 /** Tokens by urgency, without the zeros at the end. */
 Json encodeQueue(const PromptQueue &queue)
 {
@@ -190,8 +196,7 @@
         if (!isPair(use)) {
             return std::nullopt;
         }
-        note.slotUse_[EndpointId(endpoint)] = {std::min(use[0].get<int>(), MostUseTold),
-                                               std::min(use[1].get<int>(), MostUseTold)};
+        note.slotUse_[EndpointId(endpoint)] = {useTold(use[0]), useTold(use[1])};
     }
     for (const auto &[service, busy] : json[at(Field::Demand)].items()) {
         if (!isPair(busy)) {
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -4,6 +4,7 @@
 #include "almondridge/gateway/placement.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <set>
 
 using namespace almondridge;
@@ -503,6 +504,27 @@
     BOOST_TEST(table.usable(Models, at(5'000)).size() == 2U);
 }
 
+/**
+ * A datagram of somebody else's has the form of a note and counts beyond any int. Read as negative
+ * ones they would make a full engine look idle to this instance until the next note.
+ */
+BOOST_AUTO_TEST_CASE(countsThatNoInstanceCanHaveAreCutToTheMost)
+{
+    LoadNote note;
+    note.sender_ = InstanceId("peer");
+    note.number_ = 1;
+    note.slotUse_[EndpointId("engine-0")] = {1, 1};
+    nlohmann::json json = nlohmann::json::from_cbor(encodeNote(note));
+    constexpr std::size_t SlotUseField = 11;
+    json[SlotUseField]["engine-0"] = {3'000'000'000U, 18'446'744'073'709'551'615ULL};
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    const auto read = decodeNote(bytes);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->slotUse_.at(EndpointId("engine-0")).inTime_ == 100'000);
+    BOOST_TEST(read->slotUse_.at(EndpointId("engine-0")).late_ == 100'000);
+}
+
 BOOST_AUTO_TEST_CASE(whatIsNoNoteIsIgnored)
 {
     LoadNote note {InstanceId("other"), 1, 1};
