--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -9,6 +9,7 @@
 
 #include "almondridge/async/httpclient.h"
 #include "almondridge/async/httpserver.h"
+#include "almondridge/base/enumnames.h"
 
 #include <list>
 
@@ -59,6 +60,21 @@
     bool newsPosted_ = false;
 };
 
+/** Why a peer was of no use to whoever asked it for news. */
+enum class Uselessness {
+    Silent,     ///< No answer in the time that a live peer needs.
+    Unanswered, ///< No connection, or one that broke.
+    Unreadable, ///< An answer that is no news.
+    Old,        ///< What it knows is too old: it has lost the store itself.
+};
+
+inline constexpr std::array<EnumName<Uselessness>, 4> UselessnessNames {{
+    {Uselessness::Silent, "silent"},
+    {Uselessness::Unanswered, "unanswered"},
+    {Uselessness::Unreadable, "unreadable"},
+    {Uselessness::Old, "old"},
+}};
+
 /** Asks one peer for news, again and again. */
 class RelayClient
 {
@@ -66,8 +82,7 @@
     struct Events
     {
         std::function<void(const ChangeSet &)> onChanges_;
-        /** The peer did not answer, or what it knows is too old. */
-        std::function<void()> onUseless_;
+        std::function<void(Uselessness)> onUseless_;
     };
 
     RelayClient(async::EventLoop &loop, Events events);
@@ -78,7 +93,7 @@
 private:
     void ask();
     void onAnswer(int status, const std::string &body);
-    void giveUp();
+    void giveUp(Uselessness cause);
 
     async::HttpClient client_;
     Events events_;
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -180,7 +180,7 @@
 void RelayClient::ask()
 {
     const TimePoint now = BootClock::now();
-    timer_.startAt(now + millis(HoldMillis + LateMillis), [this] { giveUp(); });
+    timer_.startAt(now + millis(HoldMillis + LateMillis), [this] { giveUp(Uselessness::Silent); });
     async::ExchangeRequest request;
     request.peer_ = net::toString(*peer_);
     request.address_ = *peer_;
@@ -198,11 +198,11 @@
     const TimePoint now = BootClock::now();
     const auto received = status == 200 ? decodeChanges(body, now) : std::nullopt;
     if (!received) {
-        giveUp();
+        giveUp(status == 0 ? Uselessness::Unanswered : Uselessness::Unreadable);
         return;
     }
     if (!isFresh(received->set_, now)) {
-        giveUp();
+        giveUp(Uselessness::Old);
         return;
     }
     lifetime_ = received->lifetime_;
@@ -214,10 +214,10 @@
     }
 }
 
-void RelayClient::giveUp()
+void RelayClient::giveUp(Uselessness cause)
 {
     stop();
-    events_.onUseless_();
+    events_.onUseless_(cause);
 }
 
 } // namespace almondridge::news
