What instances tell each other of the store carries the offset of its record; only a later one replaces

Cause: news had an age for a whole topic and no order of their own. A reader that returned after its own lost connection holds removals back for 1.7 s but is new at once by that age; instances that passed it over for 3 s ask it again, take its whole list, and have endpoints back that they knew to be gone. Ruled out: late delivery (the list was complete before), the choked link (vantaa had none), the operator's entries (the store answered all others).

Now each value has its record's offset. A value is taken when its offset is later than the known one; an unknown key, when its record is not older than all that is known of the topic; and a key that a whole list lacks is gone only if that list reaches further than the key's record. The same holds for the configuration and for instances' entries.

The test that a whole list replaces all gives its records offsets now, and demands as much; two new ones for a reader that is behind and for a removal told late.

--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -1,9 +1,13 @@
 /**
  * What this instance knows of the store's keyed topics, whoever told it: the value of each key,
  * and the order in which values changed, so that a peer can be told just the changes. Pure.
+ *
+ * Peers know different parts of a topic's history. Each value carries the offset of its record in
+ * the store's log, and only a later record replaces an earlier one, in whatever order they come.
  */
 #pragma once
 
+#include "almondridge/base/ids.h"
 #include "almondridge/base/time.h"
 
 #include <array>
@@ -26,17 +30,26 @@
 {
     Topic topic_ = Topic::Config;
     std::string key_;
-    std::string value_; ///< Empty: the key is gone.
+    std::string value_;    ///< Empty: the key is gone.
+    LogOffset offset_ = 0; ///< Of the record that says so.
 };
 
+/** How far a topic is known. */
+struct TopicState
+{
+    std::optional<TimePoint> readAt_; ///< When it was known to be as the store has it; none: never.
+    LogOffset end_ = 0;               ///< All records before this offset are known.
+};
+
+using TopicStates = std::array<TopicState, TopicCount>;
+
 /** Changes in their order, or everything there is. */
 struct ChangeSet
 {
     bool whole_ = false; ///< Keys that are not among the changes are gone.
     std::uint64_t next_ = 0;
     std::vector<Change> changes_;
-    /** When each topic was last known to be as the store has it; none: never. */
-    std::array<std::optional<TimePoint>, TopicCount> readAt_ {};
+    TopicStates topics_ {};
 };
 
 class Board
@@ -46,12 +59,12 @@
 
     explicit Board(OnChange onChange);
 
-    /** Takes a value over; nothing happens when it is the same as before. */
+    /** Takes a value over; nothing happens when it is the same as before, or an older one. */
     void put(const Change &change);
-    /** Removes the keys of a topic that are not in keys. */
-    void keepOnly(Topic topic, const std::vector<std::string> &keys);
-    /** The topic is as the store had it at that time. */
-    void onRead(Topic topic, TimePoint readAt);
+    /** Removes the keys of a topic that are not in keys, which are all there were at that end. */
+    void keepOnly(Topic topic, const std::vector<std::string> &keys, LogOffset end);
+    /** The topic is as the store had it at that time, when its log ended there. */
+    void onRead(Topic topic, TimePoint readAt, LogOffset end);
     std::optional<TimePoint> readAt(Topic topic) const;
     /** How old the oldest topic's knowledge is; nullopt: one was never read. */
     std::optional<Duration> age(TimePoint now) const;
@@ -69,14 +82,16 @@
     {
         std::string value_;
         std::uint64_t change_ = 0;
+        LogOffset offset_ = 0;
     };
     using Key = std::pair<Topic, std::string>;
 
+    bool isOlder(const Change &change) const;
     void forgetOldRemovals();
 
     OnChange onChange_;
     std::map<Key, Item> items_; ///< With an empty value: removed, kept for since().
-    std::array<std::optional<TimePoint>, TopicCount> readAt_ {};
+    TopicStates topics_ {};
     std::uint64_t next_ = 1;
     std::uint64_t knownFrom_ = 1; ///< since() knows all removals from here on.
     std::size_t removals_ = 0;
--- a/libs/news/src/board.cpp
+++ b/libs/news/src/board.cpp
@@ -20,19 +20,39 @@
     : onChange_(std::move(onChange))
 { }
 
+/**
+ * A reader that was cut off from the store and returned has an old list, and so has one that holds
+ * removals back. Whoever asks it next would have endpoints back that it knew to be gone, and send
+ * requests there. Offsets tell: they order all records of a topic, whoever passes them on.
+ */
+bool Board::isOlder(const Change &change) const
+{
+    const auto found = items_.find({change.topic_, change.key_});
+    if (found != items_.end()) {
+        return change.offset_ < found->second.offset_;
+    }
+    // All records before the end are known, and by these there is no such key: it was removed.
+    return change.offset_ < topics_[indexOf(change.topic_)].end_;
+}
+
 void Board::put(const Change &change)
 {
+    if (isOlder(change)) {
+        return;
+    }
     const auto [place, added] = items_.try_emplace({change.topic_, change.key_});
     Item &item = place->second;
     if (added && change.value_.empty()) {
         items_.erase(place);
         return;
     }
+    item.offset_ = change.offset_;
     if (!added && item.value_ == change.value_) {
         return;
     }
     const bool wasRemoved = !added && item.value_.empty();
-    item = {change.value_, next_++};
+    item.value_ = change.value_;
+    item.change_ = next_++;
     removals_ += change.value_.empty() ? 1 : 0;
     removals_ -= wasRemoved ? 1 : 0;
     onChange_(change);
@@ -49,35 +69,39 @@
     removals_ = 0;
 }
 
-void Board::keepOnly(Topic topic, const std::vector<std::string> &keys)
+void Board::keepOnly(Topic topic, const std::vector<std::string> &keys, LogOffset end)
 {
+    if (end == 0) {
+        return; // Nothing was read of the topic, so nothing is known to be gone.
+    }
     const std::set<std::string> kept(keys.begin(), keys.end());
     for (const std::string &key : this->keys(topic)) {
         if (!kept.contains(key)) {
-            put({topic, key, ""});
+            put({topic, key, "", end - 1});
         }
     }
 }
 
-void Board::onRead(Topic topic, TimePoint readAt)
+void Board::onRead(Topic topic, TimePoint readAt, LogOffset end)
 {
-    std::optional<TimePoint> &known = readAt_[indexOf(topic)];
-    known = std::max(known.value_or(readAt), readAt);
+    TopicState &known = topics_[indexOf(topic)];
+    known.readAt_ = std::max(known.readAt_.value_or(readAt), readAt);
+    known.end_ = std::max(known.end_, end);
 }
 
 std::optional<TimePoint> Board::readAt(Topic topic) const
 {
-    return readAt_[indexOf(topic)];
+    return topics_[indexOf(topic)].readAt_;
 }
 
 std::optional<Duration> Board::age(TimePoint now) const
 {
     Duration oldest {};
-    for (const auto &readAt : readAt_) {
-        if (!readAt) {
+    for (const TopicState &topic : topics_) {
+        if (!topic.readAt_) {
             return std::nullopt;
         }
-        oldest = std::max(oldest, now - *readAt);
+        oldest = std::max(oldest, now - *topic.readAt_);
     }
     return oldest;
 }
@@ -87,11 +111,11 @@
     ChangeSet set;
     set.whole_ = from < knownFrom_ || from > next_;
     set.next_ = next_;
-    set.readAt_ = readAt_;
+    set.topics_ = topics_;
     for (const auto &[key, item] : items_) {
         const bool wanted = set.whole_ ? !item.value_.empty() : item.change_ >= from;
         if (wanted) {
-            set.changes_.push_back({key.first, key.second, item.value_});
+            set.changes_.push_back({key.first, key.second, item.value_, item.offset_});
         }
     }
     return set;
@@ -103,8 +127,9 @@
         put(change);
     }
     for (std::size_t index = 0; index < TopicCount; ++index) {
-        if (set.readAt_[index]) {
-            onRead(static_cast<Topic>(index), *set.readAt_[index]);
+        const TopicState &told = set.topics_[index];
+        if (told.readAt_) {
+            onRead(static_cast<Topic>(index), *told.readAt_, told.end_);
         }
     }
     if (!set.whole_) {
@@ -118,7 +143,7 @@
                 present.push_back(change.key_);
             }
         }
-        keepOnly(topic, present);
+        keepOnly(topic, present, set.topics_[index].end_);
     }
 }
 
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -31,7 +31,7 @@
 bool isFresh(const ChangeSet &set, TimePoint now)
 {
     for (const Topic topic : {Topic::Config, Topic::Endpoints}) {
-        const auto &readAt = set.readAt_[static_cast<std::size_t>(topic)];
+        const auto &readAt = set.topics_[static_cast<std::size_t>(topic)].readAt_;
         if (!readAt || now - *readAt > UselessAge) {
             return false;
         }
@@ -45,17 +45,17 @@
 {
     Json changes = Json::array();
     for (const Change &change : set.changes_) {
-        changes.push_back({static_cast<int>(change.topic_), change.key_, change.value_});
+        changes.push_back(
+            {static_cast<int>(change.topic_), change.key_, change.value_, change.offset_});
     }
     Json ages = Json::array();
-    for (const auto &readAt : set.readAt_) {
-        ages.push_back(readAt ? Json(toMillis(now - *readAt)) : Json(nullptr));
+    Json ends = Json::array();
+    for (const TopicState &topic : set.topics_) {
+        ages.push_back(topic.readAt_ ? Json(toMillis(now - *topic.readAt_)) : Json(nullptr));
+        ends.push_back(topic.end_);
     }
-    const Json json {{"lifetime", lifetime},
-                     {"whole", set.whole_},
-                     {"next", set.next_},
-                     {"ages", ages},
-                     {"changes", changes}};
+    const Json json {{"lifetime", lifetime}, {"whole", set.whole_}, {"next", set.next_},
+                     {"ages", ages},         {"ends", ends},        {"changes", changes}};
     std::string body;
     Json::to_cbor(json, body);
     return body;
@@ -72,17 +72,18 @@
         for (std::size_t index = 0; index < TopicCount; ++index) {
             const Json &age = json.at("ages").at(index);
             if (!age.is_null()) {
-                received.set_.readAt_[index] = now - millis(age.get<std::int64_t>());
+                received.set_.topics_[index].readAt_ = now - millis(age.get<std::int64_t>());
             }
+            received.set_.topics_[index].end_ = json.at("ends").at(index).get<LogOffset>();
         }
         for (const Json &change : json.at("changes")) {
             const auto topic = change.at(0).get<std::size_t>();
             if (topic >= TopicCount) {
                 return std::nullopt;
             }
-            received.set_.changes_.push_back({static_cast<Topic>(topic),
-                                              change.at(1).get<std::string>(),
-                                              change.at(2).get<std::string>()});
+            received.set_.changes_.push_back(
+                {static_cast<Topic>(topic), change.at(1).get<std::string>(),
+                 change.at(2).get<std::string>(), change.at(3).get<LogOffset>()});
         }
         return received;
     } catch (const Json::exception &) {
--- a/libs/news/tests/newstest.cpp
+++ b/libs/news/tests/newstest.cpp
@@ -84,31 +84,78 @@
 {
     CountingBoard reader;
     CountingBoard follower;
-    follower.board_.put({Topic::Endpoints, "old", "1"});
-    reader.board_.put({Topic::Endpoints, "new", "1"});
+    follower.board_.put({Topic::Endpoints, "old", "1", 7});
+    reader.board_.put({Topic::Endpoints, "new", "1", 8});
+    LogOffset end = 9;
     for (int number = 0; number < 2'500; ++number) {
         const std::string key = std::to_string(number);
-        reader.board_.put({Topic::Endpoints, key, "1"});
-        reader.board_.put({Topic::Endpoints, key, ""});
+        reader.board_.put({Topic::Endpoints, key, "1", end++});
+        reader.board_.put({Topic::Endpoints, key, "", end++});
     }
+    reader.board_.onRead(Topic::Endpoints, at(0), end);
     BOOST_TEST(reader.board_.since(2).whole_);
     follower.board_.apply(reader.board_.since(2));
     BOOST_TEST(follower.board_.keys(Topic::Endpoints).size() == 1U);
     BOOST_TEST(follower.board_.has(Topic::Endpoints, "new"));
 }
 
+/**
+ * An instance asks a reader that is behind: it has a newer value, a newer endpoint, and an endpoint
+ * that it knows to be gone. Nothing of it is undone, and the reader's later news are taken.
+ */
+BOOST_AUTO_TEST_CASE(aReaderThatIsBehindUndoesNothing)
+{
+    CountingBoard behind;
+    CountingBoard ahead;
+    for (CountingBoard *counting : {&behind, &ahead}) {
+        counting->board_.put({Topic::Endpoints, "changes", "1", 0});
+        counting->board_.put({Topic::Endpoints, "leaves", "1", 1});
+        counting->board_.onRead(Topic::Endpoints, at(0), 2);
+    }
+    ahead.board_.put({Topic::Endpoints, "changes", "2", 2});
+    ahead.board_.put({Topic::Endpoints, "leaves", "", 3});
+    ahead.board_.put({Topic::Endpoints, "new", "1", 4});
+    ahead.board_.onRead(Topic::Endpoints, at(1'000), 5);
+    const int told = ahead.told_;
+    ahead.board_.apply(behind.board_.since(0));
+    BOOST_TEST(ahead.told_ == told);
+    BOOST_TEST((ahead.board_.readAt(Topic::Endpoints) == at(1'000)));
+
+    behind.board_.put({Topic::Endpoints, "leaves", "1", 6});
+    ahead.board_.apply(behind.board_.since(1));
+    BOOST_TEST(ahead.told_ == told + 1);
+    BOOST_TEST(ahead.board_.has(Topic::Endpoints, "leaves"));
+}
+
+/** A reader that holds a removal back says later that it was made, with a record long known. */
+BOOST_AUTO_TEST_CASE(aRemovalThatIsToldLateIsTaken)
+{
+    CountingBoard reader;
+    CountingBoard follower;
+    reader.board_.put({Topic::Endpoints, "leaves", "1", 4});
+    reader.board_.onRead(Topic::Endpoints, at(0), 9);
+    follower.board_.apply(reader.board_.since(0));
+    BOOST_TEST(follower.board_.has(Topic::Endpoints, "leaves"));
+    const std::uint64_t told = reader.board_.next();
+    reader.board_.put({Topic::Endpoints, "leaves", "", 5});
+    follower.board_.apply(reader.board_.since(told));
+    BOOST_TEST(!follower.board_.has(Topic::Endpoints, "leaves"));
+}
+
 BOOST_AUTO_TEST_CASE(changesSurviveTheWayWithTheirAges)
 {
     CountingBoard reader;
-    reader.board_.put({Topic::Instances, "i", "{}"});
-    reader.board_.onRead(Topic::Config, at(0));
+    reader.board_.put({Topic::Instances, "i", "{}", 3});
+    reader.board_.onRead(Topic::Config, at(0), 12);
     const std::string body = encodeChanges(reader.board_.since(1), 7, at(250));
     const auto received = decodeChanges(body, at(10'000));
     BOOST_REQUIRE(received.has_value());
     BOOST_TEST(received->lifetime_ == 7U);
-    BOOST_TEST((received->set_.readAt_[0] == at(9'750)));
-    BOOST_TEST(!received->set_.readAt_[1].has_value());
-    BOOST_TEST(received->set_.changes_.size() == 1U);
+    BOOST_TEST((received->set_.topics_[0].readAt_ == at(9'750)));
+    BOOST_TEST(received->set_.topics_[0].end_ == 12U);
+    BOOST_TEST(!received->set_.topics_[1].readAt_.has_value());
+    BOOST_REQUIRE(received->set_.changes_.size() == 1U);
+    BOOST_TEST(received->set_.changes_[0].offset_ == 3U);
     BOOST_TEST(!decodeChanges("", at(0)).has_value());
     BOOST_TEST(!decodeChanges(body.substr(0, body.size() / 2), at(0)).has_value());
 }
