--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -43,6 +43,12 @@
 
 using TopicStates = std::array<TopicState, TopicCount>;
 
+/**
+ * How old the configuration or the endpoints are, whichever is older; nullopt: one was never read.
+ * These have bounds to meet; instances come and go slowly and are read rarely.
+ */
+std::optional<Duration> ageOf(const TopicStates &topics, TimePoint now);
+
 /** Changes in their order, or everything there is. */
 struct ChangeSet
 {
@@ -66,8 +72,7 @@
     /** The topic is as the store had it at that time, when its log ended there. */
     void onRead(Topic topic, TimePoint readAt, LogOffset end);
     std::optional<TimePoint> readAt(Topic topic) const;
-    /** How old the oldest topic's knowledge is; nullopt: one was never read. */
-    std::optional<Duration> age(TimePoint now) const;
+    const TopicStates &topics() const noexcept { return topics_; }
 
     /** What changed from number `from` on; everything when that is not known any more. */
     ChangeSet since(std::uint64_t from) const;
--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -15,6 +15,13 @@
 
 namespace almondridge::news {
 
+/** How long a peer that has no news holds the question; its answer tells that it lives. */
+inline constexpr Duration HoldTime = millis(800);
+/** An answer that is later than this comes from a dead peer or over a silent connection. */
+inline constexpr Duration LongestSilence = HoldTime + millis(400);
+/** Older news than this is no news: the peer has lost the store itself. */
+inline constexpr Duration UselessAge = millis(1'600);
+
 /** A change set as an answer's body: ages instead of points in time, as clocks differ. */
 std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, TimePoint now);
 
@@ -104,7 +111,4 @@
     std::uint64_t from_ = 0;
 };
 
-/** Older news than this is no news: the peer has lost the store itself. */
-inline constexpr Duration UselessAge = millis(1'600);
-
 } // namespace almondridge::news
--- a/libs/news/src/board.cpp
+++ b/libs/news/src/board.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+std::optional<Duration> ageOf(const TopicStates &topics, TimePoint now)
+{
+    Duration oldest {};
+    for (const Topic topic : {Topic::Config, Topic::Endpoints}) {
+        const auto &readAt = topics[indexOf(topic)].readAt_;
+        if (!readAt) {
+            return std::nullopt;
+        }
+        oldest = std::max(oldest, now - *readAt);
+    }
+    return oldest;
+}
+
 Board::Board(OnChange onChange)
     : onChange_(std::move(onChange))
 { }
@@ -94,18 +107,6 @@
     return topics_[indexOf(topic)].readAt_;
 }
 
-std::optional<Duration> Board::age(TimePoint now) const
-{
-    Duration oldest {};
-    for (const TopicState &topic : topics_) {
-        if (!topic.readAt_) {
-            return std::nullopt;
-        }
-        oldest = std::max(oldest, now - *topic.readAt_);
-    }
-    return oldest;
-}
-
 ChangeSet Board::since(std::uint64_t from) const
 {
     ChangeSet set;
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -10,10 +10,6 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view NewsPath = "/news?";
-/** How long a peer that has no news holds the question; its answer tells that it lives. */
-constexpr std::int64_t HoldMillis = 800;
-/** An answer that is later than this comes from a dead peer or over a silent connection. */
-constexpr std::int64_t LateMillis = 400;
 constexpr std::int64_t ConnectMillis = 250;
 
 std::uint64_t numberIn(std::string_view target, std::string_view name)
@@ -27,18 +23,6 @@
     return number;
 }
 
-/** Instances come and go slowly and are read rarely; the other topics have bounds to meet. */
-bool isFresh(const ChangeSet &set, TimePoint now)
-{
-    for (const Topic topic : {Topic::Config, Topic::Endpoints}) {
-        const auto &readAt = set.topics_[static_cast<std::size_t>(topic)].readAt_;
-        if (!readAt || now - *readAt > UselessAge) {
-            return false;
-        }
-    }
-    return true;
-}
-
 } // namespace
 
 std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, TimePoint now)
@@ -112,7 +96,7 @@
         respond(call.id_, from);
         return;
     }
-    waiting_.push_back({call.id_, from, BootClock::now() + millis(HoldMillis)});
+    waiting_.push_back({call.id_, from, BootClock::now() + HoldTime});
     if (waiting_.size() == 1) {
         timer_.startAt(waiting_.front().until_, [this] { answerLate(); });
     }
@@ -181,7 +165,7 @@
 void RelayClient::ask()
 {
     const TimePoint now = BootClock::now();
-    timer_.startAt(now + millis(HoldMillis + LateMillis), [this] { giveUp(Uselessness::Silent); });
+    timer_.startAt(now + LongestSilence, [this] { giveUp(Uselessness::Silent); });
     async::ExchangeRequest request;
     request.peer_ = net::toString(*peer_);
     request.address_ = *peer_;
@@ -202,7 +186,8 @@
         giveUp(status == 0 ? Uselessness::Unanswered : Uselessness::Unreadable);
         return;
     }
-    if (!isFresh(received->set_, now)) {
+    const auto age = ageOf(received->set_.topics_, now);
+    if (!age || *age > UselessAge) {
         giveUp(Uselessness::Old);
         return;
     }
