--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -1,15 +1,16 @@
 #include "storestandin.h"
 
 #include "later.h"
+#include "storewire.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace almondridge::soak {
 namespace {
 
 using Json = nlohmann::json;
+using namespace almondridge::storewire;
 
 constexpr Duration TickInterval = millis(20);
 constexpr Duration SlowAnswer = millis(240);
@@ -17,40 +18,6 @@
 constexpr std::uint64_t LostEvery = 3;
 constexpr std::size_t LengthBytes = 4;
 
-std::string parameter(const std::string &target, const std::string &name)
-{
-    const std::size_t at = target.find(name + "=");
-    if (at == std::string::npos) {
-        return "";
-    }
-    const std::size_t begin = at + name.size() + 1;
-    return target.substr(begin, target.find('&', begin) - begin);
-}
-
-std::uint64_t numberOf(const std::string &text)
-{
-    return text.empty() ? 0 : std::stoull(text);
-}
-
-std::string bigEndian(std::uint64_t number, std::size_t bytes)
-{
-    std::string text(bytes, '\0');
-    for (std::size_t index = 0; index < bytes; ++index) {
-        text[bytes - 1 - index] = static_cast<char>(number >> (8U * index) & 0xffU);
-    }
-    return text;
-}
-
-std::string base64(const std::string &bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                       reinterpret_cast<const unsigned char *>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 bool isKeyed(const std::string &topic)
 {
     return topic.starts_with("keyed.");
@@ -102,7 +69,7 @@
         if (calls_ % LostEvery == 0) {
             // Done, and the answer is lost with its connection.
             if (call.head_.method_ == "POST") {
-                append(parameter(call.head_.target_, "topic"), call.body_);
+                append(queryParameter(call.head_.target_, "topic"), call.body_);
             }
             return;
         }
@@ -116,7 +83,7 @@
 void StoreStandIn::serve(const async::ServerCall &call)
 {
     const std::string &target = call.head_.target_;
-    const std::string topic = parameter(target, "topic");
+    const std::string topic = queryParameter(target, "topic");
     if (target.starts_with("/almondridge/log-append")) {
         server_.respond(call.id_, append(topic, call.body_));
     } else if (target.starts_with("/almondridge/log-newest")) {
@@ -124,13 +91,13 @@
     } else if (target.starts_with("/almondridge/log-join")) {
         server_.respond(call.id_, join(call.body_));
     } else if (target.starts_with("/almondridge/log-read")) {
-        const LogOffset from = numberOf(parameter(target, "from"));
+        const LogOffset from = numberOf(queryParameter(target, "from"));
         const Log &log = logs_[topic];
         if (from < log.first_ || from < log.first_ + log.records_.size()) {
             server_.respond(call.id_, records(log, from));
             return;
         }
-        const auto wait = static_cast<std::int64_t>(numberOf(parameter(target, "wait-ms")));
+        const auto wait = static_cast<std::int64_t>(numberOf(queryParameter(target, "wait-ms")));
         waiting_.push_back({call.id_, topic, from, BootClock::now() + millis(wait)});
     } else {
         server_.respond(call.id_, {200, {}, "{}"});
@@ -157,10 +124,9 @@
         return {410, {}, Json {{"first", log.first_}}.dump()};
     }
     const LogOffset end = log.first_ + log.records_.size();
-    std::string body = bigEndian(end, 8) + bigEndian(log.first_, 8);
+    std::string body = readHeader(end, log.first_);
     for (LogOffset offset = from; offset < end; ++offset) {
-        const std::string &record = log.records_[offset - log.first_];
-        body += bigEndian(record.size(), LengthBytes) + record;
+        body += framedRecord(log.records_[offset - log.first_]);
     }
     return {200, {}, body};
 }
@@ -183,8 +149,7 @@
 
 void StoreStandIn::put(const std::string &topic, const std::string &key, const std::string &value)
 {
-    const std::string record = static_cast<char>(key.size()) + key + value;
-    append(topic, bigEndian(record.size(), LengthBytes) + record);
+    append(topic, framedRecord(keyedRecord(key, value)));
 }
 
 void StoreStandIn::dropHistory()
