--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -69,6 +69,11 @@
     void put(const Change &change);
     /** Removes the keys of a topic that are not in keys, which are all there were at that end. */
     void keepOnly(Topic topic, const std::vector<std::string> &keys, LogOffset end);
+    /**
+     * Records were skipped, and may have listed and removed a key that was never seen here. A peer
+     * that saw it listed would keep it for good with changes alone: it is told everything.
+     */
+    void onSkipped();
     /** The topic is as the store had it at that time, when its log ended there. */
     void onRead(Topic topic, TimePoint readAt, LogOffset end);
     std::optional<TimePoint> readAt(Topic topic) const;
@@ -98,7 +103,7 @@
     std::map<Key, Item> items_; ///< With an empty value: removed, kept for since().
     TopicStates topics_ {};
     std::uint64_t next_ = 1;
-    std::uint64_t knownFrom_ = 1; ///< since() knows all removals from here on.
+    std::uint64_t knownFrom_ = 1; ///< since() knows all that changed from here on.
     std::size_t removals_ = 0;
 };
 
--- a/libs/news/src/board.cpp
+++ b/libs/news/src/board.cpp
@@ -41,11 +41,13 @@
 bool Board::isOlder(const Change &change) const
 {
     const auto found = items_.find({change.topic_, change.key_});
-    if (found != items_.end()) {
-        return change.offset_ < found->second.offset_;
+    if (found != items_.end() && change.offset_ < found->second.offset_) {
+        return true;
     }
-    // All records before the end are known, and by these there is no such key: it was removed.
-    return change.offset_ < topics_[indexOf(change.topic_)].end_;
+    const bool listed = found != items_.end() && !found->second.value_.empty();
+    // All records before the end are known, and by these there is no such key: it was removed,
+    // maybe listed and removed again since this instance was told of its removal.
+    return !listed && change.offset_ < topics_[indexOf(change.topic_)].end_;
 }
 
 void Board::put(const Change &change)
@@ -55,20 +57,23 @@
     }
     const auto [place, added] = items_.try_emplace({change.topic_, change.key_});
     Item &item = place->second;
-    if (added && change.value_.empty()) {
-        items_.erase(place);
-        return;
-    }
+    const bool isSame = item.value_ == change.value_;
+    const bool isRemoval = change.value_.empty();
+    const bool isLater = added || change.offset_ > item.offset_;
     item.offset_ = change.offset_;
-    if (!added && item.value_ == change.value_) {
+    // A removal of a key that is not listed here is told on all the same: a peer may have seen it
+    // listed in between, and only this removal takes it off there.
+    if (isSame && !(isRemoval && isLater)) {
         return;
     }
     const bool wasRemoved = !added && item.value_.empty();
     item.value_ = change.value_;
     item.change_ = next_++;
-    removals_ += change.value_.empty() ? 1 : 0;
+    removals_ += isRemoval ? 1 : 0;
     removals_ -= wasRemoved ? 1 : 0;
-    onChange_(change);
+    if (!isSame) {
+        onChange_(change);
+    }
     forgetOldRemovals();
 }
 
@@ -93,6 +98,14 @@
             put({topic, key, "", end - 1});
         }
     }
+    if (end > topics_[indexOf(topic)].end_) {
+        onSkipped();
+    }
+}
+
+void Board::onSkipped()
+{
+    knownFrom_ = ++next_;
 }
 
 void Board::onRead(Topic topic, TimePoint readAt, LogOffset end)
@@ -124,27 +137,20 @@
 
 void Board::apply(const ChangeSet &set)
 {
+    std::array<std::vector<std::string>, TopicCount> present;
     for (const Change &change : set.changes_) {
         put(change);
+        present[indexOf(change.topic_)].push_back(change.key_);
     }
     for (std::size_t index = 0; index < TopicCount; ++index) {
+        const auto topic = static_cast<Topic>(index);
         const TopicState &told = set.topics_[index];
-        if (told.readAt_) {
-            onRead(static_cast<Topic>(index), *told.readAt_, told.end_);
+        if (set.whole_) {
+            keepOnly(topic, present[index], told.end_);
         }
-    }
-    if (!set.whole_) {
-        return;
-    }
-    for (std::size_t index = 0; index < TopicCount; ++index) {
-        const auto topic = static_cast<Topic>(index);
-        std::vector<std::string> present;
-        for (const Change &change : set.changes_) {
-            if (change.topic_ == topic) {
-                present.push_back(change.key_);
-            }
+        if (told.readAt_) {
+            onRead(topic, *told.readAt_, told.end_);
         }
-        keepOnly(topic, present, set.topics_[index].end_);
     }
 }
 
