Whoever gets no news asks the next peer; reading the store is for a few of each failure domain, also in trouble

Ruled out: more readers a domain (more calls in calm); reading less often (the bound for leaving endpoints). What an old answer tells is taken all the same. Suspected, not shown: all instances learn of each other at one moment now, and so tell their load at the same moments of 0.78 s.

--- a/libs/news/include/almondridge/news/readers.h
+++ b/libs/news/include/almondridge/news/readers.h
@@ -3,16 +3,17 @@
  *
  * All instances work out the same order from the entries that they know: those with the widest
  * links first, as a large configuration has to be sent to every follower. The first ones read. An
- * instance that got no use of a reader lately passes it over, and reads itself when the readers
- * before it are all useless, or when it comes first among the rest.
+ * instance that got no use of a reader lately passes it over, and so does the next in the order,
+ * which then reads.
  */
 #pragma once
 
+#include "almondridge/base/enumnames.h"
 #include "almondridge/base/ids.h"
 #include "almondridge/base/time.h"
 
+#include <array>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace almondridge::news {
@@ -24,6 +25,23 @@
     double linkMbps_ = 0;
 };
 
+/** Why a peer was of no use to whoever asked it for news. */
+enum class Uselessness {
+    Silent,     ///< No answer in the time that a live peer needs.
+    Unanswered, ///< No connection, or one that broke.
+    Unreadable, ///< An answer that is no news.
+    Old,        ///< What it knows is too old.
+    Lost,       ///< It says that the store turns it away and that it has no news from others yet.
+};
+
+inline constexpr std::array<EnumName<Uselessness>, 5> UselessnessNames {{
+    {Uselessness::Silent, "silent"},
+    {Uselessness::Unanswered, "unanswered"},
+    {Uselessness::Unreadable, "unreadable"},
+    {Uselessness::Old, "old"},
+    {Uselessness::Lost, "lost"},
+}};
+
 class Readers
 {
 public:
@@ -31,15 +49,37 @@
 
     /** The instances of this failure domain, this one too. */
     void setMembers(std::vector<Member> members);
+    /** With so few instances all of them read: asking each other would save next to nothing. */
+    bool allRead() const noexcept;
+    /** Whether this instance reads when none is passed over, or would if one more were. */
+    bool comesFirst() const;
     /** Asking that instance was of no use. */
-    void onUseless(const InstanceId &member, TimePoint now);
-    /** The instance to ask; nullopt: this one reads the store itself. */
-    std::optional<InstanceId> toFollow(TimePoint now);
+    void onUseless(const InstanceId &member, Uselessness cause, TimePoint now);
+    void onUseful(const InstanceId &member);
+    /** Peers that had lost the store may have it back. */
+    void onStoreBack();
+    bool isPassedOver(const InstanceId &member, TimePoint now) const;
+    std::size_t countPassedOver(TimePoint now) const;
+    /** Those that read, as far as is known here; without this one if it cannot. */
+    std::vector<InstanceId> atWork(bool canRead, TimePoint now) const;
+    /**
+     * Whose news to wait for when all are of no use: by turns one of those that read when none is
+     * passed over, and any other one, as one that is not among these may have the store back.
+     */
+    InstanceId toWaitFor(std::uint64_t attempt) const;
+    /** The one of them that this instance asks: followers are spread over the readers. */
+    const InstanceId &mine(const std::vector<InstanceId> &readers) const;
 
 private:
+    struct Pass
+    {
+        TimePoint until_ {};
+        int silences_ = 0; ///< Since it was last of use.
+    };
+
     InstanceId self_;
     std::vector<InstanceId> order_;
-    std::map<InstanceId, TimePoint> uselessUntil_;
+    std::map<InstanceId, Pass> passes_;
 };
 
 } // namespace almondridge::news
--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -9,7 +9,7 @@
 
 #include "almondridge/async/httpclient.h"
 #include "almondridge/async/httpserver.h"
-#include "almondridge/base/enumnames.h"
+#include "almondridge/news/readers.h"
 
 #include <list>
 
@@ -23,12 +23,13 @@
 inline constexpr Duration UselessAge = millis(1'600);
 
 /** A change set as an answer's body: ages instead of points in time, as clocks differ. */
-std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, TimePoint now);
+std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now);
 
 struct ReceivedChanges
 {
     ChangeSet set_;
     std::uint64_t lifetime_ = 0; ///< Of the sender: its numbers begin anew with each.
+    bool lost_ = false;          ///< The sender has lost the store and has no other news.
 };
 
 /** nullopt: it is no such body. */
@@ -46,6 +47,11 @@
     void forget(const async::CallId &id);
     /** There is news: whoever waits is answered. */
     void onNews();
+    /** Whether this instance has lost the store: those who would not wait for it are told at once.
+     */
+    void setLost(bool lost);
+    /** What is known was confirmed: whoever asked while it was too old is answered. */
+    void onConfirmed();
 
 private:
     struct Waiting
@@ -53,10 +59,13 @@
         async::CallId id_;
         std::uint64_t from_ = 0;
         TimePoint until_ {};
+        bool patient_ = false; ///< Waits also for one that has lost the store.
     };
 
     void respond(const async::CallId &id, std::uint64_t from);
     void answerLate();
+    bool isFresh(TimePoint now) const;
+    void answerThose(const std::function<bool(const Waiting &)> &chosen);
 
     const Board &board_;
     std::uint64_t lifetime_;
@@ -65,37 +74,26 @@
     async::Timer timer_;
     async::EventLoop &loop_;
     bool newsPosted_ = false;
+    bool lost_ = false;
 };
 
-/** Why a peer was of no use to whoever asked it for news. */
-enum class Uselessness {
-    Silent,     ///< No answer in the time that a live peer needs.
-    Unanswered, ///< No connection, or one that broke.
-    Unreadable, ///< An answer that is no news.
-    Old,        ///< What it knows is too old: it has lost the store itself.
-};
-
-inline constexpr std::array<EnumName<Uselessness>, 4> UselessnessNames {{
-    {Uselessness::Silent, "silent"},
-    {Uselessness::Unanswered, "unanswered"},
-    {Uselessness::Unreadable, "unreadable"},
-    {Uselessness::Old, "old"},
-}};
-
 /** Asks one peer for news, again and again. */
 class RelayClient
 {
 public:
     struct Events
     {
+        /** What the peer knows beyond us; told before onUseless_ when it is old. */
         std::function<void(const ChangeSet &)> onChanges_;
         std::function<void(Uselessness)> onUseless_;
     };
 
     RelayClient(async::EventLoop &loop, Events events);
 
-    void follow(const net::Address &peer);
+    /** patient: it is asked until it has news, though it may have lost the store. */
+    void follow(const net::Address &peer, bool patient);
     void stop();
+    bool asks() const noexcept { return peer_.has_value(); }
 
 private:
     void ask();
@@ -109,6 +107,7 @@
     async::ExchangeId exchange_ = 0;
     std::uint64_t lifetime_ = 0;
     std::uint64_t from_ = 0;
+    bool patient_ = false;
 };
 
 } // namespace almondridge::news
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -10,6 +10,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view NewsPath = "/news?";
+constexpr std::string_view PatientMark = "&patient";
 constexpr std::int64_t ConnectMillis = 250;
 
 std::uint64_t numberIn(std::string_view target, std::string_view name)
@@ -25,7 +26,7 @@
 
 } // namespace
 
-std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, TimePoint now)
+std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now)
 {
     Json changes = Json::array();
     for (const Change &change : set.changes_) {
@@ -38,8 +39,9 @@
         ages.push_back(topic.readAt_ ? Json(toMillis(now - *topic.readAt_)) : Json(nullptr));
         ends.push_back(topic.end_);
     }
-    const Json json {{"lifetime", lifetime}, {"whole", set.whole_}, {"next", set.next_},
-                     {"ages", ages},         {"ends", ends},        {"changes", changes}};
+    const Json json {{"lifetime", lifetime}, {"lost", lost}, {"whole", set.whole_},
+                     {"next", set.next_},    {"ages", ages}, {"ends", ends},
+                     {"changes", changes}};
     std::string body;
     Json::to_cbor(json, body);
     return body;
@@ -51,6 +53,7 @@
         const Json json = Json::from_cbor(body);
         ReceivedChanges received;
         received.lifetime_ = json.at("lifetime").get<std::uint64_t>();
+        received.lost_ = json.at("lost").get<bool>();
         received.set_.whole_ = json.at("whole").get<bool>();
         received.set_.next_ = json.at("next").get<std::uint64_t>();
         for (std::size_t index = 0; index < TopicCount; ++index) {
@@ -92,11 +95,19 @@
     server_ = &server;
     const bool sameLifetime = numberIn(call.head_.target_, "lifetime=") == lifetime_;
     const std::uint64_t from = sameLifetime ? numberIn(call.head_.target_, "from=") : 0;
-    if (from != board_.next()) {
+    const TimePoint now = BootClock::now();
+    // With old news the answer would be of no use: this instance may be about to have newer ones,
+    // as whoever asks it now was left by the same reader at the same moment.
+    if (from != board_.next() && isFresh(now)) {
+        respond(call.id_, from);
+        return;
+    }
+    const bool patient = call.head_.target_.ends_with(PatientMark);
+    if (lost_ && !patient) {
         respond(call.id_, from);
         return;
     }
-    waiting_.push_back({call.id_, from, BootClock::now() + HoldTime});
+    waiting_.push_back({call.id_, from, now + HoldTime, patient});
     if (waiting_.size() == 1) {
         timer_.startAt(waiting_.front().until_, [this] { answerLate(); });
     }
@@ -104,7 +115,14 @@
 
 void RelayServer::respond(const async::CallId &id, std::uint64_t from)
 {
-    server_->respond(id, {200, {}, encodeChanges(board_.since(from), lifetime_, BootClock::now())});
+    ChangeSet set;
+    if (lost_) {
+        // Nothing of use: whoever asked goes to another one, and need not be sent a whole list.
+        set.next_ = from;
+    } else {
+        set = board_.since(from);
+    }
+    server_->respond(id, {200, {}, encodeChanges(set, lifetime_, lost_, BootClock::now())});
 }
 
 void RelayServer::answerLate()
@@ -119,6 +137,45 @@
     }
 }
 
+bool RelayServer::isFresh(TimePoint now) const
+{
+    const auto age = ageOf(board_.topics(), now);
+    return age && *age <= UselessAge;
+}
+
+void RelayServer::setLost(bool lost)
+{
+    if (lost == lost_) {
+        return;
+    }
+    lost_ = lost;
+    if (lost) {
+        answerThose([](const Waiting &one) { return !one.patient_; });
+    }
+}
+
+void RelayServer::answerThose(const std::function<bool(const Waiting &)> &chosen)
+{
+    std::list<Waiting> answered;
+    for (auto one = waiting_.begin(); one != waiting_.end();) {
+        const auto next = std::next(one);
+        if (chosen(*one)) {
+            answered.splice(answered.end(), waiting_, one);
+        }
+        one = next;
+    }
+    for (const Waiting &one : answered) {
+        respond(one.id_, one.from_);
+    }
+}
+
+void RelayServer::onConfirmed()
+{
+    if (!waiting_.empty() && isFresh(BootClock::now())) {
+        answerThose([this](const Waiting &one) { return one.from_ != board_.next(); });
+    }
+}
+
 void RelayServer::forget(const async::CallId &id)
 {
     waiting_.remove_if([&](const Waiting &one) { return one.id_ == id; });
@@ -145,9 +202,10 @@
     , timer_(loop)
 { }
 
-void RelayClient::follow(const net::Address &peer)
+void RelayClient::follow(const net::Address &peer, bool patient)
 {
     stop();
+    patient_ = patient;
     peer_ = peer;
     lifetime_ = 0;
     from_ = 0;
@@ -170,8 +228,9 @@
     request.peer_ = net::toString(*peer_);
     request.address_ = *peer_;
     request.connectBy_ = now + millis(ConnectMillis);
-    request.text_ = fmt::format("GET /news?lifetime={}&from={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                                lifetime_, from_, net::toString(*peer_));
+    request.text_ =
+        fmt::format("GET /news?lifetime={}&from={}{} HTTP/1.1\r\nHost: {}\r\n\r\n", lifetime_,
+                    from_, patient_ ? PatientMark : "", net::toString(*peer_));
     exchange_ = client_.start(std::move(request),
                               async::gatherAnswer([this](const async::ExchangeResult &result) {
                                   onAnswer(result.failure_ ? 0 : result.status_, result.body_);
@@ -186,15 +245,20 @@
         giveUp(status == 0 ? Uselessness::Unanswered : Uselessness::Unreadable);
         return;
     }
-    const auto age = ageOf(received->set_.topics_, now);
-    if (!age || *age > UselessAge) {
-        giveUp(Uselessness::Old);
+    if (received->lost_) {
+        giveUp(Uselessness::Lost);
         return;
     }
     lifetime_ = received->lifetime_;
     from_ = received->set_.next_;
     timer_.stop();
+    // Taken also when it is old: the peer may know a later configuration all the same.
     events_.onChanges_(received->set_);
+    const auto age = ageOf(received->set_.topics_, now);
+    if (!age || *age > UselessAge) {
+        giveUp(Uselessness::Old);
+        return;
+    }
     if (peer_) {
         ask();
     }
