--- a/libs/news/src/newssource.cpp
+++ b/libs/news/src/newssource.cpp
@@ -145,7 +145,7 @@
 
 Source NewsSource::wanted(TimePoint now)
 {
-    const Source ownReads {SourceKind::OwnReads, {}};
+    Source ownReads {SourceKind::OwnReads, {}};
     if (readers_.allRead()) {
         return ownReads;
     }
--- a/libs/news/tests/newssourcetest.cpp
+++ b/libs/news/tests/newssourcetest.cpp
@@ -33,6 +33,7 @@
     explicit Domain(int count = Instances)
     {
         std::vector<Member> members;
+        members.reserve(static_cast<std::size_t>(count));
         for (int number = 0; number < count; ++number) {
             members.push_back({InstanceId("instance-" + std::to_string(number)), 20});
         }
