The choice of relays and the worth of a note are modules of their own; a list that shrinks under a stand-in ends nothing

Read again, the choice searched for a relay in a list that it may have left, without an end, and held a place in the list beyond its end: all of an instance's work would have stopped, when the first relays are silent and the list of instances shrinks meanwhile. Change: gateway/relaychoice, with what has left the list forgotten and the group kept within it; a test with lists that shrink to three, one and none.

--- a/libs/gateway/include/almondridge/gateway/loadmesh.h
+++ b/libs/gateway/include/almondridge/gateway/loadmesh.h
@@ -12,6 +12,7 @@
 
 #include "almondridge/gateway/digeststream.h"
 #include "almondridge/gateway/peerload.h"
+#include "almondridge/gateway/relaychoice.h"
 
 #include <deque>
 #include <map>
@@ -22,14 +23,6 @@
 
 namespace almondridge::gateway {
 
-/** An instance of the fleet. */
-struct MeshMember
-{
-    InstanceId id_;
-    DomainId domain_;
-    double linkMbps_ = 0;
-};
-
 struct MeshDatagram
 {
     InstanceId to_;
@@ -76,9 +69,9 @@
     /** What all other instances are asked for. */
     StageDemand demand(const ServiceId &service) const;
 
-    bool isRelay() const noexcept { return isRelay_; }
+    bool isRelay() const noexcept { return choice_.isRelay(); }
     /** The relay that this instance follows; empty: none. */
-    const InstanceId &followed() const noexcept { return followed_; }
+    const InstanceId &followed() const noexcept { return choice_.followed(); }
 
 private:
     /** Parts to tell, each twice: a lost datagram is made good by the next. */
@@ -100,14 +93,8 @@
     };
 
     bool isDirect() const noexcept;
-    std::vector<InstanceId> relaysOf(const DomainId &domain, std::size_t group) const;
     std::vector<InstanceId> relaysOfOthers(TimePoint now) const;
-    bool isPassedOver(const InstanceId &relay, TimePoint now) const;
-    void leaveSilentRelay(TimePoint now);
-    void tryGroupsBefore(TimePoint now);
-    bool hears(const InstanceId &relay, TimePoint since) const;
     void chooseRelays(EndpointTable &table, TimePoint now);
-    void follow(const InstanceId &relay, TimePoint now);
     void useStreams(EndpointTable &table, TimePoint now);
     void chooseDomainStreams(EndpointTable &table, TimePoint now);
     bool worthSending(const LoadNote &note, TimePoint now) const;
@@ -131,21 +118,12 @@
     DomainId domain_;
     double linkMbps_;
     std::uint64_t lifetime_;
-    std::map<InstanceId, MeshMember> members_;          ///< The others.
-    std::map<DomainId, std::vector<InstanceId>> order_; ///< As relays; this one too.
+    std::map<InstanceId, MeshMember> members_; ///< The others.
 
+    RelayChoice choice_;
     PeerLoads heard_; ///< Notes that came here.
     std::set<InstanceId> followers_;
-    std::set<InstanceId> newFollowers_;               ///< They know nothing yet.
-    std::set<InstanceId> relays_;                     ///< Of this domain, that notes are sent to.
-    std::map<InstanceId, TimePoint> passedOverUntil_; ///< Relays that were silent.
-    InstanceId followed_;
-    InstanceId followedBefore_; ///< It goes on telling until followed_ has told something.
-    TimePoint followedSince_ {};
-    std::size_t group_ = 0; ///< Of this domain's relays, in their order: the one that is in use.
-    InstanceId tried_;      ///< A relay of a group before the one in use.
-    TimePoint triedSince_ {};
-    bool isRelay_ = false;
+    std::set<InstanceId> newFollowers_; ///< They know nothing yet.
 
     std::map<InstanceId, DigestStream> all_;     ///< By relay of this domain.
     std::map<InstanceId, DigestStream> domains_; ///< By relay of another domain.
--- a/libs/gateway/src/loadmesh.cpp
+++ b/libs/gateway/src/loadmesh.cpp
@@ -1,7 +1,8 @@
 #include "almondridge/gateway/loadmesh.h"
 
+#include "noteworth.h"
+
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace almondridge::gateway {
@@ -15,14 +16,8 @@
 constexpr Duration QuietInterval = millis(1'000);
 /** So many others are told directly: what each of them takes is then 240 notes a second at most. */
 constexpr std::size_t MostToldDirectly = 12;
-/** Several, so that the loss of one is no loss of knowledge. */
-constexpr std::size_t RelaysPerDomain = 2;
 /** Relays of another domain that a sum is sent to: those known to work there may be others. */
 constexpr std::size_t MostRemoteRelays = 4;
-/** A relay tells its followers each tick: after some missed ones it is taken for gone. */
-constexpr Duration RelaySilentAfter = millis(600);
-/** A silent relay is not followed again for this time, unless all others are silent as well. */
-constexpr Duration PassedOverFor = millis(3'000);
 /** Without a word a domain's sum, a note or a part of a digest counts no more. */
 constexpr Duration SilentAfter = millis(3'000);
 /** Of its own link a relay uses this share for telling its followers. */
@@ -32,8 +27,6 @@
 constexpr int BitsPerByte = 8;
 /** Own notes that may be in the sums that relays tell. */
 constexpr std::size_t RememberedNotes = 64;
-/** Any fixed number: it gives the instances of a domain one order as relays. */
-constexpr std::uint64_t RelayOrder = 3;
 /** Keys that one digest tells beside its loads, so that it fits into one packet. */
 constexpr std::size_t MostPartsInDigest = 24;
 /** Endpoints that change or were not reached; more of them have a digest of their own. */
@@ -46,56 +39,6 @@
 /** No engine is away for longer, whatever a relay says. */
 constexpr std::int64_t LongestChangeMillis = 10'000;
 
-/** What of a note's changes is worth one: with few instances each has much of the load. */
-struct Worth
-{
-    std::int64_t tokens_;
-    int uses_;
-};
-constexpr Worth WorthOfFew {2'000, 3};
-constexpr Worth WorthOfMany {500, 1};
-/** A failure that others do not know of yet. */
-constexpr double FailureWorthTelling = 0.9;
-
-template <typename Map>
-bool anyFailureIsNew(const Map &now, const Map &before)
-{
-    return std::any_of(now.begin(), now.end(), [&](const auto &entry) {
-        const auto found = before.find(entry.first);
-        const double known = found != before.end() ? found->second : 0;
-        return entry.second - known >= FailureWorthTelling;
-    });
-}
-
-template <typename Map>
-std::int64_t greatestGrowth(const Map &now, const Map &before)
-{
-    std::int64_t greatest = 0;
-    for (const auto &[id, value] : now) {
-        const auto found = before.find(id);
-        const std::int64_t known = found != before.end() ? found->second.all() : 0;
-        greatest = std::max<std::int64_t>(greatest, std::abs(value.all() - known));
-    }
-    return greatest;
-}
-
-template <typename Map>
-std::int64_t sumOfGrowth(const Map &now, const Map &before)
-{
-    std::int64_t sum = 0;
-    for (const auto &[id, value] : now) {
-        const auto found = before.find(id);
-        const std::int64_t known = found != before.end() ? found->second.all() : 0;
-        sum += std::abs(value.all() - known);
-    }
-    return sum;
-}
-
-bool contains(const std::vector<InstanceId> &ids, const InstanceId &id)
-{
-    return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 void addLoads(const LoadTable &loads, LoadTable &sums)
 {
     for (const auto &[id, load] : loads) {
@@ -120,6 +63,7 @@
     , domain_(std::move(domain))
     , linkMbps_(linkMbps)
     , lifetime_(lifetime)
+    , choice_(self_, domain_)
 { }
 
 void LoadMesh::PartsToTell::add(const std::vector<PromptMemory::Key> &parts)
@@ -142,28 +86,12 @@
 void LoadMesh::setMembers(const std::vector<MeshMember> &members)
 {
     members_.clear();
-    order_.clear();
-    std::map<DomainId, std::vector<MeshMember>> byDomain;
     for (const MeshMember &member : members) {
-        byDomain[member.domain_].push_back(member);
         if (member.id_ != self_) {
             members_[member.id_] = member;
         }
     }
-    const auto rank = [](const MeshMember &member) {
-        return std::make_pair(member.linkMbps_, rendezvousWeight(member.id_.value(), RelayOrder));
-    };
-    for (auto &[domain, ofDomain] : byDomain) {
-        std::sort(ofDomain.begin(), ofDomain.end(),
-                  [&](const MeshMember &one, const MeshMember &other) {
-                      return rank(one) > rank(other);
-                  });
-        for (const MeshMember &member : ofDomain) {
-            order_[domain].push_back(member.id_);
-        }
-    }
-    std::erase_if(passedOverUntil_,
-                  [&](const auto &entry) { return !members_.contains(entry.first); });
+    choice_.setMembers(members);
     std::erase_if(followers_, [&](const InstanceId &id) { return !members_.contains(id); });
     lastSentAt_ = {}; // Whoever is new is told at once.
 }
@@ -173,132 +101,25 @@
     return members_.size() <= MostToldDirectly;
 }
 
-/** The relays of a domain in an order of groups: the first group relays while one of it works. */
-std::vector<InstanceId> LoadMesh::relaysOf(const DomainId &domain, std::size_t group) const
-{
-    const auto order = order_.find(domain);
-    if (order == order_.end()) {
-        return {};
-    }
-    const std::vector<InstanceId> &ids = order->second;
-    const std::size_t from = std::min(ids.size(), group * RelaysPerDomain);
-    const std::size_t until = std::min(ids.size(), from + RelaysPerDomain);
-    return {ids.begin() + static_cast<std::ptrdiff_t>(from),
-            ids.begin() + static_cast<std::ptrdiff_t>(until)};
-}
-
-bool LoadMesh::isPassedOver(const InstanceId &relay, TimePoint now) const
-{
-    const auto pass = passedOverUntil_.find(relay);
-    return pass != passedOverUntil_.end() && pass->second > now;
-}
-
-bool LoadMesh::hears(const InstanceId &relay, TimePoint since) const
-{
-    const auto stream = all_.find(relay);
-    return stream != all_.end() && stream->second.heardAt() > since;
-}
-
-void LoadMesh::follow(const InstanceId &relay, TimePoint now)
-{
-    if (hears(followed_, followedSince_)) {
-        followedBefore_ = followed_;
-    }
-    followed_ = relay;
-    followedSince_ = now;
-    lastSentAt_ = {}; // The relay learns by a note whom to tell.
-}
-
-/** A silent relay is left for the other one of its group, and a silent group for the next. */
-void LoadMesh::leaveSilentRelay(TimePoint now)
-{
-    const TimePoint since = std::max(followedSince_, now - RelaySilentAfter);
-    const bool silent =
-        !followed_.empty() && followedSince_ + RelaySilentAfter < now && !hears(followed_, since);
-    if (silent) {
-        passedOverUntil_[followed_] = now + PassedOverFor;
-    }
-    std::vector<InstanceId> relays = relaysOf(domain_, group_);
-    std::erase_if(relays, [&](const InstanceId &relay) { return isPassedOver(relay, now); });
-    if (relays.empty()) {
-        // Beyond the last group this instance is cut off, and the first one may work.
-        group_ = relaysOf(domain_, group_ + 1).empty() ? 0 : group_ + 1;
-        relays = relaysOf(domain_, group_);
-    }
-    isRelay_ = contains(relays, self_);
-    if (isRelay_) {
-        followed_ = {};
-        followedBefore_ = {};
-    } else if (!contains(relays, followed_) && !relays.empty()) {
-        follow(relays[rendezvousWeight(self_.value(), RelayOrder) % relays.size()], now);
-    }
-}
-
-/**
- * One relay of the groups before after the other, while what is in use goes on. Instances that lost
- * a group at different moments would else end with different ones, and each know but a part.
- */
-void LoadMesh::tryGroupsBefore(TimePoint now)
-{
-    if (group_ == 0) {
-        tried_ = {};
-        return;
-    }
-    if (!tried_.empty() && hears(tried_, triedSince_)) {
-        for (group_ = 0; !contains(relaysOf(domain_, group_), tried_);) {
-            ++group_;
-        }
-        passedOverUntil_.erase(tried_);
-        follow(tried_, now);
-        isRelay_ = false;
-        return;
-    }
-    if (triedSince_ + RelaySilentAfter < now) {
-        const std::vector<InstanceId> &order = order_.at(domain_);
-        const auto before = order.begin() + static_cast<std::ptrdiff_t>(group_ * RelaysPerDomain);
-        const auto last = std::find(order.begin(), before, tried_);
-        tried_ = last == before || last + 1 == before ? order.front() : *(last + 1);
-        triedSince_ = now;
-        lastSentAt_ = {}; // It learns by a note that it is to tell this instance.
-    }
-}
-
 void LoadMesh::chooseRelays(EndpointTable &table, TimePoint now)
 {
-    relays_.clear();
+    const auto hears = [this](const InstanceId &relay, TimePoint since) {
+        const auto stream = all_.find(relay);
+        return stream != all_.end() && stream->second.heardAt() > since;
+    };
     if (isDirect()) {
-        isRelay_ = false;
-        followed_ = {};
-        useStreams(table, now);
-        return;
-    }
-    leaveSilentRelay(now);
-    tryGroupsBefore(now);
-    // The first group learns of this instance's load whether it seems to work from here or not:
-    // others may follow it.
-    for (const std::size_t group : {std::size_t {0}, group_}) {
-        for (const InstanceId &relay : relaysOf(domain_, group)) {
-            relays_.insert(relay);
-        }
-    }
-    if (hears(followed_, followedSince_) || isRelay_) {
-        followedBefore_ = {};
-    } else if (!followedBefore_.empty()) {
-        relays_.insert(followedBefore_);
-    }
-    if (!tried_.empty()) {
-        relays_.insert(tried_);
+        choice_.chooseNobody();
+    } else if (choice_.choose(hears, now)) {
+        lastSentAt_ = {}; // The relay learns by a note whom to tell.
     }
-    relays_.erase(self_);
     useStreams(table, now);
 }
 
 void LoadMesh::useStreams(EndpointTable &table, TimePoint now)
 {
-    heard_.setInUse(isDirect() || isRelay_, table);
-    const InstanceId &told = hears(followed_, followedSince_) ? followed_ : followedBefore_;
+    heard_.setInUse(isDirect() || isRelay(), table);
     for (auto &[relay, stream] : all_) {
-        stream.setInUse(!isDirect() && !isRelay_ && relay == told, table);
+        stream.setInUse(relay == choice_.told(), table);
     }
     chooseDomainStreams(table, now);
 }
@@ -318,7 +139,7 @@
         }
     }
     for (auto &[relay, told] : domains_) {
-        told.setInUse(isRelay_ && best.at(told.newest().domain_) == &told, table);
+        told.setInUse(isRelay() && best.at(told.newest().domain_) == &told, table);
     }
 }
 
@@ -341,17 +162,8 @@
 
 bool LoadMesh::worthSending(const LoadNote &note, TimePoint now) const
 {
-    if (now >= lastSentAt_ + QuietInterval || note.mayLead_ != last_.mayLead_
-        || note.leads_ != last_.leads_ || note.unreached_ != last_.unreached_
-        || anyFailureIsNew(note.failures_, last_.failures_)) {
-        return true;
-    }
-    const Worth &worth = isDirect() ? WorthOfFew : WorthOfMany;
-    const std::int64_t tokens = std::max(greatestGrowth(note.queued_, last_.queued_),
-                                         greatestGrowth(last_.queued_, note.queued_));
-    const std::int64_t uses = std::max(sumOfGrowth(note.slotUse_, last_.slotUse_),
-                                       sumOfGrowth(last_.slotUse_, note.slotUse_));
-    return tokens >= worth.tokens_ || uses >= worth.uses_;
+    return now >= lastSentAt_ + QuietInterval
+           || isWorthANote(note, last_, isDirect() ? FleetSize::Few : FleetSize::Many);
 }
 
 void LoadMesh::addReadParts(const std::vector<PromptMemory::Key> &parts)
@@ -365,7 +177,7 @@
     note.number_ = ++noteNumber_;
     const std::vector<PromptMemory::Key> parts = notedParts_.take(MostPartsInNote);
     note.readParts_ = parts;
-    if (isRelay_) {
+    if (isRelay()) {
         domainParts_.add(parts);
         allParts_.add(parts);
     }
@@ -375,8 +187,8 @@
             out.push_back({id, bytes});
         }
     }
-    for (const InstanceId &relay : relays_) {
-        const bool tellsUs = relay == followed_ || relay == followedBefore_ || relay == tried_;
+    for (const InstanceId &relay : choice_.toldByUs()) {
+        const bool tellsUs = choice_.isAsked(relay);
         note.follows_ = tellsUs ? relay : InstanceId {};
         out.push_back({relay, tellsUs ? encodeNote(note) : bytes});
     }
@@ -455,11 +267,11 @@
 std::vector<InstanceId> LoadMesh::relaysOfOthers(TimePoint now) const
 {
     std::vector<InstanceId> found;
-    for (const auto &[domain, order] : order_) {
+    for (const DomainId &domain : choice_.domains()) {
         if (domain == domain_) {
             continue;
         }
-        std::vector<InstanceId> relays = relaysOf(domain, 0);
+        std::vector<InstanceId> relays = choice_.firstOf(domain);
         bool anyHeard = false;
         for (const auto &[relay, told] : domains_) {
             if (told.newest().domain_ == domain && told.heardAt() + QuietInterval > now) {
@@ -469,9 +281,8 @@
         }
         if (!anyHeard) {
             // Others stand in for them, and may not hear of this one either: each group in turn.
-            const std::size_t groups = (order.size() + RelaysPerDomain - 1) / RelaysPerDomain;
             const auto turn = static_cast<std::size_t>(now.time_since_epoch() / RelaySilentAfter);
-            addAbsent(relaysOf(domain, turn % groups), relays, MostRemoteRelays);
+            addAbsent(choice_.standInsOf(domain, turn), relays, MostRemoteRelays);
         }
         found.insert(found.end(), relays.begin(), relays.end());
     }
@@ -575,7 +386,7 @@
 void LoadMesh::tellAsRelay(const LoadNote &own, const EndpointTable &table, TimePoint now,
                            std::vector<MeshDatagram> &out)
 {
-    if (!isRelay_ || now < relayTellsAt_) {
+    if (!isRelay() || now < relayTellsAt_) {
         return;
     }
     tellDomains(own, now, out);
@@ -605,7 +416,7 @@
 
 TimePoint LoadMesh::nextTick(TimePoint now) const
 {
-    return now + (isRelay_ ? RelayInterval : TellInterval);
+    return now + (isRelay() ? RelayInterval : TellInterval);
 }
 
 Reception LoadMesh::onDatagram(std::string_view bytes, EndpointTable &table, TimePoint now)
@@ -639,7 +450,7 @@
         newFollowers_.insert(note.sender_);
     }
     toldParts_.insert(toldParts_.end(), note.readParts_.begin(), note.readParts_.end());
-    if (isRelay_) {
+    if (isRelay()) {
         domainParts_.add(note.readParts_);
         allParts_.add(note.readParts_);
     }
@@ -674,7 +485,7 @@
         table.onUnreachedByPeer(endpoint, now);
     }
     toldParts_.insert(toldParts_.end(), digest.readParts_.begin(), digest.readParts_.end());
-    if (isRelay_ && stream.isInUse()) {
+    if (isRelay() && stream.isInUse()) {
         allParts_.add(digest.readParts_);
     }
     return Reception::Taken;
@@ -699,14 +510,14 @@
             return !entry.second.isInUse() || leaves(entry.second.newest());
         });
     };
-    const bool heardLeave = (!isDirect() && !isRelay_) || heard_.leads(self_);
+    const bool heardLeave = (!isDirect() && !isRelay()) || heard_.leads(self_);
     return heardLeave && allLeave(all_) && allLeave(domains_);
 }
 
 StageDemand LoadMesh::demand(const ServiceId &service) const
 {
     StageDemand sum;
-    if (isDirect() || isRelay_) {
+    if (isDirect() || isRelay()) {
         sum = heard_.demand(service);
     }
     const auto add = [&](const DigestStream &stream) {
@@ -721,7 +532,7 @@
     for (const auto &[relay, stream] : all_) {
         add(stream);
     }
-    if (!isDirect() && !isRelay_ && !ownNotes_.empty()) {
+    if (!isDirect() && !isRelay() && !ownNotes_.empty()) {
         // The sum of all has this instance's part as well.
         const auto own = ownNotes_.back().demand_.find(service);
         if (own != ownNotes_.back().demand_.end()) {
--- a/libs/gateway/tests/loadmeshtest.cpp
+++ b/libs/gateway/tests/loadmeshtest.cpp
@@ -442,6 +442,35 @@
     BOOST_TEST(node.table_.find(engineId(1))->foreignQueued_.all() == 0);
 }
 
+// All of an instance's work stops for good: it stood in for silent relays, and the instances
+// between these and itself left the list meanwhile.
+BOOST_AUTO_TEST_CASE(aListThatShrinksUnderAStandInEndsNothing)
+{
+    const DomainId domain("domain");
+    std::vector<MeshMember> members;
+    for (int number = 0; number < 12; ++number) {
+        members.push_back({InstanceId("front-" + std::to_string(number)), domain, NarrowLink});
+    }
+    for (const MeshMember &self : members) {
+        for (const std::size_t left : {std::size_t {3}, std::size_t {1}, std::size_t {0}}) {
+            RelayChoice choice(self.id_, domain);
+            choice.setMembers(members);
+            TimePoint now = TimePoint {} + millis(1'000'000);
+            const auto hearsNothing = [](const InstanceId &, TimePoint) { return false; };
+            const auto hearsAll = [](const InstanceId &, TimePoint) { return true; };
+            for (int tick = 0; tick < 200; ++tick) {
+                choice.choose(hearsNothing, now += millis(50));
+            }
+            choice.setMembers(
+                {members.begin(), members.begin() + static_cast<std::ptrdiff_t>(left)});
+            for (int tick = 0; tick < 100; ++tick) {
+                choice.choose(hearsAll, now += millis(50));
+            }
+            BOOST_TEST((left == 0 || choice.isRelay() || !choice.followed().empty()));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(oneOfALargeFleetLeads)
 {
     Fleet fleet(60, 10);
