--- a/libs/gateway/tests/loadmeshtest.cpp
+++ b/libs/gateway/tests/loadmeshtest.cpp
@@ -447,8 +447,10 @@
 BOOST_AUTO_TEST_CASE(aListThatShrinksUnderAStandInEndsNothing)
 {
     const DomainId domain("domain");
+    constexpr int Count = 12;
     std::vector<MeshMember> members;
-    for (int number = 0; number < 12; ++number) {
+    members.reserve(Count);
+    for (int number = 0; number < Count; ++number) {
         members.push_back({InstanceId("front-" + std::to_string(number)), domain, NarrowLink});
     }
     for (const MeshMember &self : members) {
