Endpoints that were not reached are told to all failure domains, also where a sum takes several digests

Cause: found by reading. A relay passed on what the newest digest of another domain named; of several in one round only the first has the lists. Change: what relays of other domains name is kept until the next round, and told once. Test: ten engines that one instance did not reach are tested by all 195 within 300 ms. Shown by tests only.

--- a/libs/gateway/include/almondridge/gateway/loadmesh.h
+++ b/libs/gateway/include/almondridge/gateway/loadmesh.h
@@ -133,6 +133,8 @@
     PartsToTell domainParts_;
     PartsToTell allParts_;
     std::vector<PromptMemory::Key> toldParts_;
+    std::vector<EndpointId>
+        foreignUnreached_; ///< Told by relays of other domains, to be passed on.
 
     LoadNote last_;
     TimePoint lastSentAt_ {};
--- a/libs/gateway/src/loadmesh.cpp
+++ b/libs/gateway/src/loadmesh.cpp
@@ -344,10 +344,10 @@
             for (const auto &[service, demand] : told.newest().demand_) {
                 digest.demand_[service] += demand;
             }
-            addAbsent(told.newest().unreached_, digest.unreached_, MostUnreachedTold);
             addLeaders(told.newest(), digest);
         }
     }
+    addAbsent(std::exchange(foreignUnreached_, {}), digest.unreached_, MostUnreachedTold);
     for (const auto &[id, endpoint] : table.all()) {
         EndpointLoad load {endpoint.foreignQueued_, endpoint.foreignSlotUse_,
                            endpoint.toldFailures_};
@@ -487,6 +487,7 @@
     toldParts_.insert(toldParts_.end(), digest.readParts_.begin(), digest.readParts_.end());
     if (isRelay() && stream.isInUse()) {
         allParts_.add(digest.readParts_);
+        addAbsent(digest.unreached_, foreignUnreached_, MostUnreachedTold);
     }
     return Reception::Taken;
 }
--- a/libs/gateway/tests/loadmeshtest.cpp
+++ b/libs/gateway/tests/loadmeshtest.cpp
@@ -324,6 +324,28 @@
     BOOST_TEST(fleet.firstError() == "");
 }
 
+// Half a fleet goes on sending to engines that a crash took away: those who met it told it, but in
+// another failure domain only the relays heard of it.
+BOOST_AUTO_TEST_CASE(endpointsThatWereNotReachedAreToldToAllDomains)
+{
+    Fleet fleet(LargeFleet, LargeEngines);
+    for (auto &[id, node] : fleet.nodes()) {
+        fleet.changeLoad(node);
+    }
+    fleet.run(millis(4'000));
+    Fleet::Node &witness = fleet.node(LargeFleet - 1);
+    constexpr int Crashed = 10;
+    for (int number = 0; number < Crashed; ++number) {
+        witness.own_.unreached_.push_back(engineId(number));
+    }
+    fleet.run(millis(300));
+    for (auto &[id, node] : fleet.nodes()) {
+        const std::vector<EndpointId> tests = node.table_.takeTests(fleet.now());
+        BOOST_TEST((&node == &witness || tests.size() == Crashed),
+                   id.value() << " tests " << tests.size());
+    }
+}
+
 // A relay dies, and for seconds its domain's prompts are sent to engines that look idle.
 BOOST_AUTO_TEST_CASE(theLossOfARelayIsOverWithinASecond)
 {
