--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -10,9 +10,8 @@
 /** Shared parts that are remembered: some thousand subjects on a few engines each. */
 constexpr std::size_t RememberedParts = 8'192;
 /**
- * An engine slower than this share of the usual rate is taken for slow. Between sound ones the
- * measured speeds differ by chance, and choosing by them sends prompts away from their cached
- * parts: worth 0.812 without, 0.793 with them on a calm day.
+ * An engine slower than this share of the usual rate is taken for slow. The speeds of sound ones
+ * differ by chance, and choosing by them would send prompts away from their cached parts.
  */
 constexpr double SlowSpeed = 0.5;
 
@@ -29,16 +28,13 @@
 /**
  * Engines that may read one part: the first of its order, and another one when that one's queue is
  * long. Each copy takes a read of its own and memory from the other parts; without a bound a loaded
- * fleet copies everything everywhere and reads it again and again. Mean worth of a day with three
- * and with two, on a fleet of 60 engines: 0.356, 0.372.
+ * fleet copies everything everywhere and reads it again and again.
  */
 constexpr std::size_t HomesOfAPart = 2;
 
 /**
  * What reading a part again elsewhere costs beside its own time: the engine reads nothing else
- * meanwhile, and the copy pushes others out of its memory. Worth of two sites on a calm and a
- * loaded day at 0, 0.5, 1 and 2: 0.805, 0.797, 0.814, 0.812 and 0.451, 0.520, 0.517, 0.538;
- * 0.700, 0.750, 0.768, 0.777 and 0.465, 0.505, 0.499, 0.513.
+ * meanwhile, and the copy pushes others out of its memory.
  */
 constexpr double ReadAgainWeight = 2;
 
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -37,9 +37,8 @@
 constexpr double GainWorthAnOrder = 0.12;
 /**
  * The same where it begins to make engines read. Each of them reads the parts that it is a home of
- * from now on for the first time, and others keep them for nobody: with a split that was a quarter
- * off the best one, two dozen orders cost a fleet of 60 engines a tenth of its worth. Only a split
- * that is far off is mended, and then wholly.
+ * from now on for the first time, and others keep them for nobody. Only a split that is far off is
+ * mended, and then wholly.
  */
 constexpr double GainWorthReading = 0.4;
 
@@ -50,8 +49,8 @@
 constexpr Duration FirstLook = millis(6'000);
 /**
  * And for so long no generating engine is made to read: bursts of long answers may not have come
- * yet. Two of four were taken after eight seconds, and the first burst filled the memory of the
- * others, which put back what they had begun; prompts that wait cost less.
+ * yet, and would fill the memory of the engines that are left to generate, which then put back what
+ * they have begun; prompts that wait cost less.
  */
 constexpr Duration LookForReaders = millis(16'000);
 
@@ -66,10 +65,9 @@
 
 /**
  * Under traffic engines change only for a stage whose requests wait so long on average. A change
- * takes an engine away for seconds, throws its cached parts away and moves others' homes: with
- * changes for the demand alone a calm day of one deployment fell from 0.85 to 0.72. A prompt that
- * waits behind one other one waits 100 ms or 200 anyway; a request that waits for a slot does so
- * only where engines are full.
+ * takes an engine away for seconds, throws its cached parts away and moves others' homes: demand
+ * alone is no reason. A prompt that waits behind one other one waits 100 ms or 200 anyway; a request
+ * that waits for a slot does so only where engines are full.
  */
 constexpr double ReadWaitWorthAnOrder = 300;
 constexpr double SlotWaitWorthAnOrder = 50;
--- a/libs/net/src/companionthread.h
+++ b/libs/net/src/companionthread.h
@@ -1,8 +1,7 @@
 /**
  * A thread that runs one function at a time for the thread that owns it.
  *
- * CivetWeb gives its workers stacks of 100 KiB, of which 77 KiB are left to a handler (measured
- * with Debian's 1.15). Handlers that parse JSON and keep read buffers overrun that, which shows
+ * CivetWeb gives its workers stacks of 100 KiB, of which 77 KiB are left to a handler. Handlers that parse JSON and keep read buffers overrun that, which shows
  * as a crash in whatever writes to the stack next. A companion has the system's usual stack, of
  * which only the touched pages take memory.
  */
--- a/libs/news/src/newssource.cpp
+++ b/libs/news/src/newssource.cpp
@@ -26,8 +26,7 @@
 constexpr int MostDoublings = 8;
 /**
  * Where so many peers are of no use, the store is taken to be away for all: with a third of the
- * instances turned away, one in ten thousand times it is not. The others need not find out each for
- * itself.
+ * instances turned away that is hardly ever wrong. The others need not find out each for itself.
  */
 constexpr std::size_t MostPassedOver = 10;
 /** An answer of the store says for so long that it answers. */
--- a/libs/routing/src/reportworth.cpp
+++ b/libs/routing/src/reportworth.cpp
@@ -12,7 +12,7 @@
 constexpr double PriorSlope = 0.5;
 /**
  * Every entry reads the same report. What is best for one entry that trusts it is too much when
- * all do, and the more so the older it is: half of the slope's square served best in trials.
+ * all do, and the more so the older it is.
  */
 constexpr double CommonKnowledge = 0.5;
 /** One report or first token that is far off must not outweigh all the others. */
