--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -66,8 +66,8 @@
 /**
  * Under traffic engines change only for a stage whose requests wait so long on average. A change
  * takes an engine away for seconds, throws its cached parts away and moves others' homes: demand
- * alone is no reason. A prompt that waits behind one other one waits 100 ms or 200 anyway; a request
- * that waits for a slot does so only where engines are full.
+ * alone is no reason. A prompt that waits behind one other one waits 100 ms or 200 anyway; a
+ * request that waits for a slot does so only where engines are full.
  */
 constexpr double ReadWaitWorthAnOrder = 300;
 constexpr double SlotWaitWorthAnOrder = 50;
--- a/libs/net/src/companionthread.h
+++ b/libs/net/src/companionthread.h
@@ -1,9 +1,10 @@
 /**
  * A thread that runs one function at a time for the thread that owns it.
  *
- * CivetWeb gives its workers stacks of 100 KiB, of which 77 KiB are left to a handler. Handlers that parse JSON and keep read buffers overrun that, which shows
- * as a crash in whatever writes to the stack next. A companion has the system's usual stack, of
- * which only the touched pages take memory.
+ * CivetWeb gives its workers stacks of 100 KiB, of which 77 KiB are left to a handler. Handlers
+ * that parse JSON and keep read buffers overrun that, which shows as a crash in whatever writes to
+ * the stack next. A companion has the system's usual stack, of which only the touched pages take
+ * memory.
  */
 #pragma once
 
