--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -28,6 +28,7 @@
     SendBudgetLimits secondSends_;
     std::int64_t connectMillis_ = 400; ///< Until a connection to an endpoint counts as refused.
     std::size_t maxKeptConnections_ = 512;
+    std::string keySecret_ {}; ///< Of request keys; the same for all instances of a deployment.
 };
 
 class Gateway
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -228,6 +228,7 @@
     const LogLevel level = outcome == Outcome::Answered ? LogLevel::Info : LogLevel::Warning;
     logEvent(level, "request",
              {{"id", facts().requestId_},
+              {"key", toString(input_.key_)},
               {"route", route().name_},
               {"service", input_.service_.value()},
               {"config", input_.config_->version()},
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "almondridge/gateway/requestkey.h"
 #include "gatewaystate.h"
 
 namespace almondridge::gateway {
@@ -22,6 +23,7 @@
 {
     async::ServerCall request_;
     CallFacts facts_;
+    RequestKey key_ {};
     std::shared_ptr<const Config> config_; ///< Keeps route_ alive.
     const Route *route_ = nullptr;
     ServiceId service_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -231,6 +231,8 @@
     }
     CallInput input;
     input.facts_ = dialect_.readCall(request.head_);
+    input.key_ = requestKey(settings_.keySecret_,
+                            {host, request.head_.method_, request.head_.target_, request.body_});
     input.request_ = std::move(request);
     input.config_ = config_;
     input.route_ = route;
--- /dev/null
+++ b/libs/gateway/src/requestkey.cpp
@@ -0,0 +1,45 @@
+#include "almondridge/gateway/requestkey.h"
+
+#include <array>
+#include <cstring>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace almondridge::gateway {
+namespace {
+
+/** The length goes first: without it "a" + "bc" and "ab" + "c" would be equal. */
+void addField(std::string &text, std::string_view field)
+{
+    const std::uint64_t length = field.size();
+    std::array<char, sizeof length> bytes {};
+    std::memcpy(bytes.data(), &length, sizeof length);
+    text.append(bytes.data(), bytes.size());
+    text += field;
+}
+
+} // namespace
+
+RequestKey requestKey(std::string_view secret, const RequestIdentity &identity)
+{
+    std::string text;
+    for (const std::string_view field :
+         {identity.host_, identity.method_, identity.target_, identity.body_}) {
+        addField(text, field);
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned int size = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
+    std::uint64_t number = 0;
+    std::memcpy(&number, digest.data(), sizeof number);
+    return static_cast<RequestKey>(number);
+}
+
+std::string toString(RequestKey key)
+{
+    return fmt::format("{:016x}", static_cast<std::uint64_t>(key));
+}
+
+} // namespace almondridge::gateway
