--- a/libs/async/tests/loopsupport.h
+++ b/libs/async/tests/loopsupport.h
@@ -42,6 +42,15 @@
         accept();
     }
 
+    /** Closes all connections; new ones are refused. */
+    void crash()
+    {
+        acceptor_.close();
+        for (const Peer &peer : peers_) {
+            peer->close();
+        }
+    }
+
     net::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
     int connections() const { return connections_; }
     int requests() const { return requests_; }
