Requests that ended three endpoints are refused at once; suspected ones run alone

Callers saw: two requests ended 13 engines each; on each of them some ten streams of others were cut, and with two to four generating engines left nearly nobody was served (44 to 48 s of the incident). Cause: nothing remembered which requests were on board of an endpoint that ended. Each attempt of the caller was a new request to the instance that took it. Ruled out: second sends of our own (55 of 57 failed requests have two sends). Change: gateway/crashevidence holds for each request on which ended endpoints it was since its last whole run anywhere, each end weighed by how many like it ended in that moment. A broken connection is followed by one that tells whether the endpoint is gone (gateway/src/crashguard). Three ends that nothing else explains blame the request for a minute, doubled with each further one; after that one run tells. Before: under suspicion it runs where few others are, not on the last endpoint of its kind, once at a time, and takes nothing from the allowance for second sends.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "almondridge/async/eventloop.h"
 #include "almondridge/async/httpclient.h"
 #include "almondridge/gateway/config.h"
+#include "almondridge/gateway/crashevidence.h"
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/promptmemory.h"
@@ -59,6 +60,8 @@
     std::map<ServiceId, StageDemand> demand() const;
     /** The demand with what requests of the service cost, as this instance has learnt. */
     StageLoad stageLoad(const ServiceId &service, const StageDemand &demand) const;
+    /** What is held against requests; other instances' part of it goes in and out here. */
+    CrashEvidence &crashEvidence() noexcept;
     /** What requests came to, for the metrics page; the owner adds its own. */
     observe::Metrics &metrics() noexcept;
     /** Second sends that are left now, for each service. */
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -71,6 +71,13 @@
     bool full_ = false; ///< As many wait there as it generates for: late ones would be refused.
 };
 
+/** An endpoint on which few other requests are. */
+struct QuietChoice
+{
+    EndpointId endpoint_;
+    bool isLastOfSeveral_ = false; ///< All others that do the same work are out of service.
+};
+
 class Placement
 {
 public:
@@ -93,6 +100,12 @@
                                             const std::vector<EndpointId> &excluded,
                                             std::uint64_t ticket, TimePoint now) const;
 
+    /** Where a request that may end its endpoint takes the fewest others along; it needs no other
+     * endpoint there. ticket: any number. */
+    std::optional<QuietChoice> chooseQuietest(const EndpointTable &table, const ServiceId &service,
+                                              const std::vector<EndpointId> &excluded,
+                                              std::uint64_t ticket, TimePoint now) const;
+
     /** A prompt is read there: its parts are in the engine's cache from now on. */
     void onPromptRead(const ListedEndpoint &engine, const Prompt &prompt, TimePoint now);
     /** Shared parts that came to engines by this instance since the last call. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -14,6 +14,16 @@
  * engine has room for is read in this time.
  */
 constexpr std::int64_t DefaultRetryAfterMillis = 300;
+/** Between two looks whether a suspected request may start. */
+constexpr Duration TurnInterval = millis(100);
+/** Until whoever else wants to run the same suspected request has been heard. */
+constexpr Duration TurnSettles = millis(300);
+/** The same for the one run that is allowed to a request that was blamed. */
+constexpr Duration RetrialSettles = millis(1'000);
+/** An endpoint that says nothing for so long until its caller leaves may have ended. */
+constexpr Duration SuspiciousSilence = millis(1'000);
+constexpr int FirstServerError = 500;
+constexpr std::string_view BlamedCause = "ended-endpoints";
 
 } // namespace
 
@@ -22,6 +32,7 @@
     , input_(std::move(input))
     , deadlineTimer_(gateway.loop_)
     , silence_(gateway.loop_)
+    , turn_(gateway.loop_)
 {
     const std::int64_t patience = facts().patienceMillis_.value_or(DefaultPatienceMillis);
     const std::int64_t timeout = route().timeoutMillis_ > 0 ? route().timeoutMillis_ : patience;
@@ -31,6 +42,113 @@
 
 Call::~Call() = default;
 
+void Call::begin()
+{
+    if (finished_) {
+        return;
+    }
+    const Assessment known = gateway_.crashes_.assess(key());
+    switch (known.level_) {
+    case Suspicion::Blamed:
+        refuseBlamed(known);
+        return;
+    case Suspicion::Strong:
+    case Suspicion::Lapsed:
+        beginInTurn(known);
+        return;
+    case Suspicion::Weak:
+        if (runsBesideAnother()) {
+            waitForTurn();
+            return;
+        }
+        break;
+    case Suspicion::None:
+        break;
+    }
+    suspicion_ = known.level_;
+    started_ = true;
+    start();
+}
+
+/** A request that may be to blame runs once at a time in the whole fleet. */
+void Call::beginInTurn(const Assessment &known)
+{
+    const TimePoint now = BootClock::now();
+    const bool lapsed = known.level_ == Suspicion::Lapsed;
+    if (turnSettlesAt_ == TimePoint {} && gateway_.crashes_.takeTurn(key())) {
+        turnSettlesAt_ = now + (lapsed ? RetrialSettles : TurnSettles);
+    } else if (turnSettlesAt_ != TimePoint {} && now >= turnSettlesAt_) {
+        if (gateway_.crashes_.holdsTurn(key())) {
+            suspicion_ = Suspicion::Strong;
+            started_ = true;
+            start();
+            return;
+        }
+        turnSettlesAt_ = {};
+    }
+    if (lapsed && turnSettlesAt_ == TimePoint {}) {
+        refuseBlamed(known);
+        return;
+    }
+    waitForTurn();
+}
+
+void Call::waitForTurn()
+{
+    turn_.startAt(BootClock::now() + TurnInterval, [this] { begin(); });
+}
+
+bool Call::runsBesideAnother() const
+{
+    return std::any_of(gateway_.calls_.begin(), gateway_.calls_.end(), [&](const auto &entry) {
+        const Call &other = *entry.second;
+        return &other != this && other.key() == key() && other.started_ && !other.finished_;
+    });
+}
+
+/** The same answer at once at each instance: nothing is won by coming back. */
+void Call::refuseBlamed(const Assessment &known)
+{
+    const TimePoint now = BootClock::now();
+    logEvent(LogLevel::Warning, "request_blamed",
+             {{"id", facts().requestId_},
+              {"key", toString(key())},
+              {"ends", known.ends_},
+              {"weight", known.weight_},
+              {"first_end_ms", toMillis(now - known.firstEndAt_)},
+              {"last_end_ms", toMillis(now - known.lastEndAt_)},
+              {"until_ms", millisUntil(known.blamedUntil_, now)}});
+    refuse(BlamedCause);
+}
+
+bool Call::isAt(const EndpointId &endpoint, std::uint64_t lifetime) const noexcept
+{
+    return attempt_.exchange_ != 0 && attempt_.endpoint_ == endpoint
+           && attempt_.lifetime_ == lifetime;
+}
+
+bool Call::isBlamed() const
+{
+    const Suspicion level = gateway_.crashes_.assess(key()).level_;
+    return level == Suspicion::Blamed || (level == Suspicion::Lapsed && !started_);
+}
+
+std::optional<EndpointId> Call::quietestEndpoint() const
+{
+    const auto choice = gateway_.placement_.chooseQuietest(
+        gateway_.table_, input_.service_, excluded_, gateway_.random_(), BootClock::now());
+    const bool spared = choice && choice->isLastOfSeveral_ && suspicion_ == Suspicion::Strong;
+    return choice && !spared ? std::optional(choice->endpoint_) : std::nullopt;
+}
+
+/** Whether the endpoint has ended is tested: a broken connection alone does not tell. */
+void Call::noteBreak()
+{
+    if (attempt_.exchange_ != 0) {
+        gateway_.crashes_.onBroke(attempt_.endpoint_, attempt_.lifetime_, key());
+    }
+}
+
 std::int64_t Call::patienceMillis() const
 {
     return std::max<std::int64_t>(1, millisUntil(deadline_, BootClock::now()));
@@ -73,6 +191,9 @@
     events.onFailed_ = [this](async::ExchangeFailure failure) {
         trail_ += ':';
         trail_ += nameOf(async::ExchangeFailureNames, failure);
+        if (failure != async::ExchangeFailure::NotSent) {
+            noteBreak();
+        }
         attemptFailed(failure);
     };
     attempt_.exchange_ = gateway_.client_.start(std::move(request), std::move(events));
@@ -165,12 +286,14 @@
  */
 bool Call::mayTryAnother() const
 {
-    return sends_ < mostSends_ && BootClock::now() < deadline_;
+    return sends_ < mostSends_ && BootClock::now() < deadline_ && !isBlamed();
 }
 
+/** The allowance is for requests that others wait for, not for one that may end endpoints. */
 bool Call::maySendAgain()
 {
-    return mayTryAnother() && gateway_.budget(input_.service_).take(BootClock::now());
+    return mayTryAnother() && suspicion_ != Suspicion::Strong
+           && gateway_.budget(input_.service_).take(BootClock::now());
 }
 
 bool Call::mayRunAgain()
@@ -180,6 +303,7 @@
 
 void Call::onCallerGone()
 {
+    noteSilence();
     abandonEndpoints();
     cancelAttempt(std::nullopt);
     finish(Outcome::Abandoned, 0, "caller-gone");
@@ -187,9 +311,23 @@
 
 void Call::deadlinePassed()
 {
+    if (!started_) {
+        refuse("suspected");
+        return;
+    }
+    noteSilence();
     failCall(504, "deadline");
 }
 
+/** The endpoint may be gone without a sign. */
+void Call::noteSilence()
+{
+    const TimePoint now = BootClock::now();
+    if (firstByteAt_ == TimePoint {} && attempt_.sentAt_ + SuspiciousSilence < now) {
+        noteBreak();
+    }
+}
+
 void Call::passOn()
 {
     const int status = attempt_.head_.status_;
@@ -201,7 +339,10 @@
 
 void Call::refuse(std::string_view cause)
 {
-    const std::int64_t after = retryAfterMillis_.value_or(DefaultRetryAfterMillis);
+    // Who is blamed here is blamed at all instances: to come back soon brings nothing.
+    const auto after = cause == BlamedCause || isBlamed()
+                           ? std::nullopt
+                           : std::optional(retryAfterMillis_.value_or(DefaultRetryAfterMillis));
     gateway_.server_.respond(input_.request_.id_, gateway_.dialect_.refusal(503, after, cause));
     finish(Outcome::Refused, 503, cause);
 }
@@ -223,6 +364,12 @@
     finished_ = true;
     deadlineTimer_.stop();
     silence_.stop();
+    turn_.stop();
+    if (outcome == Outcome::Answered && status < FirstServerError) {
+        gateway_.crashes_.onWholeRun(key());
+    } else if (outcome == Outcome::Refused) {
+        gateway_.crashes_.endTurn(key());
+    }
     const TimePoint now = BootClock::now();
     const TimePoint began = input_.request_.startedAt_;
     const LogLevel level = outcome == Outcome::Answered ? LogLevel::Info : LogLevel::Warning;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -40,11 +40,16 @@
     Call(const Call &) = delete;
     Call &operator=(const Call &) = delete;
 
-    virtual void start() = 0;
+    /** Starts once nothing that is known of equal requests speaks against it. */
+    void begin();
     void onCallerGone();
     /** Bytes of the answer left for the caller. */
     virtual void onWritten() { }
 
+    RequestKey key() const noexcept { return input_.key_; }
+    /** Whether it is on that endpoint now. */
+    bool isAt(const EndpointId &endpoint, std::uint64_t lifetime) const noexcept;
+
 protected:
     /** The send that is on its way; at most one at a time. */
     struct Attempt
@@ -60,6 +65,7 @@
         std::string body_; ///< Of an answer that is taken whole.
     };
 
+    virtual void start() = 0;
     /** Sends to an endpoint; attemptHead, attemptBody, attemptEnd or attemptFailed follow. */
     void send(const EndpointId &endpoint, SendOrder order, std::int64_t promptTokens);
     virtual void attemptHead() { }
@@ -88,6 +94,17 @@
     void watchSilence(TimePoint until);
     void stopWatching() { silence_.stop(); }
 
+    /** Has it tested whether the attempt's endpoint has ended, if it may have. */
+    void noteBreak();
+    /** The same when the request ends without a word of the endpoint. */
+    void noteSilence();
+    /** Whether equal requests have ended too many endpoints for this one to be sent on. */
+    bool isBlamed() const;
+    /**
+     * Where a suspected request takes the fewest others along. nullopt: there is none, or, under
+     * strong suspicion, only the last one that serves.
+     */
+    std::optional<EndpointId> quietestEndpoint() const;
     /** Whether another endpoint may be tried after one that the request never reached. */
     bool mayTryAnother() const;
     /** Whether one more send is allowed: by the shared allowance, and by this call's own bound. */
@@ -116,6 +133,7 @@
     int sends_ = 0;
     int mostSends_ = MaxSends;
     bool mayHaveRun_ = false;
+    Suspicion suspicion_ = Suspicion::None;        ///< When it was started.
     std::optional<std::int64_t> retryAfterMillis_; ///< As the last endpoint that refused said.
     TimePoint firstByteAt_ {};
     std::int64_t readTokens_ = 0; ///< Prompt tokens that had to be read, as far as we know.
@@ -125,11 +143,18 @@
     std::string trail_;   ///< Endpoints asked and what came of it, for the log line.
 
 private:
+    void beginInTurn(const Assessment &known);
+    void waitForTurn();
+    bool runsBesideAnother() const;
+    void refuseBlamed(const Assessment &known);
     void countOutcome(Outcome outcome, std::string_view cause, TimePoint now);
 
     TimePoint deadline_;
     async::Timer deadlineTimer_;
     async::Timer silence_;
+    async::Timer turn_;          ///< Until it is looked again whether this request may start.
+    TimePoint turnSettlesAt_ {}; ///< Others that want the turn have been heard by then.
+    bool started_ = false;
     bool finished_ = false;
 };
 
--- /dev/null
+++ b/libs/gateway/src/crashguard.cpp
@@ -0,0 +1,138 @@
+#include "crashguard.h"
+
+#include "almondridge/base/log.h"
+#include "call.h"
+
+#include <algorithm>
+
+namespace almondridge::gateway {
+namespace {
+
+/** All connections to an ended endpoint have broken by then. */
+constexpr Duration EndRemembered = millis(30'000);
+
+EndKey endKeyOf(const ListedEndpoint &listed)
+{
+    return static_cast<EndKey>(
+        rendezvousWeight(listed.id_.value(), static_cast<std::uint64_t>(listed.startedAtMillis_)));
+}
+
+EndGroup groupOf(const ListedEndpoint &listed)
+{
+    return static_cast<EndGroup>(
+        rendezvousWeight(listed.service_.value(), static_cast<std::uint64_t>(listed.stage_)));
+}
+
+/** One that was told to leave may close its connections, and is not sought for long. */
+bool isExpectedToServe(const Endpoint *endpoint)
+{
+    return endpoint != nullptr && endpoint->listedNow_ && !endpoint->listed_.draining_;
+}
+
+} // namespace
+
+CrashGuard::CrashGuard(GatewayState &gateway)
+    : gateway_(gateway)
+    , number_(std::random_device {}())
+{ }
+
+void CrashGuard::onBroke(const EndpointId &id, std::uint64_t lifetime, RequestKey key)
+{
+    const Endpoint *endpoint = gateway_.table_.find(id);
+    if (!isExpectedToServe(endpoint) || endpoint->lifetime_ != lifetime) {
+        return;
+    }
+    if (ended_.contains(endKeyOf(endpoint->listed_))) {
+        onEnded(*endpoint, {key});
+        return;
+    }
+    const bool underTest = tested_.contains(id);
+    tested_[id].lifetime_ = lifetime;
+    tested_[id].aboard_.insert(key);
+    if (!underTest) {
+        const TimePoint by = BootClock::now() + millis(gateway_.settings_.connectMillis_);
+        gateway_.client_.open(id.value(), endpoint->listed_.address_, by,
+                              [this, id](bool reached) { onTested(id, reached); });
+    }
+}
+
+void CrashGuard::onTested(const EndpointId &id, bool reached)
+{
+    const auto node = tested_.extract(id);
+    const Endpoint *endpoint = gateway_.table_.find(id);
+    if (node.empty() || reached || !isExpectedToServe(endpoint)
+        || endpoint->lifetime_ != node.mapped().lifetime_) {
+        return;
+    }
+    onEnded(*endpoint, node.mapped().aboard_);
+}
+
+void CrashGuard::onUnreached(const EndpointId &id)
+{
+    const Endpoint *endpoint = gateway_.table_.find(id);
+    if (isExpectedToServe(endpoint) && endpoint->outstanding() > 0
+        && !ended_.contains(endKeyOf(endpoint->listed_))) {
+        onEnded(*endpoint, {});
+    }
+}
+
+void CrashGuard::onEnded(const Endpoint &endpoint, std::set<RequestKey> aboard)
+{
+    const EndpointId &id = endpoint.listed_.id_;
+    const TimePoint now = BootClock::now();
+    for (const auto &[number, call] : gateway_.calls_) {
+        if (call->isAt(id, endpoint.lifetime_)) {
+            aboard.insert(call->key());
+        }
+    }
+    std::erase_if(ended_,
+                  [&](const auto &entry) { return entry.second.at_ + EndRemembered < now; });
+    const EndKey key = endKeyOf(endpoint.listed_);
+    const auto [place, added] = ended_.try_emplace(
+        key, EndpointEnd {key, groupOf(endpoint.listed_), groupSize(endpoint), now});
+    evidence_.onEnd(place->second, {aboard.begin(), aboard.end()}, now);
+    if (added) {
+        gateway_.metrics_.count("endpoints_ended_total");
+        logEvent(LogLevel::Warning, "endpoint_ended",
+                 {{"endpoint", id.value()},
+                  {"requests", aboard.size()},
+                  {"like_it", place->second.groupSize_}});
+    }
+}
+
+int CrashGuard::groupSize(const Endpoint &endpoint) const
+{
+    const auto like = gateway_.table_.listed(endpoint.listed_.service_);
+    return static_cast<int>(std::count_if(like.begin(), like.end(), [&](const Endpoint *one) {
+        return one->listed_.stage_ == endpoint.listed_.stage_;
+    }));
+}
+
+void CrashGuard::onWholeRun(RequestKey key)
+{
+    if (evidence_.onWholeRun(key, BootClock::now())) {
+        logEvent(LogLevel::Info, "request_cleared", {{"key", toString(key)}});
+    }
+}
+
+Assessment CrashGuard::assess(RequestKey key) const
+{
+    return evidence_.assess(key, BootClock::now());
+}
+
+bool CrashGuard::takeTurn(RequestKey key)
+{
+    return evidence_.takeTurn(key, number_, BootClock::now());
+}
+
+bool CrashGuard::holdsTurn(RequestKey key) const
+{
+    return evidence_.holdsTurn(key, number_, BootClock::now());
+}
+
+void CrashGuard::endTurn(RequestKey key)
+{
+    evidence_.endTurn(key, number_);
+}
+
+} // namespace almondridge::gateway
--- /dev/null
+++ b/libs/gateway/src/crashguard.h
@@ -0,0 +1,55 @@
+/**
+ * Finds out which endpoints ended while requests of this instance were on them, and holds what is
+ * known against requests.
+ */
+#pragma once
+
+#include "almondridge/gateway/crashevidence.h"
+#include "almondridge/gateway/endpoints.h"
+
+#include <map>
+#include <set>
+
+namespace almondridge::gateway {
+
+struct GatewayState;
+
+class CrashGuard
+{
+public:
+    explicit CrashGuard(GatewayState &gateway);
+
+    /** A request's connection to an endpoint broke, or was silent until the request ended. */
+    void onBroke(const EndpointId &id, std::uint64_t lifetime, RequestKey key);
+    /** A connection to the endpoint could not be made. */
+    void onUnreached(const EndpointId &id);
+    void onWholeRun(RequestKey key);
+
+    Assessment assess(RequestKey key) const;
+    bool takeTurn(RequestKey key);
+    bool holdsTurn(RequestKey key) const;
+    void endTurn(RequestKey key);
+
+    CrashEvidence &evidence() noexcept { return evidence_; }
+
+private:
+    /** Requests whose connections to an endpoint broke, until it is known whether it has ended. */
+    struct Suspected
+    {
+        std::uint64_t lifetime_ = 0;
+        std::set<RequestKey> aboard_;
+    };
+
+    void onTested(const EndpointId &id, bool reached);
+    void onEnded(const Endpoint &endpoint, std::set<RequestKey> aboard);
+    int groupSize(const Endpoint &endpoint) const;
+
+    GatewayState &gateway_;
+    CrashEvidence evidence_;
+    std::uint64_t number_; ///< Of this instance, among those that want to run a request.
+    std::map<EndpointId, Suspected> tested_;
+    /** Ends that this instance has found out; later breaks need no test. */
+    std::map<EndKey, EndpointEnd> ended_;
+};
+
+} // namespace almondridge::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -82,6 +82,11 @@
     return {demand, costs.readingMillis(1), costs.meanGenerateMillis()};
 }
 
+CrashEvidence &Gateway::crashEvidence() noexcept
+{
+    return state_->crashes_.evidence();
+}
+
 observe::Metrics &Gateway::metrics() noexcept
 {
     return state_->metrics_;
@@ -242,7 +247,7 @@
     const std::uint64_t number = input.request_.id_.call_;
     auto &call = calls_[number] =
         model ? makeModelCall(*this, std::move(input)) : makeServiceCall(*this, std::move(input));
-    call->start();
+    call->begin();
 }
 
 void GatewayState::onCallerGone(const async::CallId &id)
@@ -284,6 +289,9 @@
                  {{"endpoint", id.value()}, {"reached", reached ? "yes" : "no"}});
     }
     table_.onTested(id, reached, BootClock::now());
+    if (!reached) {
+        crashes_.onUnreached(id);
+    }
 }
 
 void GatewayState::logLeftOut()
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -7,6 +7,7 @@
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
+#include "crashguard.h"
 
 #include <map>
 #include <random>
@@ -43,6 +44,7 @@
     async::HttpClient client_;
     EndpointTable table_;
     Placement placement_;
+    CrashGuard crashes_ {*this};
     std::map<ServiceId, SendBudget> budgets_;
     std::shared_ptr<const Config> config_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -50,6 +50,10 @@
         giveUp("no-time");
         return;
     }
+    if (suspicion_ == Suspicion::Strong) {
+        placeAlone(*plan);
+        return;
+    }
     if (plan->prefill_ && !inPlaceOnly_) {
         sendPrefill(*plan);
     } else {
@@ -57,6 +61,18 @@
     }
 }
 
+/** One endpoint is at risk instead of two. */
+void ModelCall::placeAlone(PromptPlan plan)
+{
+    const auto engine = quietestEndpoint();
+    if (!engine) {
+        giveUp("no-spare-engine");
+        return;
+    }
+    plan.decode_ = *engine;
+    sendInPlace(plan);
+}
+
 void ModelCall::countRead(const PromptPlan &plan)
 {
     readTokens_ = plan.newTokens_;
@@ -304,7 +320,7 @@
  */
 bool ModelCall::mayOfferAgain() const
 {
-    return begun_ && route().resumable_ && runs_ < route().maxAttempts_
+    return begun_ && route().resumable_ && runs_ < route().maxAttempts_ && !isBlamed()
            && BootClock::now() + OfferAgainAfter < deadline();
 }
 
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -24,11 +24,12 @@
 public:
     using Call::Call;
 
-    void start() override { place(); }
     void onWritten() override;
 
 private:
+    void start() override { place(); }
     void place();
+    void placeAlone(PromptPlan plan);
     PromptQuery promptQuery() const;
     bool comesTooLate(const PromptPlan &plan, TimePoint now);
     bool isRefusedBy(const GeneratorChoice &generator);
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -23,11 +23,14 @@
 void ModelCall::sendToDecode()
 {
     const TimePoint now = BootClock::now();
-    const auto choice = chooseGenerator(prefillDomain_);
-    if (!choice) {
+    auto choice = chooseGenerator(prefillDomain_);
+    if (!choice || isBlamed()) {
         giveUp("no-engine");
         return;
     }
+    if (suspicion_ == Suspicion::Weak) {
+        choice->engine_ = quietestEndpoint().value_or(choice->engine_);
+    }
     const auto wait = millis(static_cast<std::int64_t>(choice->waitMillis_));
     const bool late = now + wait > inTimeUntil();
     if (late && isRefusedBy(*choice)) {
@@ -224,6 +227,7 @@
         return;
     }
     mayHaveRun_ = true;
+    noteBreak();
     leaveEndpoint(Evidence::Silent);
     abandonEndpoints();
     sendResume();
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -363,6 +363,26 @@
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
 }
 
+std::optional<QuietChoice> Placement::chooseQuietest(const EndpointTable &table,
+                                                     const ServiceId &service,
+                                                     const std::vector<EndpointId> &excluded,
+                                                     std::uint64_t ticket, TimePoint now) const
+{
+    const auto onlyReads = [](const Endpoint *one) {
+        return one->listed_.stage_ == Stage::Prefill;
+    };
+    std::vector<const Endpoint *> listed = table.listed(service);
+    std::erase_if(listed, onlyReads);
+    std::vector<const Endpoint *> serving = table.usable(service, now);
+    std::erase_if(serving, onlyReads);
+    const bool last = serving.size() == 1 && listed.size() > 1;
+    removeExcluded(serving, excluded);
+    const Endpoint *best = cheapest(serving, ticket, [&](const Endpoint &one) {
+        return generatorFullness(one, now) * std::max(1, one.listed_.slots_);
+    });
+    return best != nullptr ? std::optional(QuietChoice {best->listed_.id_, last}) : std::nullopt;
+}
+
 std::int64_t Placement::handoverTokens(const Prompt &prompt)
 {
     // Moving a prompt of some thousand tokens and its first step take as long as reading a
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -11,9 +11,8 @@
 public:
     using Call::Call;
 
-    void start() override { sendNext(); }
-
 private:
+    void start() override { sendNext(); }
     void sendNext();
     void attemptEnd() override;
     void attemptFailed(async::ExchangeFailure failure) override;
@@ -23,8 +22,10 @@
 
 void ServiceCall::sendNext()
 {
-    const auto endpoint = gateway_.placement_.chooseService(
-        gateway_.table_, input_.service_, excluded_, gateway_.random_(), BootClock::now());
+    const auto endpoint =
+        suspicion_ == Suspicion::None ? gateway_.placement_.chooseService(
+            gateway_.table_, input_.service_, excluded_, gateway_.random_(), BootClock::now())
+                                      : quietestEndpoint();
     if (!endpoint) {
         giveUp();
         return;
