--- a/libs/gateway/include/almondridge/gateway/crashevidence.h
+++ b/libs/gateway/include/almondridge/gateway/crashevidence.h
@@ -129,6 +129,13 @@
     CrashNews takeNews(TimePoint now);
     /** What matters most of all that is known, for instances that were away. */
     CrashNews mostImportant(TimePoint now) const;
+    /** All ends that one request was on board of. */
+    CrashNews newsOf(RequestKey key, TimePoint now) const;
+    /**
+     * Requests that this instance helped to blame, or to clear, since the last call: a fleet that
+     * loses power at once has nobody left to tell of them.
+     */
+    std::vector<RequestKey> takeChangedBlame(TimePoint now);
     /** Forgets what no longer says anything; to be called now and then. */
     void forgetOld(TimePoint now);
 
@@ -151,6 +158,8 @@
     struct Suspect
     {
         std::vector<Sighting> sightings_;
+        bool isOwn_ = false;       ///< One of them is this instance's.
+        std::size_t endsKept_ = 0; ///< That takeChangedBlame() told of.
         TimePoint clearedAt_ {};
         int clearedRoundsLeft_ = 0;
     };
@@ -179,6 +188,7 @@
     std::multimap<TimePoint, EndKey> endsByTime_;
     std::unordered_map<RequestKey, Suspect> suspects_;
     std::map<RequestKey, KnownTurn> turns_;
+    std::vector<RequestKey> clearedBlame_; ///< For takeChangedBlame().
     /** Whole runs of a moment ago: evidence from before them may come later. */
     std::unordered_map<RequestKey, TimePoint> wholeRuns_;
     std::deque<std::pair<TimePoint, RequestKey>> wholeRunsInOrder_;
--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -111,6 +112,10 @@
     addEnd(end);
     for (const RequestKey key : aboard) {
         addSighting(key, end.key_, now);
+        const auto suspect = suspects_.find(key);
+        if (suspect != suspects_.end()) {
+            suspect->second.isOwn_ = true;
+        }
     }
     keepWithinBounds(now);
 }
@@ -126,6 +131,9 @@
         suspect.clearedAt_ = at;
         suspect.clearedRoundsLeft_ = TellRounds;
     }
+    if (suspect.sightings_.empty() && std::exchange(suspect.endsKept_, 0) > 0) {
+        clearedBlame_.push_back(key);
+    }
     turns_.erase(key);
 }
 
@@ -363,6 +371,36 @@
     return news;
 }
 
+CrashNews CrashEvidence::newsOf(RequestKey key, TimePoint now) const
+{
+    CrashNews news;
+    const auto suspect = suspects_.find(key);
+    if (suspect == suspects_.end()) {
+        return news;
+    }
+    for (const Sighting &sighting : suspect->second.sightings_) {
+        const auto end = ends_.find(sighting.end_);
+        if (end != ends_.end()) {
+            tellEnd(end->second.end_, key, now, news);
+        }
+    }
+    return news;
+}
+
+std::vector<RequestKey> CrashEvidence::takeChangedBlame(TimePoint now)
+{
+    std::vector<RequestKey> changed = std::exchange(clearedBlame_, {});
+    for (auto &[key, suspect] : suspects_) {
+        const std::size_t ends = suspect.sightings_.size();
+        if (suspect.isOwn_ && ends > suspect.endsKept_
+            && assess(suspect, now).level_ == Suspicion::Blamed) {
+            suspect.endsKept_ = ends;
+            changed.push_back(key);
+        }
+    }
+    return changed;
+}
+
 void CrashEvidence::dropLeastSuspicious(TimePoint now)
 {
     std::vector<std::pair<double, RequestKey>> ranked;
