Request keys come from a secret of the settings; children inherit no sockets

Each of its instances reaches the store by an address of its own, and the key's secret was that address, so that every instance had another key for one request. The platform's template sets one secret for all; so a deployment whose instances see the store under several addresses works as well. Second cause in the same logs: endpoints that had crashed still took connections, as instances that were started meanwhile had inherited their listening sockets. That is the soak's own fault.

--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -33,6 +33,8 @@
     std::int64_t secondSendWindowSeconds_ = 10;
     double linkMbps_ = 100; ///< Of this machine.
     int maxDescriptors_ = 1'024;
+    /** Of the keys that stand for requests; the same for all instances of a deployment. */
+    std::string requestKeySecret_;
     LogLevel logLevel_ = LogLevel::Info;
 };
 
--- a/libs/fleet/src/entrysettings.cpp
+++ b/libs/fleet/src/entrysettings.cpp
@@ -28,6 +28,7 @@
     optional("secondSendWindowSeconds", &EntrySettings::secondSendWindowSeconds_, Seconds),
     optional("linkMbps", &EntrySettings::linkMbps_, Slack),
     optional("maxDescriptors", &EntrySettings::maxDescriptors_, Count),
+    optional("requestKeySecret", &EntrySettings::requestKeySecret_, Text {OperatorKeyText}),
     optional("logLevel", &EntrySettings::logLevel_, choice(LogLevelNames)));
 
 } // namespace
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -29,6 +29,7 @@
                                    {"healthListen", net::toString(health_)},
                                    {"firstPeerPort", peerPort_},
                                    {"store", net::toString(storeLink_.address())},
+                                   {"requestKeySecret", "soak"},
                                    {"secondSendSlack", 100}};
     std::ofstream(directory_ + "/" + name_ + ".json") << settings.dump(2);
 }
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -47,6 +47,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputPath_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A listening socket that a child inherits goes on taking connections once it is closed here.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char *> argv;
     argv.reserve(arguments.size() + 1);
     for (std::string &argument : arguments) {
