--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -34,7 +34,7 @@
     , seed_(seed)
 { }
 
-void Callers::sendRound()
+std::vector<InstanceProcess *> Callers::readyInstances() const
 {
     std::vector<InstanceProcess *> ready;
     for (const auto &instance : instances_) {
@@ -42,6 +42,32 @@
             ready.push_back(instance.get());
         }
     }
+    return ready;
+}
+
+void Callers::sendCrashing()
+{
+    const std::vector<InstanceProcess *> ready = readyInstances();
+    if (ready.empty()) {
+        return;
+    }
+    InstanceProcess &instance = *ready[random_() % ready.size()];
+    async::ExchangeRequest request;
+    request.peer_ = fmt::format("{}.{}", instance.name(), instance.lifetime());
+    request.address_ = instance.callers();
+    request.text_ =
+        fmt::format("POST /stream/crash HTTP/1.1\r\nHost: h\r\nX-Request-Id: {:x}-c{}\r\n"
+                    "X-Deadline-Ms: {}\r\nX-Model: m\r\nX-Token-Count: 900,8\r\n"
+                    "X-Prefix-Hash: 5:700,6:200\r\nContent-Length: {}\r\n\r\n{}",
+                    seed_, next_++, PatienceMillis, CrashingBody.size(), CrashingBody);
+    request.connectBy_ = BootClock::now() + ConnectTime;
+    // Whatever becomes of it: the endpoints tell where it went.
+    client_.start(std::move(request), async::gatherAnswer([](const async::ExchangeResult &) {}));
+}
+
+void Callers::sendRound()
+{
+    const std::vector<InstanceProcess *> ready = readyInstances();
     if (ready.empty()) {
         return;
     }
@@ -94,6 +120,9 @@
 {
     const int status = asked->status_;
     const bool promisesNotRun = status == 503 || status == 429 || status == 408 || status == 421;
+    if (asked->body_.find("ended-endpoints") != std::string::npos) {
+        ledger_.violate(Promise::InnocentsServed, asked->id_ + " was refused for others' crashes");
+    }
     if (promisesNotRun) {
         ledger_.onNotRunTold(asked->id_);
     }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -20,6 +20,8 @@
 
     /** Sends one request of each kind, each to an instance that is ready. */
     void sendRound();
+    /** Sends the request that crashes endpoints, always the same but for its id. */
+    void sendCrashing();
     /** Asks an instance directly for the route that configuration `version` added. */
     void probeConfig(InstanceProcess &instance, int version);
     std::size_t open() const noexcept { return open_; }
@@ -29,6 +31,7 @@
 private:
     struct Asked;
 
+    std::vector<InstanceProcess *> readyInstances() const;
     void send(Kind kind, InstanceProcess &instance);
     void onEnd(const std::shared_ptr<Asked> &asked);
     void onFailed(const std::shared_ptr<Asked> &asked, async::ExchangeFailure failure);
--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -12,6 +12,8 @@
 constexpr Duration HeartbeatInterval = millis(600);
 constexpr Duration WorkTime = millis(15);
 constexpr Duration EventInterval = millis(20);
+/** An entry outlives its endpoint by this time. */
+constexpr Duration EntryLapse = millis(1'500);
 constexpr Duration SwitchTime = millis(1'000);
 /** What the settings of the soak's instances promise, and a little for the proxies. */
 constexpr Duration DrainBound = millis(2'300);
@@ -75,6 +77,18 @@
     beat();
 }
 
+void EndpointStandIn::crash()
+{
+    crashed_ = true;
+    heartbeat_.stop();
+    // Not from inside of a call of the server that is cut off.
+    loop_.post([this] { proxy_->shut(); });
+    later(loop_, EntryLapse, [this] { store_.put("keyed.servers", id_, ""); });
+    if (onCrash_) {
+        onCrash_();
+    }
+}
+
 bool EndpointStandIn::strikes()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_) < FaultShare;
@@ -180,6 +194,11 @@
         refuse(call.id_, 503);
         return;
     }
+    if (call.body_ == CrashingBody) {
+        ledger_.onCrash(id_);
+        crash();
+        return;
+    }
     ledger_.onRun(requestId, id_);
     if (fault_ == EndpointFault::ResetAfterRun && strikes()) {
         server_.abort(call.id_);
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -30,6 +30,8 @@
 /** One event of a stream; the stream has EventsOfAStream of them, numbered from 1. */
 std::string streamEvent(const std::string &requestId, int number);
 inline constexpr int EventsOfAStream = 8;
+/** The body of a request that crashes each endpoint that begins to run it. */
+inline constexpr std::string_view CrashingBody = "ends endpoints";
 
 class EndpointStandIn
 {
@@ -46,6 +48,12 @@
     /** Announces that it leaves; it serves on for a while. */
     void drain();
     bool draining() const noexcept { return drainedAt_ != TimePoint {}; }
+    /** It is gone without a word; its entry lapses later. */
+    bool crashed() const noexcept { return crashed_; }
+    /** Called as it crashes. */
+    void onCrash(std::function<void()> told) { onCrash_ = std::move(told); }
+    const std::string &service() const noexcept { return service_; }
+    const std::string &stage() const noexcept { return stage_; }
 
 private:
     struct Stream
@@ -56,6 +64,7 @@
     };
 
     void beat();
+    void crash();
     void onCall(const async::ServerCall &call);
     void onWork(const async::ServerCall &call);
     void onOrder(const async::ServerCall &call);
@@ -88,6 +97,8 @@
     std::set<std::string> handles_;
     std::map<std::uint64_t, Stream> streams_; ///< By CallId::call_.
     async::Timer heartbeat_;
+    std::function<void()> onCrash_;
+    bool crashed_ = false;
 };
 
 } // namespace almondridge::soak
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -37,6 +37,23 @@
     }
 }
 
+void Ledger::onCrash(const std::string &endpoint)
+{
+    constexpr int CrashesUntilKnown = 3;
+    constexpr int AllowedRetries = 3;
+    constexpr Duration KnownWithin = millis(3'000);
+    const TimePoint now = BootClock::now();
+    if (++crashes_ == CrashesUntilKnown) {
+        knownFrom_ = now + KnownWithin;
+    }
+    const bool late = crashes_ > CrashesUntilKnown && now > knownFrom_ && inTouch_;
+    lateCrashes_ += late ? 1 : 0;
+    if (late && lateCrashes_ > AllowedRetries) {
+        violate(Promise::FewCrashes, "the same request crashed " + endpoint + ", the "
+                                         + std::to_string(crashes_) + "th endpoint");
+    }
+}
+
 void Ledger::onServed(const std::string &)
 {
     ++served_;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -34,9 +34,11 @@
     StopCutsNothing, ///< A planned stop cuts no request that was sent before it ended.
     Recovers,        ///< After the last fault requests are served again.
     StaysUp,         ///< No instance ends by itself.
+    FewCrashes,      ///< A request that has crashed three endpoints reaches few more.
+    InnocentsServed, ///< Nobody else is refused for these crashes.
 };
 
-inline constexpr std::array<EnumName<Promise>, 10> PromiseNames {{
+inline constexpr std::array<EnumName<Promise>, 12> PromiseNames {{
     {Promise::OwnAnswer, "own-answer"},
     {Promise::AtMostOnce, "at-most-once"},
     {Promise::TruthfulNotRun, "truthful-not-run"},
@@ -47,6 +49,8 @@
     {Promise::StopCutsNothing, "stop-cuts-nothing"},
     {Promise::Recovers, "recovers"},
     {Promise::StaysUp, "stays-up"},
+    {Promise::FewCrashes, "few-crashes"},
+    {Promise::InnocentsServed, "innocents-served"},
 }};
 
 struct Violation
@@ -61,6 +65,11 @@
     void onSent(const std::string &id, Kind kind);
     /** An endpoint began to work on the request. */
     void onRun(const std::string &id, const std::string &endpoint);
+    /** The one request that crashes endpoints began to run at one. */
+    void onCrash(const std::string &endpoint);
+    /** Whether nothing else disturbs instances, so that they must know of each other's crashes. */
+    void setInTouch(bool inTouch) { inTouch_ = inTouch; }
+    int crashes() const noexcept { return crashes_; }
     /** The caller was told that the request has not run and never will. */
     void onNotRunTold(const std::string &id);
     void onServed(const std::string &id);
@@ -87,6 +96,10 @@
     std::uint64_t sent_ = 0;
     std::uint64_t served_ = 0;
     std::uint64_t notRun_ = 0;
+    int crashes_ = 0;
+    int lateCrashes_ = 0;
+    TimePoint knownFrom_ {}; ///< All instances in touch know the request then.
+    bool inTouch_ = true;
 };
 
 } // namespace almondridge::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -22,6 +22,8 @@
 using Json = nlohmann::json;
 
 constexpr Duration RoundInterval = millis(40);
+/** Between two sends of the request that crashes endpoints; the first comes with the faults. */
+constexpr Duration CrashingInterval = millis(400);
 constexpr Duration WatchInterval = millis(100);
 constexpr Duration ReadyInterval = millis(500);
 constexpr Duration FaultInterval = millis(900);
@@ -62,6 +64,7 @@
     void startEndpoints();
     void writeConfig();
     void callerRound();
+    void crashingRound();
     void watchInstances();
     void askReady();
     void strikeOnce();
@@ -85,9 +88,13 @@
 
     InstanceProcess &anyInstance();
     EndpointStandIn &anyEndpoint();
+    /** After a crash it is back under another id. */
+    void replaceCrashed(const EndpointStandIn &endpoint);
     Duration span(std::int64_t least, std::int64_t most);
     /** Marks a time in which cuts and late configurations are excused. */
     void unplanned(Duration length);
+    /** The same, of faults that may keep instances from telling each other. */
+    void disturbed(Duration length);
     void tellCalm(bool calm);
     bool calm() const { return BootClock::now() > unplannedUntil_; }
     void restartLater(InstanceProcess &instance, Duration after);
@@ -105,6 +112,7 @@
     Callers callers_;
     async::HttpClient health_;
     async::Timer rounds_;
+    async::Timer crashing_;
     async::Timer watch_;
     async::Timer readiness_;
     async::Timer faults_;
@@ -112,6 +120,7 @@
     std::map<std::string, int> struck_;
     std::map<std::string, int> missed_; ///< Answers to readiness in a row, by instance.
     TimePoint unplannedUntil_ {};
+    TimePoint disturbedUntil_ {};
     TimePoint firstStrikeAt_ {};
     TimePoint faultsEnd_ {};
     int version_ = 0;
@@ -142,6 +151,7 @@
     , callers_(loop_, ledger_, instances_, options_.seed_)
     , health_(loop_)
     , rounds_(loop_)
+    , crashing_(loop_)
     , watch_(loop_)
     , readiness_(loop_)
     , faults_(loop_)
@@ -165,6 +175,7 @@
     callerRound();
     firstStrikeAt_ = BootClock::now() + SettleTime;
     faults_.startAt(firstStrikeAt_, [this] { strikeOnce(); });
+    crashing_.startAt(firstStrikeAt_, [this] { crashingRound(); });
     end_.startAt(faultsEnd_, [this] { finishFaults(); });
     loop_.run();
     return report();
@@ -174,6 +185,17 @@
 {
     endpoints_.emplace_back(loop_, store_, ledger_, fmt::format("e-{}", nextEndpoint_++), service,
                             stage, random_());
+    EndpointStandIn &endpoint = endpoints_.back();
+    endpoint.onCrash([this, &endpoint] { replaceCrashed(endpoint); });
+}
+
+void Soak::replaceCrashed(const EndpointStandIn &endpoint)
+{
+    constexpr Duration StartTime = millis(1'500);
+    unplanned(StartTime);
+    later(loop_, StartTime, [this, service = endpoint.service(), stage = endpoint.stage()] {
+        addEndpoint(service, stage);
+    });
 }
 
 void Soak::startEndpoints()
@@ -239,6 +261,13 @@
     callers_.sendRound();
 }
 
+void Soak::crashingRound()
+{
+    crashing_.startAt(BootClock::now() + CrashingInterval, [this] { crashingRound(); });
+    ledger_.setInTouch(BootClock::now() > disturbedUntil_);
+    callers_.sendCrashing();
+}
+
 void Soak::watchInstances()
 {
     watch_.startAt(BootClock::now() + WatchInterval, [this] { watchInstances(); });
@@ -285,7 +314,7 @@
 {
     std::vector<EndpointStandIn *> staying;
     for (EndpointStandIn &endpoint : endpoints_) {
-        if (!endpoint.draining()) {
+        if (!endpoint.draining() && !endpoint.crashed()) {
             staying.push_back(&endpoint);
         }
     }
@@ -305,6 +334,12 @@
     tellCalm(false);
 }
 
+void Soak::disturbed(Duration length)
+{
+    unplanned(length);
+    disturbedUntil_ = std::max(disturbedUntil_, unplannedUntil_);
+}
+
 void Soak::tellCalm(bool calm)
 {
     callers_.setCalm(calm);
@@ -363,7 +398,7 @@
 
 void Soak::killOne()
 {
-    unplanned(millis(1'000));
+    disturbed(millis(1'000));
     InstanceProcess &instance = anyInstance();
     instance.kill();
     restartLater(instance, span(200, 1'500));
@@ -371,7 +406,7 @@
 
 void Soak::killMost()
 {
-    unplanned(millis(2'000));
+    disturbed(millis(2'000));
     for (std::size_t index = 1; index < instances_.size(); ++index) {
         instances_[index]->kill();
         restartLater(*instances_[index], span(300, 1'500));
@@ -397,7 +432,7 @@
 {
     InstanceProcess &instance = anyInstance();
     const Duration length = span(500, 4'000);
-    unplanned(length);
+    disturbed(length);
     instance.pause();
     later(loop_, length, [&instance] { instance.resume(); });
 }
@@ -410,7 +445,7 @@
 void Soak::breakStore()
 {
     const Duration length = span(500, 3'000);
-    unplanned(length);
+    disturbed(length);
     store_.setFault(anyFault(StoreFaultNames));
     later(loop_, length, [this] { store_.setFault(StoreFault::None); });
 }
@@ -418,7 +453,7 @@
 void Soak::cutStoreLink()
 {
     const Duration length = span(500, 4'000);
-    unplanned(length);
+    disturbed(length);
     InstanceProcess &instance = anyInstance();
     instance.storeLink().setFault(anyFault(LinkFaultNames));
     later(loop_, length, [&instance] { instance.storeLink().setFault(LinkFault::None); });
@@ -427,7 +462,7 @@
 void Soak::breakEndpoint()
 {
     const Duration length = span(500, 4'000);
-    unplanned(length);
+    disturbed(length);
     EndpointStandIn &endpoint = anyEndpoint();
     endpoint.setFault(anyFault(EndpointFaultNames));
     later(loop_, length, [&endpoint] { endpoint.setFault(EndpointFault::None); });
@@ -436,7 +471,7 @@
 void Soak::cutEndpointLink()
 {
     const Duration length = span(500, 4'000);
-    unplanned(length);
+    disturbed(length);
     EndpointStandIn &endpoint = anyEndpoint();
     endpoint.link().setFault(anyFault(LinkFaultNames));
     later(loop_, length, [&endpoint] { endpoint.link().setFault(LinkFault::None); });
@@ -499,9 +534,9 @@
 
 int Soak::report()
 {
-    fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={}\n", options_.seed_,
-               options_.seconds_, options_.instances_, ledger_.sent(), ledger_.served(),
-               ledger_.notRun());
+    fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={} crashes={}\n",
+               options_.seed_, options_.seconds_, options_.instances_, ledger_.sent(),
+               ledger_.served(), ledger_.notRun(), ledger_.crashes());
     for (const auto &[name, count] : struck_) {
         fmt::print("  {:24} {}\n", name, count);
     }
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -94,6 +94,13 @@
     loop_.post([this, pair] { pairs_.remove(pair); });
 }
 
+void Proxy::shut()
+{
+    boost::system::error_code ignored; // It is closed whatever it says.
+    acceptor_.close(ignored);
+    setFault(LinkFault::Reset);
+}
+
 void Proxy::setFault(LinkFault fault)
 {
     fault_ = fault;
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -29,6 +29,8 @@
     net::Address address() const { return {"127.0.0.1", port_}; }
     /** Reset breaks what is open; connections that were silenced stay silent for good. */
     void setFault(LinkFault fault);
+    /** Closes what is open and refuses what comes: the target has crashed. */
+    void shut();
 
 private:
     struct Pair
