What is held against requests is read from the store by each failure domain's readers

Written is what is under strong suspicion (two ends), so that two sides of a cut add up what each saw.

--- a/libs/gateway/include/almondridge/gateway/crashevidence.h
+++ b/libs/gateway/include/almondridge/gateway/crashevidence.h
@@ -132,8 +132,9 @@
     /** All ends that one request was on board of. */
     CrashNews newsOf(RequestKey key, TimePoint now) const;
     /**
-     * Requests that this instance helped to blame, or to clear, since the last call: a fleet that
-     * loses power at once has nobody left to tell of them.
+     * Requests that came under strong suspicion with this instance's part in it, that more is held
+     * against, or that were cleared, since the last call: a fleet that loses power at once has
+     * nobody left to tell of them.
      */
     std::vector<RequestKey> takeChangedBlame(TimePoint now);
     /** Forgets what no longer says anything; to be called now and then. */
--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -393,7 +393,7 @@
     for (auto &[key, suspect] : suspects_) {
         const std::size_t ends = suspect.sightings_.size();
         if (suspect.isOwn_ && ends > suspect.endsKept_
-            && assess(suspect, now).level_ == Suspicion::Blamed) {
+            && assess(suspect, now).level_ >= Suspicion::Strong) {
             suspect.endsKept_ = ends;
             changed.push_back(key);
         }
--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -21,9 +21,9 @@
 
 namespace almondridge::news {
 
-enum class Topic { Config, Endpoints, Instances };
+enum class Topic { Config, Endpoints, Instances, Blamed };
 
-inline constexpr std::size_t TopicCount = 3;
+inline constexpr std::size_t TopicCount = 4;
 
 /** A key that has a new value, or none any more. */
 struct Change
