--- a/libs/gateway/include/almondridge/gateway/crashgossip.h
+++ b/libs/gateway/include/almondridge/gateway/crashgossip.h
@@ -1,5 +1,5 @@
 /**
- * Tells other instances which requests were on board of endpoints that ended. Pure: datagrams and
+ * Tells other instances which requests were in flight at endpoints that crashed. Pure: datagrams and
  * the time go in, datagrams come out.
  *
  * News is told for a few rounds, in a small fleet to all, in a large one to a few peers that are
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -15,15 +15,15 @@
  */
 constexpr std::int64_t DefaultRetryAfterMillis = 300;
 /** Between two looks whether a suspected request may start. */
-constexpr Duration TurnInterval = millis(100);
+constexpr Duration BeginInterval = millis(100);
 /** Until whoever else wants to run the same suspected request has been heard. */
-constexpr Duration TurnSettles = millis(300);
-/** The same for the one run that is allowed to a request that was blamed. */
+constexpr Duration LeaseSettles = millis(300);
+/** The same for the one run that a request gets after its quarantine. */
 constexpr Duration RetrialSettles = millis(1'000);
 /** An endpoint that says nothing for so long until its caller leaves may have ended. */
 constexpr Duration SuspiciousSilence = millis(1'000);
 constexpr int FirstServerError = 500;
-constexpr std::string_view BlamedCause = "ended-endpoints";
+constexpr std::string_view QuarantinedCause = "quarantined";
 
 } // namespace
 
@@ -32,7 +32,7 @@
     , input_(std::move(input))
     , deadlineTimer_(gateway.loop_)
     , silence_(gateway.loop_)
-    , turn_(gateway.loop_)
+    , begin_(gateway.loop_)
 {
     const std::int64_t patience = facts().patienceMillis_.value_or(DefaultPatienceMillis);
     const std::int64_t timeout = route().timeoutMillis_ > 0 ? route().timeoutMillis_ : patience;
@@ -49,16 +49,16 @@
     }
     const Assessment known = gateway_.crashes_.assess(key());
     switch (known.level_) {
-    case Suspicion::Blamed:
-        refuseBlamed(known);
+    case Suspicion::Quarantined:
+        refuseQuarantined(known);
         return;
     case Suspicion::Strong:
-    case Suspicion::Lapsed:
-        beginInTurn(known);
+    case Suspicion::HalfOpen:
+        beginWithLease(known);
         return;
     case Suspicion::Weak:
         if (runsBesideAnother()) {
-            waitForTurn();
+            waitToBegin();
             return;
         }
         break;
@@ -71,31 +71,31 @@
 }
 
 /** A request that may be to blame runs once at a time in the whole fleet. */
-void Call::beginInTurn(const Assessment &known)
+void Call::beginWithLease(const Assessment &known)
 {
     const TimePoint now = BootClock::now();
-    const bool lapsed = known.level_ == Suspicion::Lapsed;
-    if (turnSettlesAt_ == TimePoint {} && gateway_.crashes_.takeTurn(key())) {
-        turnSettlesAt_ = now + (lapsed ? RetrialSettles : TurnSettles);
-    } else if (turnSettlesAt_ != TimePoint {} && now >= turnSettlesAt_) {
-        if (gateway_.crashes_.holdsTurn(key())) {
+    const bool halfOpen = known.level_ == Suspicion::HalfOpen;
+    if (leaseSettlesAt_ == TimePoint {} && gateway_.crashes_.acquireLease(key())) {
+        leaseSettlesAt_ = now + (halfOpen ? RetrialSettles : LeaseSettles);
+    } else if (leaseSettlesAt_ != TimePoint {} && now >= leaseSettlesAt_) {
+        if (gateway_.crashes_.holdsLease(key())) {
             suspicion_ = Suspicion::Strong;
             started_ = true;
             start();
             return;
         }
-        turnSettlesAt_ = {};
+        leaseSettlesAt_ = {};
     }
-    if (lapsed && turnSettlesAt_ == TimePoint {}) {
-        refuseBlamed(known);
+    if (halfOpen && leaseSettlesAt_ == TimePoint {}) {
+        refuseQuarantined(known);
         return;
     }
-    waitForTurn();
+    waitToBegin();
 }
 
-void Call::waitForTurn()
+void Call::waitToBegin()
 {
-    turn_.startAt(BootClock::now() + TurnInterval, [this] { begin(); });
+    begin_.startAt(BootClock::now() + BeginInterval, [this] { begin(); });
 }
 
 bool Call::runsBesideAnother() const
@@ -107,18 +107,18 @@
 }
 
 /** The same answer at once at each instance: nothing is won by coming back. */
-void Call::refuseBlamed(const Assessment &known)
+void Call::refuseQuarantined(const Assessment &known)
 {
     const TimePoint now = BootClock::now();
-    logEvent(LogLevel::Warning, "request_blamed",
+    logEvent(LogLevel::Warning, "request_quarantined",
              {{"id", facts().requestId_},
               {"key", toString(key())},
-              {"ends", known.ends_},
+              {"ends", known.crashes_},
               {"weight", known.weight_},
-              {"first_end_ms", toMillis(now - known.firstEndAt_)},
-              {"last_end_ms", toMillis(now - known.lastEndAt_)},
-              {"until_ms", millisUntil(known.blamedUntil_, now)}});
-    refuse(BlamedCause);
+              {"first_end_ms", toMillis(now - known.firstCrashAt_)},
+              {"last_end_ms", toMillis(now - known.lastCrashAt_)},
+              {"until_ms", millisUntil(known.quarantinedUntil_, now)}});
+    refuse(QuarantinedCause);
 }
 
 bool Call::isAt(const EndpointId &endpoint, std::uint64_t lifetime) const noexcept
@@ -127,10 +127,10 @@
            && attempt_.lifetime_ == lifetime;
 }
 
-bool Call::isBlamed() const
+bool Call::isQuarantined() const
 {
     const Suspicion level = gateway_.crashes_.assess(key()).level_;
-    return level == Suspicion::Blamed || (level == Suspicion::Lapsed && !started_);
+    return level == Suspicion::Quarantined || (level == Suspicion::HalfOpen && !started_);
 }
 
 std::optional<EndpointId> Call::quietestEndpoint() const
@@ -286,7 +286,7 @@
  */
 bool Call::mayTryAnother() const
 {
-    return sends_ < mostSends_ && BootClock::now() < deadline_ && !isBlamed();
+    return sends_ < mostSends_ && BootClock::now() < deadline_ && !isQuarantined();
 }
 
 /** The allowance is for requests that others wait for, not for one that may end endpoints. */
@@ -339,8 +339,8 @@
 
 void Call::refuse(std::string_view cause)
 {
-    // Who is blamed here is blamed at all instances: to come back soon brings nothing.
-    const auto after = cause == BlamedCause || isBlamed()
+    // A quarantine holds at all instances: to come back soon brings nothing.
+    const auto after = cause == QuarantinedCause || isQuarantined()
                            ? std::nullopt
                            : std::optional(retryAfterMillis_.value_or(DefaultRetryAfterMillis));
     gateway_.server_.respond(input_.request_.id_, gateway_.dialect_.refusal(503, after, cause));
@@ -364,11 +364,11 @@
     finished_ = true;
     deadlineTimer_.stop();
     silence_.stop();
-    turn_.stop();
+    begin_.stop();
     if (outcome == Outcome::Answered && status < FirstServerError) {
-        gateway_.crashes_.onWholeRun(key());
+        gateway_.crashes_.onCompleted(key());
     } else if (outcome == Outcome::Refused) {
-        gateway_.crashes_.endTurn(key());
+        gateway_.crashes_.releaseLease(key());
     }
     const TimePoint now = BootClock::now();
     const TimePoint began = input_.request_.startedAt_;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -99,7 +99,7 @@
     /** The same when the request ends without a word of the endpoint. */
     void noteSilence();
     /** Whether equal requests have ended too many endpoints for this one to be sent on. */
-    bool isBlamed() const;
+    bool isQuarantined() const;
     /**
      * Where a suspected request takes the fewest others along. nullopt: there is none, or, under
      * strong suspicion, only the last one that serves.
@@ -143,17 +143,17 @@
     std::string trail_;   ///< Endpoints asked and what came of it, for the log line.
 
 private:
-    void beginInTurn(const Assessment &known);
-    void waitForTurn();
+    void beginWithLease(const Assessment &known);
+    void waitToBegin();
     bool runsBesideAnother() const;
-    void refuseBlamed(const Assessment &known);
+    void refuseQuarantined(const Assessment &known);
     void countOutcome(Outcome outcome, std::string_view cause, TimePoint now);
 
     TimePoint deadline_;
     async::Timer deadlineTimer_;
     async::Timer silence_;
-    async::Timer turn_;          ///< Until it is looked again whether this request may start.
-    TimePoint turnSettlesAt_ {}; ///< Others that want the turn have been heard by then.
+    async::Timer begin_;          ///< Until it is looked again whether this request may start.
+    TimePoint leaseSettlesAt_ {}; ///< Others that want the lease have been heard by then.
     bool started_ = false;
     bool finished_ = false;
 };
--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -8,12 +8,12 @@
 namespace almondridge::gateway {
 namespace {
 
-constexpr int EndsToBlame = 3;
-/** Three ends, two of which have something else beside them that may explain them. */
-constexpr double WeightToBlame = 2.0;
-constexpr int EndsToSuspect = 2;
+constexpr int CrashesToQuarantine = 3;
+/** Three crashes, two of which have something else beside them that may explain them. */
+constexpr double WeightToQuarantine = 2.0;
+constexpr int CrashesToSuspect = 2;
 constexpr double WeightToSuspect = 1.3;
-/** Half of the group would have had to end for no reason before a sighting counts less. */
+/** Half of the group would have had to crash for no reason before a sighting counts less. */
 constexpr double LeastWeight = 0.5;
 
 /** Ends of one group within this time of each other may have one cause. */
@@ -21,23 +21,23 @@
 /** Ends that instances see in the same moment are all told by then. */
 constexpr Duration SettledAfter = millis(200);
 
-/** A request that was blamed is not run for this long; doubles with each further end. */
-constexpr Duration FirstBlame = millis(60'000);
-constexpr int MostBlameDoublings = 5;
-/** What is held against a request that is not blamed. */
+/** A request that was quarantined is not run for this long; doubles with each further crash. */
+constexpr Duration FirstQuarantine = millis(60'000);
+constexpr int MostDoublings = 5;
+/** What is held against a request that is not quarantined. */
 constexpr Duration EvidenceLifetime = millis(120'000);
-constexpr Duration EndLifetime = millis(3'600'000);
-/** A run that was begun by a turn and of which nothing was heard. */
-constexpr Duration TurnLifetime = millis(30'000);
+constexpr Duration CrashLifetime = millis(3'600'000);
+/** A run of which nothing was heard. */
+constexpr Duration LeaseLifetime = millis(30'000);
 /** Evidence is late by the time that a message takes. */
 constexpr Duration MessageDelay = millis(500);
-constexpr Duration WholeRunsRemembered = millis(10'000);
+constexpr Duration CompletedRemembered = millis(10'000);
 
 constexpr std::size_t MostSuspects = 4'096;
-constexpr std::size_t MostEnds = 4'096;
+constexpr std::size_t MostCrashes = 4'096;
 constexpr std::size_t MostSightings = 8; ///< Of one request.
-constexpr std::size_t MostWholeRuns = 4'096;
-constexpr std::size_t MostTurns = 256;
+constexpr std::size_t MostCompleted = 4'096;
+constexpr std::size_t MostLeases = 256;
 
 /** Rounds in which a piece of news is told to some peers. */
 constexpr int TellRounds = 4;
@@ -46,10 +46,10 @@
 
 std::size_t itemsOf(const CrashNews &news)
 {
-    constexpr std::size_t ItemsOfAnEnd = 3;
-    std::size_t items = 2 * news.cleared_.size() + 3 * news.turns_.size();
-    for (const CrashNews::End &end : news.ends_) {
-        items += ItemsOfAnEnd + end.aboard_.size();
+    constexpr std::size_t ItemsOfACrash = 3;
+    std::size_t items = 2 * news.cleared_.size() + 3 * news.leases_.size();
+    for (const CrashNews::Crash &crash : news.crashes_) {
+        items += ItemsOfACrash + crash.inFlight_.size();
     }
     return items;
 }
@@ -61,57 +61,57 @@
 
 } // namespace
 
-bool CrashEvidence::addEnd(const EndpointEnd &end)
+bool CrashEvidence::addCrash(const EndpointCrash &crash)
 {
-    const auto [place, added] = ends_.try_emplace(end.key_, KnownEnd {end, TellRounds});
-    EndpointEnd &known = place->second.end_;
+    const auto [place, added] = crashes_.try_emplace(crash.key_, KnownCrash {crash, TellRounds});
+    EndpointCrash &known = place->second.crash_;
     if (added) {
-        endsByTime_.emplace(end.at_, end.key_);
+        crashesByTime_.emplace(crash.at_, crash.key_);
         return true;
     }
-    known.groupSize_ = std::max(known.groupSize_, end.groupSize_);
-    if (end.at_ < known.at_) {
-        const auto [first, last] = endsByTime_.equal_range(known.at_);
-        const auto found =
-            std::find_if(first, last, [&](const auto &entry) { return entry.second == end.key_; });
-        endsByTime_.erase(found);
-        endsByTime_.emplace(end.at_, end.key_);
-        known.at_ = end.at_;
+    known.groupSize_ = std::max(known.groupSize_, crash.groupSize_);
+    if (crash.at_ < known.at_) {
+        const auto [first, last] = crashesByTime_.equal_range(known.at_);
+        const auto found = std::find_if(
+            first, last, [&](const auto &entry) { return entry.second == crash.key_; });
+        crashesByTime_.erase(found);
+        crashesByTime_.emplace(crash.at_, crash.key_);
+        known.at_ = crash.at_;
     }
     return false;
 }
 
-void CrashEvidence::addSighting(RequestKey key, EndKey end, TimePoint now)
+void CrashEvidence::addSighting(RequestKey key, CrashKey crash, TimePoint now)
 {
-    const TimePoint endedAt = ends_.at(end).end_.at_;
-    const auto whole = wholeRuns_.find(key);
-    if (whole != wholeRuns_.end() && endedAt <= whole->second + MessageDelay) {
+    const TimePoint crashedAt = crashes_.at(crash).crash_.at_;
+    const auto whole = completed_.find(key);
+    if (whole != completed_.end() && crashedAt <= whole->second + MessageDelay) {
         clear(key, whole->second); // Whoever told this is told of the run.
         return;
     }
     Suspect &suspect = suspects_[key];
     const bool known = std::any_of(suspect.sightings_.begin(), suspect.sightings_.end(),
-                                   [&](const Sighting &one) { return one.end_ == end; });
+                                   [&](const Sighting &one) { return one.crash_ == crash; });
     if (known
-        || (suspect.clearedAt_ != TimePoint {} && endedAt <= suspect.clearedAt_ + MessageDelay)) {
+        || (suspect.clearedAt_ != TimePoint {} && crashedAt <= suspect.clearedAt_ + MessageDelay)) {
         return;
     }
     if (suspect.sightings_.size() >= MostSightings) {
         suspect.sightings_.erase(suspect.sightings_.begin());
     }
-    suspect.sightings_.push_back({end, now, TellRounds});
-    const auto turn = turns_.find(key);
-    if (turn != turns_.end() && turn->second.turn_.at_ <= endedAt) {
-        turns_.erase(turn); // That run ended an endpoint.
+    suspect.sightings_.push_back({crash, now, TellRounds});
+    const auto lease = leases_.find(key);
+    if (lease != leases_.end() && lease->second.lease_.at_ <= crashedAt) {
+        leases_.erase(lease); // That run crashed an endpoint.
     }
 }
 
-void CrashEvidence::onEnd(const EndpointEnd &end, const std::vector<RequestKey> &aboard,
-                          TimePoint now)
+void CrashEvidence::onCrash(const EndpointCrash &crash, const std::vector<RequestKey> &inFlight,
+                            TimePoint now)
 {
-    addEnd(end);
-    for (const RequestKey key : aboard) {
-        addSighting(key, end.key_, now);
+    addCrash(crash);
+    for (const RequestKey key : inFlight) {
+        addSighting(key, crash.key_, now);
         const auto suspect = suspects_.find(key);
         if (suspect != suspects_.end()) {
             suspect->second.isOwn_ = true;
@@ -124,30 +124,30 @@
 {
     Suspect &suspect = suspects_[key];
     std::erase_if(suspect.sightings_, [&](const Sighting &one) {
-        const auto end = ends_.find(one.end_);
-        return end == ends_.end() || end->second.end_.at_ <= at + MessageDelay;
+        const auto crash = crashes_.find(one.crash_);
+        return crash == crashes_.end() || crash->second.crash_.at_ <= at + MessageDelay;
     });
     if (at > suspect.clearedAt_) {
         suspect.clearedAt_ = at;
         suspect.clearedRoundsLeft_ = TellRounds;
     }
-    if (suspect.sightings_.empty() && std::exchange(suspect.endsKept_, 0) > 0) {
-        clearedBlame_.push_back(key);
+    if (suspect.sightings_.empty() && std::exchange(suspect.crashesStored_, 0) > 0) {
+        clearedKeys_.push_back(key);
     }
-    turns_.erase(key);
+    leases_.erase(key);
 }
 
-bool CrashEvidence::onWholeRun(RequestKey key, TimePoint now)
+bool CrashEvidence::onCompleted(RequestKey key, TimePoint now)
 {
-    wholeRuns_[key] = now;
-    wholeRunsInOrder_.emplace_back(now, key);
-    while (wholeRunsInOrder_.size() > MostWholeRuns
-           || wholeRunsInOrder_.front().first + WholeRunsRemembered < now) {
-        const auto [at, oldest] = wholeRunsInOrder_.front();
-        wholeRunsInOrder_.pop_front();
-        const auto found = wholeRuns_.find(oldest);
-        if (found != wholeRuns_.end() && found->second == at) {
-            wholeRuns_.erase(found);
+    completed_[key] = now;
+    completedInOrder_.emplace_back(now, key);
+    while (completedInOrder_.size() > MostCompleted
+           || completedInOrder_.front().first + CompletedRemembered < now) {
+        const auto [at, oldest] = completedInOrder_.front();
+        completedInOrder_.pop_front();
+        const auto found = completed_.find(oldest);
+        if (found != completed_.end() && found->second == at) {
+            completed_.erase(found);
         }
     }
     const auto suspect = suspects_.find(key);
@@ -163,41 +163,41 @@
     for (const CrashNews::Cleared &cleared : news.cleared_) {
         clear(cleared.key_, now - millis(cleared.ageMillis_));
     }
-    for (const CrashNews::End &told : news.ends_) {
-        addEnd({told.key_, told.group_, told.groupSize_, now - millis(told.ageMillis_)});
-        for (const RequestKey key : told.aboard_) {
+    for (const CrashNews::Crash &told : news.crashes_) {
+        addCrash({told.key_, told.group_, told.groupSize_, now - millis(told.ageMillis_)});
+        for (const RequestKey key : told.inFlight_) {
             addSighting(key, told.key_, now);
         }
     }
-    for (const CrashNews::TurnTaken &told : news.turns_) {
-        const Turn turn {told.holder_, now - millis(told.ageMillis_)};
-        const auto known = turns_.find(told.key_);
-        const bool better = known == turns_.end() || !isLive(known->second.turn_, now)
-                            || turn.holder_ < known->second.turn_.holder_;
-        if (isLive(turn, now) && better && turns_.size() < MostTurns) {
-            turns_[told.key_] = {turn, TellRounds};
+    for (const CrashNews::LeaseTaken &told : news.leases_) {
+        const RunLease lease {told.holder_, now - millis(told.ageMillis_)};
+        const auto known = leases_.find(told.key_);
+        const bool better = known == leases_.end() || !isLive(known->second.lease_, now)
+                            || lease.holder_ < known->second.lease_.holder_;
+        if (isLive(lease, now) && better && leases_.size() < MostLeases) {
+            leases_[told.key_] = {lease, TellRounds};
         }
     }
     keepWithinBounds(now);
 }
 
-/** 1: nothing else explains the end; 0: all endpoints of the group ended in that moment. */
-double CrashEvidence::weightOf(const Suspect &suspect, const EndpointEnd &end) const
+/** 1: nothing else explains the crash; 0: all endpoints of the group crashed in that moment. */
+double CrashEvidence::weightOf(const Suspect &suspect, const EndpointCrash &crash) const
 {
-    if (end.groupSize_ <= 1) {
+    if (crash.groupSize_ <= 1) {
         return 1;
     }
-    const auto isSuspects = [&](EndKey key) {
+    const auto isSuspects = [&](CrashKey key) {
         return std::any_of(suspect.sightings_.begin(), suspect.sightings_.end(),
-                           [&](const Sighting &one) { return one.end_ == key; });
+                           [&](const Sighting &one) { return one.crash_ == key; });
     };
     int others = 0;
-    const auto last = endsByTime_.upper_bound(end.at_ + SameMoment);
-    for (auto near = endsByTime_.lower_bound(end.at_ - SameMoment); near != last; ++near) {
-        const EndpointEnd &other = ends_.at(near->second).end_;
-        others += other.group_ == end.group_ && !isSuspects(other.key_) ? 1 : 0;
+    const auto last = crashesByTime_.upper_bound(crash.at_ + SameMoment);
+    for (auto near = crashesByTime_.lower_bound(crash.at_ - SameMoment); near != last; ++near) {
+        const EndpointCrash &other = crashes_.at(near->second).crash_;
+        others += other.group_ == crash.group_ && !isSuspects(other.key_) ? 1 : 0;
     }
-    const double size = end.groupSize_;
+    const double size = crash.groupSize_;
     return std::clamp(std::log(size / (1 + others)) / std::log(size), 0.0, 1.0);
 }
 
@@ -205,22 +205,23 @@
 {
     Assessment result;
     for (const Sighting &sighting : suspect.sightings_) {
-        const auto known = ends_.find(sighting.end_);
-        if (known == ends_.end()) {
+        const auto known = crashes_.find(sighting.crash_);
+        if (known == crashes_.end()) {
             continue;
         }
-        const EndpointEnd &end = known->second.end_;
-        ++result.ends_;
-        result.weight_ += weightOf(suspect, end);
-        result.lastEndAt_ = std::max(result.lastEndAt_, end.at_);
-        const bool first = result.firstEndAt_ == TimePoint {} || end.at_ < result.firstEndAt_;
-        result.firstEndAt_ = first ? end.at_ : result.firstEndAt_;
-    }
-    if (result.ends_ >= EndsToBlame && result.weight_ >= WeightToBlame) {
-        const int doublings = std::min(result.ends_ - EndsToBlame, MostBlameDoublings);
-        result.blamedUntil_ = result.lastEndAt_ + FirstBlame * (1 << doublings);
-        result.level_ = now < result.blamedUntil_ ? Suspicion::Blamed : Suspicion::Lapsed;
-    } else if (result.ends_ >= EndsToSuspect && result.weight_ >= WeightToSuspect) {
+        const EndpointCrash &crash = known->second.crash_;
+        ++result.crashes_;
+        result.weight_ += weightOf(suspect, crash);
+        result.lastCrashAt_ = std::max(result.lastCrashAt_, crash.at_);
+        const bool first = result.firstCrashAt_ == TimePoint {} || crash.at_ < result.firstCrashAt_;
+        result.firstCrashAt_ = first ? crash.at_ : result.firstCrashAt_;
+    }
+    if (result.crashes_ >= CrashesToQuarantine && result.weight_ >= WeightToQuarantine) {
+        const int doublings = std::min(result.crashes_ - CrashesToQuarantine, MostDoublings);
+        result.quarantinedUntil_ = result.lastCrashAt_ + FirstQuarantine * (1 << doublings);
+        result.level_ =
+            now < result.quarantinedUntil_ ? Suspicion::Quarantined : Suspicion::HalfOpen;
+    } else if (result.crashes_ >= CrashesToSuspect && result.weight_ >= WeightToSuspect) {
         result.level_ = Suspicion::Strong;
     } else if (result.weight_ >= LeastWeight) {
         result.level_ = Suspicion::Weak;
@@ -234,70 +235,70 @@
     return found != suspects_.end() ? assess(found->second, now) : Assessment {};
 }
 
-bool CrashEvidence::isLive(const Turn &turn, TimePoint now) const
+bool CrashEvidence::isLive(const RunLease &lease, TimePoint now) const
 {
-    return now < turn.at_ + TurnLifetime;
+    return now < lease.at_ + LeaseLifetime;
 }
 
-bool CrashEvidence::takeTurn(RequestKey key, std::uint64_t holder, TimePoint now)
+bool CrashEvidence::acquireLease(RequestKey key, std::uint64_t holder, TimePoint now)
 {
-    const auto known = turns_.find(key);
-    if (known != turns_.end() && isLive(known->second.turn_, now)) {
+    const auto known = leases_.find(key);
+    if (known != leases_.end() && isLive(known->second.lease_, now)) {
         return false;
     }
-    turns_[key] = {{holder, now}, TellRounds};
+    leases_[key] = {{holder, now}, TellRounds};
     return true;
 }
 
-bool CrashEvidence::holdsTurn(RequestKey key, std::uint64_t holder, TimePoint now) const
+bool CrashEvidence::holdsLease(RequestKey key, std::uint64_t holder, TimePoint now) const
 {
-    const auto known = turns_.find(key);
-    return known != turns_.end() && known->second.turn_.holder_ == holder
-           && isLive(known->second.turn_, now);
+    const auto known = leases_.find(key);
+    return known != leases_.end() && known->second.lease_.holder_ == holder
+           && isLive(known->second.lease_, now);
 }
 
-void CrashEvidence::endTurn(RequestKey key, std::uint64_t holder)
+void CrashEvidence::releaseLease(RequestKey key, std::uint64_t holder)
 {
-    const auto known = turns_.find(key);
-    if (known != turns_.end() && known->second.turn_.holder_ == holder) {
-        turns_.erase(known);
+    const auto known = leases_.find(key);
+    if (known != leases_.end() && known->second.lease_.holder_ == holder) {
+        leases_.erase(known);
     }
 }
 
-/** A request that was on board of one of many ends is told only when it is seen again. */
+/** A request that met one of many crashes is told only when it is seen again. */
 bool CrashEvidence::worthTelling(const Suspect &suspect, const Sighting &sighting,
                                  TimePoint now) const
 {
     if (suspect.sightings_.size() > 1) {
         return true;
     }
-    const auto end = ends_.find(sighting.end_);
-    return end != ends_.end() && sighting.knownAt_ + SettledAfter <= now
-           && weightOf(suspect, end->second.end_) >= LeastWeight;
+    const auto crash = crashes_.find(sighting.crash_);
+    return crash != crashes_.end() && sighting.knownAt_ + SettledAfter <= now
+           && weightOf(suspect, crash->second.crash_) >= LeastWeight;
 }
 
-void CrashEvidence::tellEnd(const EndpointEnd &end, std::optional<RequestKey> aboard, TimePoint now,
-                            CrashNews &news) const
+void CrashEvidence::tellCrash(const EndpointCrash &crash, std::optional<RequestKey> inFlight,
+                              TimePoint now, CrashNews &news) const
 {
-    auto place = std::find_if(news.ends_.begin(), news.ends_.end(),
-                              [&](const CrashNews::End &one) { return one.key_ == end.key_; });
-    if (place == news.ends_.end()) {
-        const std::int64_t age = std::max<std::int64_t>(0, toMillis(now - end.at_));
-        place = news.ends_.insert(place, {end.key_, end.group_, end.groupSize_, age, {}});
+    auto place = std::find_if(news.crashes_.begin(), news.crashes_.end(),
+                              [&](const CrashNews::Crash &one) { return one.key_ == crash.key_; });
+    if (place == news.crashes_.end()) {
+        const std::int64_t age = std::max<std::int64_t>(0, toMillis(now - crash.at_));
+        place = news.crashes_.insert(place, {crash.key_, crash.group_, crash.groupSize_, age, {}});
     }
-    if (aboard) {
-        place->aboard_.push_back(*aboard);
+    if (inFlight) {
+        place->inFlight_.push_back(*inFlight);
     }
 }
 
 void CrashEvidence::tellSightings(Suspect &suspect, RequestKey key, TimePoint now, CrashNews &news)
 {
     for (Sighting &sighting : suspect.sightings_) {
-        const auto end = ends_.find(sighting.end_);
-        if (end != ends_.end() && sighting.roundsLeft_ > 0 && hasRoom(news)
+        const auto crash = crashes_.find(sighting.crash_);
+        if (crash != crashes_.end() && sighting.roundsLeft_ > 0 && hasRoom(news)
             && worthTelling(suspect, sighting, now)) {
             --sighting.roundsLeft_;
-            tellEnd(end->second.end_, key, now, news);
+            tellCrash(crash->second.crash_, key, now, news);
         }
     }
 }
@@ -305,10 +306,10 @@
 CrashNews CrashEvidence::takeNews(TimePoint now)
 {
     CrashNews news;
-    for (auto &[key, known] : turns_) {
+    for (auto &[key, known] : leases_) {
         if (known.roundsLeft_ > 0 && hasRoom(news)) {
             --known.roundsLeft_;
-            news.turns_.push_back({key, known.turn_.holder_, toMillis(now - known.turn_.at_)});
+            news.leases_.push_back({key, known.lease_.holder_, toMillis(now - known.lease_.at_)});
         }
     }
     for (auto &[key, suspect] : suspects_) {
@@ -325,10 +326,10 @@
             }
         }
     }
-    for (auto &[key, known] : ends_) {
+    for (auto &[key, known] : crashes_) {
         if (known.roundsLeft_ > 0 && hasRoom(news)) {
             --known.roundsLeft_;
-            tellEnd(known.end_, std::nullopt, now, news);
+            tellCrash(known.crash_, std::nullopt, now, news);
         }
     }
     return news;
@@ -340,7 +341,7 @@
     for (const auto &[key, suspect] : suspects_) {
         const Assessment known = assess(suspect, now);
         if (known.weight_ >= LeastWeight) {
-            ranked.emplace_back(known.weight_ + known.ends_, known.lastEndAt_, key);
+            ranked.emplace_back(known.weight_ + known.crashes_, known.lastCrashAt_, key);
         }
     }
     std::sort(ranked.rbegin(), ranked.rend());
@@ -357,15 +358,15 @@
     CrashNews news;
     for (const RequestKey key : mostSuspiciousFirst(now)) {
         for (const Sighting &sighting : suspects_.at(key).sightings_) {
-            const auto end = ends_.find(sighting.end_);
-            if (end != ends_.end() && hasRoom(news)) {
-                tellEnd(end->second.end_, key, now, news);
+            const auto crash = crashes_.find(sighting.crash_);
+            if (crash != crashes_.end() && hasRoom(news)) {
+                tellCrash(crash->second.crash_, key, now, news);
             }
         }
-        const auto turn = turns_.find(key);
-        if (turn != turns_.end() && isLive(turn->second.turn_, now) && hasRoom(news)) {
-            const Turn &taken = turn->second.turn_;
-            news.turns_.push_back({key, taken.holder_, toMillis(now - taken.at_)});
+        const auto lease = leases_.find(key);
+        if (lease != leases_.end() && isLive(lease->second.lease_, now) && hasRoom(news)) {
+            const RunLease &taken = lease->second.lease_;
+            news.leases_.push_back({key, taken.holder_, toMillis(now - taken.at_)});
         }
     }
     return news;
@@ -379,22 +380,22 @@
         return news;
     }
     for (const Sighting &sighting : suspect->second.sightings_) {
-        const auto end = ends_.find(sighting.end_);
-        if (end != ends_.end()) {
-            tellEnd(end->second.end_, key, now, news);
+        const auto crash = crashes_.find(sighting.crash_);
+        if (crash != crashes_.end()) {
+            tellCrash(crash->second.crash_, key, now, news);
         }
     }
     return news;
 }
 
-std::vector<RequestKey> CrashEvidence::takeChangedBlame(TimePoint now)
+std::vector<RequestKey> CrashEvidence::takeChanges(TimePoint now)
 {
-    std::vector<RequestKey> changed = std::exchange(clearedBlame_, {});
+    std::vector<RequestKey> changed = std::exchange(clearedKeys_, {});
     for (auto &[key, suspect] : suspects_) {
-        const std::size_t ends = suspect.sightings_.size();
-        if (suspect.isOwn_ && ends > suspect.endsKept_
+        const std::size_t crashes = suspect.sightings_.size();
+        if (suspect.isOwn_ && crashes > suspect.crashesStored_
             && assess(suspect, now).level_ >= Suspicion::Strong) {
-            suspect.endsKept_ = ends;
+            suspect.crashesStored_ = crashes;
             changed.push_back(key);
         }
     }
@@ -407,7 +408,7 @@
     ranked.reserve(suspects_.size());
     for (const auto &[key, suspect] : suspects_) {
         const Assessment known = assess(suspect, now);
-        ranked.emplace_back(known.weight_ + known.ends_, key);
+        ranked.emplace_back(known.weight_ + known.crashes_, key);
     }
     constexpr std::size_t Kept = MostSuspects * 3 / 4;
     std::nth_element(ranked.begin(), ranked.begin() + Kept, ranked.end(),
@@ -417,18 +418,19 @@
     }
 }
 
-void CrashEvidence::forgetEnds(TimePoint now)
+void CrashEvidence::forgetCrashes(TimePoint now)
 {
-    while (!endsByTime_.empty()
-           && (endsByTime_.size() > MostEnds || endsByTime_.begin()->first + EndLifetime < now)) {
-        ends_.erase(endsByTime_.begin()->second);
-        endsByTime_.erase(endsByTime_.begin());
+    while (!crashesByTime_.empty()
+           && (crashesByTime_.size() > MostCrashes
+               || crashesByTime_.begin()->first + CrashLifetime < now)) {
+        crashes_.erase(crashesByTime_.begin()->second);
+        crashesByTime_.erase(crashesByTime_.begin());
     }
 }
 
 void CrashEvidence::keepWithinBounds(TimePoint now)
 {
-    forgetEnds(now);
+    forgetCrashes(now);
     if (suspects_.size() > MostSuspects) {
         dropLeastSuspicious(now);
     }
@@ -440,13 +442,14 @@
     std::erase_if(suspects_, [&](const auto &entry) {
         const Suspect &suspect = entry.second;
         const Assessment known = assess(suspect, now);
-        // A lapsed one is remembered once more as long, so that its next end counts with these.
-        const TimePoint blamed = known.blamedUntil_ + (known.blamedUntil_ - known.lastEndAt_);
-        const TimePoint until = std::max(
-            {known.lastEndAt_ + EvidenceLifetime, blamed, suspect.clearedAt_ + EvidenceLifetime});
+        // Once the quarantine is over it is remembered as long again: the next crash counts with these.
+        const TimePoint quarantined =
+            known.quarantinedUntil_ + (known.quarantinedUntil_ - known.lastCrashAt_);
+        const TimePoint until = std::max({known.lastCrashAt_ + EvidenceLifetime, quarantined,
+                                          suspect.clearedAt_ + EvidenceLifetime});
         return until < now;
     });
-    std::erase_if(turns_, [&](const auto &entry) { return !isLive(entry.second.turn_, now); });
+    std::erase_if(leases_, [&](const auto &entry) { return !isLive(entry.second.lease_, now); });
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/crashgossip.cpp
+++ b/libs/gateway/src/crashgossip.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t PeersOfARound = 3;
 constexpr std::size_t PeersOfARepeat = 2;
 
-enum class Field { Sender, Asks, Ends, Cleared, Turns, Count };
+enum class Field { Sender, Asks, Crashes, Cleared, Leases, Count };
 
 std::size_t at(Field field)
 {
@@ -53,7 +53,7 @@
     return fits ? std::optional(static_cast<std::int64_t>(value)) : std::nullopt;
 }
 
-std::optional<CrashNews::End> readEnd(const Json &json)
+std::optional<CrashNews::Crash> readCrash(const Json &json)
 {
     constexpr std::size_t Numbers = 4;
     if (!isRow(json, Numbers) || json.size() != Numbers + 1 || !json[Numbers].is_array()) {
@@ -64,13 +64,13 @@
     if (!size || !age || !isRow(json[Numbers], json[Numbers].size())) {
         return std::nullopt;
     }
-    CrashNews::End end {static_cast<EndKey>(json[0].get<std::uint64_t>()),
-                        static_cast<EndGroup>(json[1].get<std::uint64_t>()),
-                        static_cast<int>(*size), *age};
+    CrashNews::Crash crash {static_cast<CrashKey>(json[0].get<std::uint64_t>()),
+                            static_cast<CrashGroup>(json[1].get<std::uint64_t>()),
+                            static_cast<int>(*size), *age};
     for (const Json &key : json[Numbers]) {
-        end.aboard_.push_back(static_cast<RequestKey>(key.get<std::uint64_t>()));
+        crash.inFlight_.push_back(static_cast<RequestKey>(key.get<std::uint64_t>()));
     }
-    return end;
+    return crash;
 }
 
 /** Each entry of a list, by read; false: one cannot be read. */
@@ -98,12 +98,12 @@
                : std::nullopt;
 }
 
-std::optional<CrashNews::TurnTaken> readTurn(const Json &json)
+std::optional<CrashNews::LeaseTaken> readLease(const Json &json)
 {
     const auto age = isRow(json, 3) ? bounded(json[2], 0, LongestAgeMillis) : std::nullopt;
     return age ? std::optional(
-               CrashNews::TurnTaken {static_cast<RequestKey>(json[0].get<std::uint64_t>()),
-                                     json[1].get<std::uint64_t>(), *age})
+               CrashNews::LeaseTaken {static_cast<RequestKey>(json[0].get<std::uint64_t>()),
+                                      json[1].get<std::uint64_t>(), *age})
                : std::nullopt;
 }
 
@@ -116,30 +116,31 @@
 
 std::string encodeCrashMessage(const CrashMessage &message)
 {
-    Json ends = Json::array();
-    for (const CrashNews::End &end : message.news_.ends_) {
-        Json aboard = Json::array();
-        for (const RequestKey key : end.aboard_) {
-            aboard.push_back(number(key));
+    Json crashes = Json::array();
+    for (const CrashNews::Crash &crash : message.news_.crashes_) {
+        Json inFlight = Json::array();
+        for (const RequestKey key : crash.inFlight_) {
+            inFlight.push_back(number(key));
         }
-        ends.push_back({number(end.key_), number(end.group_), static_cast<unsigned>(end.groupSize_),
-                        static_cast<std::uint64_t>(end.ageMillis_), std::move(aboard)});
+        crashes.push_back({number(crash.key_), number(crash.group_),
+                           static_cast<unsigned>(crash.groupSize_),
+                           static_cast<std::uint64_t>(crash.ageMillis_), std::move(inFlight)});
     }
     Json cleared = Json::array();
     for (const CrashNews::Cleared &one : message.news_.cleared_) {
         cleared.push_back({number(one.key_), static_cast<std::uint64_t>(one.ageMillis_)});
     }
-    Json turns = Json::array();
-    for (const CrashNews::TurnTaken &one : message.news_.turns_) {
-        turns.push_back(
+    Json leases = Json::array();
+    for (const CrashNews::LeaseTaken &one : message.news_.leases_) {
+        leases.push_back(
             {number(one.key_), one.holder_, static_cast<std::uint64_t>(one.ageMillis_)});
     }
     Json json = Json::array();
     json[at(Field::Sender)] = message.sender_.value();
     json[at(Field::Asks)] = message.asks_;
-    json[at(Field::Ends)] = std::move(ends);
+    json[at(Field::Crashes)] = std::move(crashes);
     json[at(Field::Cleared)] = std::move(cleared);
-    json[at(Field::Turns)] = std::move(turns);
+    json[at(Field::Leases)] = std::move(leases);
     std::string bytes(1, Mark);
     Json::to_cbor(json, bytes);
     return bytes;
@@ -157,9 +158,9 @@
     message.sender_ = InstanceId((*json)[at(Field::Sender)].get<std::string>());
     message.asks_ = (*json)[at(Field::Asks)].get<bool>();
     const bool readable =
-        readAll(json->at(at(Field::Ends)), message.news_.ends_, &readEnd)
+        readAll(json->at(at(Field::Crashes)), message.news_.crashes_, &readCrash)
         && readAll(json->at(at(Field::Cleared)), message.news_.cleared_, &readCleared)
-        && readAll(json->at(at(Field::Turns)), message.news_.turns_, &readTurn);
+        && readAll(json->at(at(Field::Leases)), message.news_.leases_, &readLease);
     return readable ? std::optional(std::move(message)) : std::nullopt;
 }
 
--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -9,17 +9,17 @@
 namespace {
 
 /** All connections to an ended endpoint have broken by then. */
-constexpr Duration EndRemembered = millis(30'000);
+constexpr Duration CrashRemembered = millis(30'000);
 
-EndKey endKeyOf(const ListedEndpoint &listed)
+CrashKey crashKeyOf(const ListedEndpoint &listed)
 {
-    return static_cast<EndKey>(
+    return static_cast<CrashKey>(
         rendezvousWeight(listed.id_.value(), static_cast<std::uint64_t>(listed.startedAtMillis_)));
 }
 
-EndGroup groupOf(const ListedEndpoint &listed)
+CrashGroup groupOf(const ListedEndpoint &listed)
 {
-    return static_cast<EndGroup>(
+    return static_cast<CrashGroup>(
         rendezvousWeight(listed.service_.value(), static_cast<std::uint64_t>(listed.stage_)));
 }
 
@@ -42,13 +42,13 @@
     if (!isExpectedToServe(endpoint) || endpoint->lifetime_ != lifetime) {
         return;
     }
-    if (ended_.contains(endKeyOf(endpoint->listed_))) {
-        onEnded(*endpoint, {key});
+    if (crashed_.contains(crashKeyOf(endpoint->listed_))) {
+        onCrashed(*endpoint, {key});
         return;
     }
     const bool underTest = tested_.contains(id);
     tested_[id].lifetime_ = lifetime;
-    tested_[id].aboard_.insert(key);
+    tested_[id].inFlight_.insert(key);
     if (!underTest) {
         const TimePoint by = BootClock::now() + millis(gateway_.settings_.connectMillis_);
         gateway_.client_.open(id.value(), endpoint->listed_.address_, by,
@@ -64,38 +64,38 @@
         || endpoint->lifetime_ != node.mapped().lifetime_) {
         return;
     }
-    onEnded(*endpoint, node.mapped().aboard_);
+    onCrashed(*endpoint, node.mapped().inFlight_);
 }
 
 void CrashGuard::onUnreached(const EndpointId &id)
 {
     const Endpoint *endpoint = gateway_.table_.find(id);
     if (isExpectedToServe(endpoint) && endpoint->outstanding() > 0
-        && !ended_.contains(endKeyOf(endpoint->listed_))) {
-        onEnded(*endpoint, {});
+        && !crashed_.contains(crashKeyOf(endpoint->listed_))) {
+        onCrashed(*endpoint, {});
     }
 }
 
-void CrashGuard::onEnded(const Endpoint &endpoint, std::set<RequestKey> aboard)
+void CrashGuard::onCrashed(const Endpoint &endpoint, std::set<RequestKey> inFlight)
 {
     const EndpointId &id = endpoint.listed_.id_;
     const TimePoint now = BootClock::now();
     for (const auto &[number, call] : gateway_.calls_) {
         if (call->isAt(id, endpoint.lifetime_)) {
-            aboard.insert(call->key());
+            inFlight.insert(call->key());
         }
     }
-    std::erase_if(ended_,
-                  [&](const auto &entry) { return entry.second.at_ + EndRemembered < now; });
-    const EndKey key = endKeyOf(endpoint.listed_);
-    const auto [place, added] = ended_.try_emplace(
-        key, EndpointEnd {key, groupOf(endpoint.listed_), groupSize(endpoint), now});
-    evidence_.onEnd(place->second, {aboard.begin(), aboard.end()}, now);
+    std::erase_if(crashed_,
+                  [&](const auto &entry) { return entry.second.at_ + CrashRemembered < now; });
+    const CrashKey key = crashKeyOf(endpoint.listed_);
+    const auto [place, added] = crashed_.try_emplace(
+        key, EndpointCrash {key, groupOf(endpoint.listed_), groupSize(endpoint), now});
+    evidence_.onCrash(place->second, {inFlight.begin(), inFlight.end()}, now);
     if (added) {
-        gateway_.metrics_.count("endpoints_ended_total");
-        logEvent(LogLevel::Warning, "endpoint_ended",
+        gateway_.metrics_.count("endpoints_crashed_total");
+        logEvent(LogLevel::Warning, "endpoint_crashed",
                  {{"endpoint", id.value()},
-                  {"requests", aboard.size()},
+                  {"requests", inFlight.size()},
                   {"like_it", place->second.groupSize_}});
     }
 }
@@ -108,9 +108,9 @@
     }));
 }
 
-void CrashGuard::onWholeRun(RequestKey key)
+void CrashGuard::onCompleted(RequestKey key)
 {
-    if (evidence_.onWholeRun(key, BootClock::now())) {
+    if (evidence_.onCompleted(key, BootClock::now())) {
         logEvent(LogLevel::Info, "request_cleared", {{"key", toString(key)}});
     }
 }
@@ -120,19 +120,19 @@
     return evidence_.assess(key, BootClock::now());
 }
 
-bool CrashGuard::takeTurn(RequestKey key)
+bool CrashGuard::acquireLease(RequestKey key)
 {
-    return evidence_.takeTurn(key, number_, BootClock::now());
+    return evidence_.acquireLease(key, number_, BootClock::now());
 }
 
-bool CrashGuard::holdsTurn(RequestKey key) const
+bool CrashGuard::holdsLease(RequestKey key) const
 {
-    return evidence_.holdsTurn(key, number_, BootClock::now());
+    return evidence_.holdsLease(key, number_, BootClock::now());
 }
 
-void CrashGuard::endTurn(RequestKey key)
+void CrashGuard::releaseLease(RequestKey key)
 {
-    evidence_.endTurn(key, number_);
+    evidence_.releaseLease(key, number_);
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/crashguard.h
+++ b/libs/gateway/src/crashguard.h
@@ -23,12 +23,12 @@
     void onBroke(const EndpointId &id, std::uint64_t lifetime, RequestKey key);
     /** A connection to the endpoint could not be made. */
     void onUnreached(const EndpointId &id);
-    void onWholeRun(RequestKey key);
+    void onCompleted(RequestKey key);
 
     Assessment assess(RequestKey key) const;
-    bool takeTurn(RequestKey key);
-    bool holdsTurn(RequestKey key) const;
-    void endTurn(RequestKey key);
+    bool acquireLease(RequestKey key);
+    bool holdsLease(RequestKey key) const;
+    void releaseLease(RequestKey key);
 
     CrashEvidence &evidence() noexcept { return evidence_; }
 
@@ -37,11 +37,11 @@
     struct Suspected
     {
         std::uint64_t lifetime_ = 0;
-        std::set<RequestKey> aboard_;
+        std::set<RequestKey> inFlight_;
     };
 
     void onTested(const EndpointId &id, bool reached);
-    void onEnded(const Endpoint &endpoint, std::set<RequestKey> aboard);
+    void onCrashed(const Endpoint &endpoint, std::set<RequestKey> inFlight);
     int groupSize(const Endpoint &endpoint) const;
 
     GatewayState &gateway_;
@@ -49,7 +49,7 @@
     std::uint64_t number_; ///< Of this instance, among those that want to run a request.
     std::map<EndpointId, Suspected> tested_;
     /** Ends that this instance has found out; later breaks need no test. */
-    std::map<EndKey, EndpointEnd> ended_;
+    std::map<CrashKey, EndpointCrash> crashed_;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -320,7 +320,7 @@
  */
 bool ModelCall::mayOfferAgain() const
 {
-    return begun_ && route().resumable_ && runs_ < route().maxAttempts_ && !isBlamed()
+    return begun_ && route().resumable_ && runs_ < route().maxAttempts_ && !isQuarantined()
            && BootClock::now() + OfferAgainAfter < deadline();
 }
 
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -24,7 +24,7 @@
 {
     const TimePoint now = BootClock::now();
     auto choice = chooseGenerator(prefillDomain_);
-    if (!choice || isBlamed()) {
+    if (!choice || isQuarantined()) {
         giveUp("no-engine");
         return;
     }
--- a/libs/gateway/tests/crashevidencetest.cpp
+++ b/libs/gateway/tests/crashevidencetest.cpp
@@ -16,102 +16,103 @@
     return static_cast<RequestKey>(number);
 }
 
-EndpointEnd endOf(std::uint64_t number, TimePoint at, int groupSize = 12)
+EndpointCrash crashOf(std::uint64_t number, TimePoint at, int groupSize = 12)
 {
-    return {static_cast<EndKey>(number), static_cast<EndGroup>(1), groupSize, at};
+    return {static_cast<CrashKey>(number), static_cast<CrashGroup>(1), groupSize, at};
 }
 
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(CrashEvidenceOfOneInstance)
 
-/** Guards against a request that ends engine after engine because nobody counts. */
-BOOST_AUTO_TEST_CASE(threeEndsWithoutAWholeRunBlameARequest)
+/** Guards against a request that crashes engine after engine because nobody counts. */
+BOOST_AUTO_TEST_CASE(threeCrashesWithoutACompletedRunQuarantineARequest)
 {
     CrashEvidence evidence;
     const RequestKey guilty = request(7);
-    evidence.onEnd(endOf(1, Start), {guilty, request(8)}, Start);
+    evidence.onCrash(crashOf(1, Start), {guilty, request(8)}, Start);
     BOOST_TEST((evidence.assess(guilty, Start).level_ == Suspicion::Weak));
-    evidence.onEnd(endOf(2, Start + millis(2'000)), {guilty, request(9)}, Start + millis(2'000));
+    evidence.onCrash(crashOf(2, Start + millis(2'000)), {guilty, request(9)},
+                     Start + millis(2'000));
     BOOST_TEST((evidence.assess(guilty, Start + millis(2'000)).level_ == Suspicion::Strong));
     const TimePoint third = Start + millis(4'000);
-    evidence.onEnd(endOf(3, third), {guilty}, third);
+    evidence.onCrash(crashOf(3, third), {guilty}, third);
     const Assessment known = evidence.assess(guilty, third);
-    BOOST_TEST((known.level_ == Suspicion::Blamed));
-    BOOST_TEST(known.ends_ == 3);
+    BOOST_TEST((known.level_ == Suspicion::Quarantined));
+    BOOST_TEST(known.crashes_ == 3);
     BOOST_TEST((evidence.assess(request(8), third).level_ == Suspicion::Weak));
 }
 
-/** The same end told again, by other instances and later, is one end. */
+/** The same crash told again, by other instances and later, is one crash. */
 BOOST_AUTO_TEST_CASE(oneEndCountsOnce)
 {
     CrashEvidence evidence;
     for (int told = 0; told < 5; ++told) {
         const TimePoint now = Start + millis(told * 700);
         evidence.onNews(
-            {{{static_cast<EndKey>(1), static_cast<EndGroup>(1), 12, told * 700, {request(7)}}},
+            {{{static_cast<CrashKey>(1), static_cast<CrashGroup>(1), 12, told * 700, {request(7)}}},
              {},
              {}},
             now);
     }
-    BOOST_TEST(evidence.assess(request(7), Start).ends_ == 1);
+    BOOST_TEST(evidence.assess(request(7), Start).crashes_ == 1);
 }
 
-/** A popular request is on board of each end, and is answered whole elsewhere all the time. */
-BOOST_AUTO_TEST_CASE(aWholeRunClearsOfWhatWasBefore)
+/** A popular request is in flight at each crash, and is answered whole elsewhere all the time. */
+BOOST_AUTO_TEST_CASE(aCompletedRunClearsOfWhatWasBefore)
 {
     CrashEvidence evidence;
-    for (int end = 1; end <= 2; ++end) {
-        evidence.onEnd(endOf(static_cast<std::uint64_t>(end), Start), {request(7)}, Start);
+    for (int crash = 1; crash <= 2; ++crash) {
+        evidence.onCrash(crashOf(static_cast<std::uint64_t>(crash), Start), {request(7)}, Start);
     }
-    BOOST_TEST(evidence.onWholeRun(request(7), Start + millis(1'000)));
+    BOOST_TEST(evidence.onCompleted(request(7), Start + millis(1'000)));
     const TimePoint later = Start + millis(9'000);
-    evidence.onEnd(endOf(3, later), {request(7)}, later);
-    BOOST_TEST(evidence.assess(request(7), later).ends_ == 1);
+    evidence.onCrash(crashOf(3, later), {request(7)}, later);
+    BOOST_TEST(evidence.assess(request(7), later).crashes_ == 1);
 }
 
-/** News of an end that comes after the whole run that was under way when it happened. */
-BOOST_AUTO_TEST_CASE(evidenceFromBeforeAWholeRunComesTooLate)
+/** News of a crash that comes after the completed run that was under way when it happened. */
+BOOST_AUTO_TEST_CASE(evidenceFromBeforeACompletedRunComesTooLate)
 {
     CrashEvidence evidence;
-    evidence.onWholeRun(request(7), Start + millis(3'000));
-    for (std::uint64_t end = 1; end <= 3; ++end) {
+    evidence.onCompleted(request(7), Start + millis(3'000));
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
         evidence.onNews(
-            {{{static_cast<EndKey>(end), static_cast<EndGroup>(1), 12, 1'500, {request(7)}}},
+            {{{static_cast<CrashKey>(crash), static_cast<CrashGroup>(1), 12, 1'500, {request(7)}}},
              {},
              {}},
             Start + millis(4'000));
     }
-    BOOST_TEST(evidence.assess(request(7), Start + millis(4'000)).ends_ == 0);
+    BOOST_TEST(evidence.assess(request(7), Start + millis(4'000)).crashes_ == 0);
     BOOST_TEST(evidence.takeNews(Start + millis(4'000)).cleared_.size() == 1);
 }
 
 /** A release may mend the endpoints: one run tells, and a failed one doubles the wait. */
-BOOST_AUTO_TEST_CASE(blameLapsesAndComesBackForLonger)
+BOOST_AUTO_TEST_CASE(quarantineEndsAndComesBackForLonger)
 {
     CrashEvidence evidence;
     TimePoint last = Start;
-    for (std::uint64_t end = 1; end <= 3; ++end) {
-        last = Start + millis(static_cast<std::int64_t>(end) * 1'000);
-        evidence.onEnd(endOf(end, last), {request(7)}, last);
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        last = Start + millis(static_cast<std::int64_t>(crash) * 1'000);
+        evidence.onCrash(crashOf(crash, last), {request(7)}, last);
     }
-    const Duration first = evidence.assess(request(7), last).blamedUntil_ - last;
-    const TimePoint lapsed = last + first;
-    evidence.forgetOld(lapsed);
-    BOOST_TEST((evidence.assess(request(7), lapsed).level_ == Suspicion::Lapsed));
-    evidence.onEnd(endOf(4, lapsed), {request(7)}, lapsed);
-    const Assessment again = evidence.assess(request(7), lapsed);
-    BOOST_TEST((again.level_ == Suspicion::Blamed));
-    BOOST_TEST((again.blamedUntil_ - lapsed == 2 * first));
-    evidence.onWholeRun(request(7), again.blamedUntil_);
-    BOOST_TEST((evidence.assess(request(7), again.blamedUntil_).level_ == Suspicion::None));
+    const Duration first = evidence.assess(request(7), last).quarantinedUntil_ - last;
+    const TimePoint later = last + first;
+    evidence.forgetOld(later);
+    BOOST_TEST((evidence.assess(request(7), later).level_ == Suspicion::HalfOpen));
+    evidence.onCrash(crashOf(4, later), {request(7)}, later);
+    const Assessment again = evidence.assess(request(7), later);
+    BOOST_TEST((again.level_ == Suspicion::Quarantined));
+    BOOST_TEST((again.quarantinedUntil_ - later == 2 * first));
+    evidence.onCompleted(request(7), again.quarantinedUntil_);
+    BOOST_TEST((evidence.assess(request(7), again.quarantinedUntil_).level_ == Suspicion::None));
 }
 
 /**
- * Guards against blaming innocents of mass failures: three times in a row 30% of all engines end
- * at once, each with 30 streams, which their callers send again at once.
+ * Guards against quarantining innocents of mass failures: three times in a row 30% of all engines
+ * crash at once, each with 30 streams, which their callers send again at once.
  */
-BOOST_AUTO_TEST_CASE(nobodyIsBlamedForThreeMassFailures)
+BOOST_AUTO_TEST_CASE(nobodyIsQuarantinedForThreeMassFailures)
 {
     for (const int engines : {11, 18, 90, 140}) {
         for (std::uint64_t seed = 0; seed < 20; ++seed) {
@@ -124,31 +125,31 @@
             TimePoint now = Start;
             for (int failure = 0; failure < 3; ++failure) {
                 now += millis(5'000);
-                std::map<int, std::vector<RequestKey>> aboard;
+                std::map<int, std::vector<RequestKey>> inFlight;
                 for (std::uint64_t stream = 0; stream < streams; ++stream) {
-                    aboard[static_cast<int>(random() % static_cast<unsigned>(engines))].push_back(
+                    inFlight[static_cast<int>(random() % static_cast<unsigned>(engines))].push_back(
                         request(stream));
                 }
                 for (int engine = 0; engine < ended; ++engine) {
                     const TimePoint at = now + millis(static_cast<std::int64_t>(random() % 100));
-                    evidence.onEnd(endOf(++endNumber, at, engines), aboard[engine], at);
+                    evidence.onCrash(crashOf(++endNumber, at, engines), inFlight[engine], at);
                 }
             }
             now += millis(1'000);
             for (std::uint64_t stream = 0; stream < streams; ++stream) {
                 const Suspicion level = evidence.assess(request(stream), now).level_;
-                BOOST_REQUIRE((level != Suspicion::Blamed));
+                BOOST_REQUIRE((level != Suspicion::Quarantined));
             }
         }
     }
 }
 
 /**
- * Guards against blaming what many callers ask: one crash a second somewhere in a large fleet for
- * a minute, equal requests on up to half of the engines at any time, each answered whole after two
- * seconds where its engine lives on.
+ * Guards against quarantining what many callers ask: one crash a second somewhere in a large fleet
+ * for a minute, equal requests on up to half of the engines at any time, each answered whole after
+ * two seconds where its engine lives on.
  */
-BOOST_AUTO_TEST_CASE(popularRequestsAreNotBlamedForACrashASecond)
+BOOST_AUTO_TEST_CASE(popularRequestsAreNotQuarantinedForACrashASecond)
 {
     constexpr int Engines = 140;
     constexpr double RunSeconds = 2;
@@ -158,26 +159,27 @@
             return std::uniform_real_distribution<>(0, 1)(random) < share;
         };
         CrashEvidence evidence;
-        bool blamed = false;
+        bool quarantined = false;
         for (int second = 0; second < 60; ++second) {
             const TimePoint now = Start + millis(second * 1'000);
-            std::vector<RequestKey> aboard;
+            std::vector<RequestKey> inFlight;
             for (int running = 1; running <= Engines / 2; ++running) {
                 if (happens(static_cast<double>(running) / Engines)) {
-                    aboard.push_back(request(static_cast<std::uint64_t>(running)));
+                    inFlight.push_back(request(static_cast<std::uint64_t>(running)));
                 }
             }
-            evidence.onEnd(endOf(static_cast<std::uint64_t>(second) + 1, now, Engines), aboard,
-                           now);
+            evidence.onCrash(crashOf(static_cast<std::uint64_t>(second) + 1, now, Engines),
+                             inFlight, now);
             for (int running = 1; running <= Engines / 2; ++running) {
                 const RequestKey key = request(static_cast<std::uint64_t>(running));
-                blamed = blamed || evidence.assess(key, now).level_ == Suspicion::Blamed;
+                quarantined =
+                    quarantined || evidence.assess(key, now).level_ == Suspicion::Quarantined;
                 if (happens(1 - std::exp(-running / RunSeconds))) {
-                    evidence.onWholeRun(key, now + millis(600));
+                    evidence.onCompleted(key, now + millis(600));
                 }
             }
         }
-        BOOST_TEST(!blamed);
+        BOOST_TEST(!quarantined);
     }
 }
 
@@ -190,31 +192,31 @@
     const RequestKey guilty = request(1);
     std::uint64_t next = 100;
     TimePoint now = Start;
-    for (std::uint64_t end = 1; end <= Crashes; ++end) {
+    for (std::uint64_t crash = 1; crash <= Crashes; ++crash) {
         now += millis(100);
-        std::vector<RequestKey> aboard;
+        std::vector<RequestKey> inFlight;
         for (int stream = 0; stream < 30; ++stream) {
-            aboard.push_back(request(++next));
+            inFlight.push_back(request(++next));
         }
-        if (end == 1 || end == 10 || end == Crashes) {
-            aboard.push_back(guilty);
+        if (crash == 1 || crash == 10 || crash == Crashes) {
+            inFlight.push_back(guilty);
         }
-        evidence.onEnd(endOf(end, now, 140), aboard, now);
+        evidence.onCrash(crashOf(crash, now, 140), inFlight, now);
         BOOST_REQUIRE(evidence.suspects() <= MostSuspects);
     }
-    BOOST_TEST(evidence.assess(guilty, now).ends_ == 3);
+    BOOST_TEST(evidence.assess(guilty, now).crashes_ == 3);
 }
 
 /** A suspected request runs once at a time. */
 BOOST_AUTO_TEST_CASE(aTurnIsTakenByOneInstance)
 {
     CrashEvidence evidence;
-    BOOST_TEST(evidence.takeTurn(request(7), 5, Start));
-    BOOST_TEST(!evidence.takeTurn(request(7), 5, Start));
-    BOOST_TEST(evidence.holdsTurn(request(7), 5, Start));
+    BOOST_TEST(evidence.acquireLease(request(7), 5, Start));
+    BOOST_TEST(!evidence.acquireLease(request(7), 5, Start));
+    BOOST_TEST(evidence.holdsLease(request(7), 5, Start));
     evidence.onNews({{}, {}, {{request(7), 3, 10}}}, Start + millis(100));
-    BOOST_TEST(!evidence.holdsTurn(request(7), 5, Start + millis(100)));
-    BOOST_TEST(evidence.takeTurn(request(7), 5, Start + millis(60'000)));
+    BOOST_TEST(!evidence.holdsLease(request(7), 5, Start + millis(100)));
+    BOOST_TEST(evidence.acquireLease(request(7), 5, Start + millis(60'000)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/tests/crashgossiptest.cpp
+++ b/libs/gateway/tests/crashgossiptest.cpp
@@ -16,9 +16,9 @@
     return static_cast<RequestKey>(number);
 }
 
-EndpointEnd endOf(std::uint64_t number, TimePoint at, int groupSize = 12)
+EndpointCrash crashOf(std::uint64_t number, TimePoint at, int groupSize = 12)
 {
-    return {static_cast<EndKey>(number), static_cast<EndGroup>(1), groupSize, at};
+    return {static_cast<CrashKey>(number), static_cast<CrashGroup>(1), groupSize, at};
 }
 /** Until all instances in touch must know a request that has ended its third endpoint. */
 constexpr Duration KnownWithin = millis(3'000);
@@ -65,11 +65,11 @@
         }
     }
 
-    bool allBlame(RequestKey key) const
+    bool allQuarantine(RequestKey key) const
     {
         return std::all_of(ids_.begin(), ids_.end(), [&](const InstanceId &id) {
             return dead_.contains(id)
-                   || members_.at(id).evidence_->assess(key, now_).level_ == Suspicion::Blamed;
+                   || members_.at(id).evidence_->assess(key, now_).level_ == Suspicion::Quarantined;
         });
     }
 
@@ -77,7 +77,7 @@
     {
         return std::all_of(ids_.begin(), ids_.end(), [&](const InstanceId &id) {
             const Suspicion level = members_.at(id).evidence_->assess(key, now_).level_;
-            return level != Suspicion::Blamed && level != Suspicion::Lapsed;
+            return level != Suspicion::Quarantined && level != Suspicion::HalfOpen;
         });
     }
 
@@ -149,21 +149,21 @@
 
 BOOST_AUTO_TEST_SUITE(CrashEvidenceOfAFleet)
 
-/** Three instances saw one end each: all know within the bound, in a small and a large fleet. */
-BOOST_AUTO_TEST_CASE(endsSeenByThreeInstancesAreAddedUp)
+/** Three instances saw one crash each: all know within the bound, in a small and a large fleet. */
+BOOST_AUTO_TEST_CASE(crashesSeenByThreeInstancesAreAddedUp)
 {
     for (const int size : {3, 9, 80, 195}) {
         for (std::uint64_t seed = 0; seed < 5; ++seed) {
             Fleet fleet(size, seed);
             fleet.runUntil(Start + millis(6'000));
-            for (int end = 0; end < 3; ++end) {
-                fleet.at(end).onEnd(endOf(static_cast<std::uint64_t>(end) + 1, fleet.now_),
-                                    {request(7), request(static_cast<std::uint64_t>(end) + 100)},
-                                    fleet.now_);
+            for (int crash = 0; crash < 3; ++crash) {
+                fleet.at(crash).onCrash(
+                    crashOf(static_cast<std::uint64_t>(crash) + 1, fleet.now_),
+                    {request(7), request(static_cast<std::uint64_t>(crash) + 100)}, fleet.now_);
                 fleet.runUntil(fleet.now_ + millis(500));
             }
             fleet.runUntil(fleet.now_ - millis(500) + KnownWithin);
-            BOOST_TEST(fleet.allBlame(request(7)), size << " instances, seed " << seed);
+            BOOST_TEST(fleet.allQuarantine(request(7)), size << " instances, seed " << seed);
             BOOST_TEST(fleet.noneRefuses(request(100)));
         }
     }
@@ -179,13 +179,13 @@
             fleet.repeated_ = 0.3;
             fleet.latestMillis_ = 400;
             fleet.runUntil(Start + millis(6'000));
-            for (int end = 0; end < 3; ++end) {
-                fleet.at(end).onEnd(endOf(static_cast<std::uint64_t>(end) + 1, fleet.now_),
-                                    {request(7)}, fleet.now_);
+            for (int crash = 0; crash < 3; ++crash) {
+                fleet.at(crash).onCrash(crashOf(static_cast<std::uint64_t>(crash) + 1, fleet.now_),
+                                        {request(7)}, fleet.now_);
                 fleet.runUntil(fleet.now_ + millis(1'000));
             }
             fleet.runUntil(fleet.now_ - millis(1'000) + KnownWithin);
-            BOOST_TEST(fleet.allBlame(request(7)), size << " instances, seed " << seed);
+            BOOST_TEST(fleet.allQuarantine(request(7)), size << " instances, seed " << seed);
         }
     }
 }
@@ -196,22 +196,22 @@
     for (std::uint64_t seed = 0; seed < 5; ++seed) {
         Fleet fleet(80, seed);
         fleet.runUntil(Start + millis(6'000));
-        for (int end = 0; end < 3; ++end) {
-            fleet.at(end).onEnd(endOf(static_cast<std::uint64_t>(end) + 1, fleet.now_),
-                                {request(7)}, fleet.now_);
+        for (int crash = 0; crash < 3; ++crash) {
+            fleet.at(crash).onCrash(crashOf(static_cast<std::uint64_t>(crash) + 1, fleet.now_),
+                                    {request(7)}, fleet.now_);
             fleet.runUntil(fleet.now_ + millis(600));
-            if (end == 0) {
+            if (crash == 0) {
                 fleet.kill(0);
             }
         }
         fleet.runUntil(fleet.now_ + KnownWithin);
         fleet.restart(40);
         fleet.runUntil(fleet.now_ + KnownWithin);
-        BOOST_TEST(fleet.allBlame(request(7)));
+        BOOST_TEST(fleet.allQuarantine(request(7)));
     }
 }
 
-/** A failure domain is cut off while the others learn, saw one of the ends, and comes back. */
+/** A failure domain is cut off while the others learn, saw one of the crashes, and comes back. */
 BOOST_AUTO_TEST_CASE(aDomainThatWasCutOffLearnsOnceItIsBack)
 {
     for (std::uint64_t seed = 0; seed < 5; ++seed) {
@@ -223,34 +223,35 @@
         }
         fleet.cutOff(domain);
         for (const int witness : {0, 40, 60}) {
-            fleet.at(witness).onEnd(endOf(static_cast<std::uint64_t>(witness) + 1, fleet.now_),
-                                    {request(7)}, fleet.now_);
+            fleet.at(witness).onCrash(crashOf(static_cast<std::uint64_t>(witness) + 1, fleet.now_),
+                                      {request(7)}, fleet.now_);
             fleet.runUntil(fleet.now_ + millis(2'000));
         }
-        BOOST_TEST(!fleet.allBlame(request(7)));
+        BOOST_TEST(!fleet.allQuarantine(request(7)));
         fleet.cutOff({});
         fleet.runUntil(fleet.now_ + KnownWithin);
-        BOOST_TEST(fleet.allBlame(request(7)));
+        BOOST_TEST(fleet.allQuarantine(request(7)));
     }
 }
 
-/** A whole run at one instance clears at all, whoever saw the ends. */
-BOOST_AUTO_TEST_CASE(aWholeRunAnywhereClearsEverywhere)
+/** A completed run at one instance clears at all, whoever saw the crashes. */
+BOOST_AUTO_TEST_CASE(aCompletedRunAnywhereClearsEverywhere)
 {
     Fleet fleet(80, 1);
     fleet.runUntil(Start + millis(6'000));
-    for (int end = 0; end < 3; ++end) {
-        fleet.at(end).onEnd(endOf(static_cast<std::uint64_t>(end) + 1, fleet.now_), {request(7)},
-                            fleet.now_);
+    for (int crash = 0; crash < 3; ++crash) {
+        fleet.at(crash).onCrash(crashOf(static_cast<std::uint64_t>(crash) + 1, fleet.now_),
+                                {request(7)}, fleet.now_);
     }
     fleet.runUntil(fleet.now_ + KnownWithin);
-    BOOST_TEST(fleet.allBlame(request(7)));
-    fleet.at(50).onWholeRun(request(7), fleet.now_);
+    BOOST_TEST(fleet.allQuarantine(request(7)));
+    fleet.at(50).onCompleted(request(7), fleet.now_);
     fleet.runUntil(fleet.now_ + KnownWithin);
     BOOST_TEST(fleet.noneRefuses(request(7)));
 }
 
-/** Once blame has lapsed, of all instances that are asked at one moment one runs the request. */
+/** Once the quarantine is over, of all instances that are asked at one moment one runs the request.
+ */
 BOOST_AUTO_TEST_CASE(oneInstanceOfAllTriesAgain)
 {
     for (std::uint64_t seed = 0; seed < 10; ++seed) {
@@ -258,7 +259,7 @@
         fleet.lost_ = 0.1;
         fleet.runUntil(Start + millis(6'000));
         for (int index = 0; index < 80; index += 7) {
-            fleet.at(index).takeTurn(
+            fleet.at(index).acquireLease(
                 request(7), 1'000 + (seed * 31 + static_cast<std::uint64_t>(index) * 17) % 97,
                 fleet.now_);
             fleet.runUntil(fleet.now_ + millis(50));
@@ -267,7 +268,7 @@
         int holders = 0;
         for (int index = 0; index < 80; ++index) {
             const auto number = 1'000 + (seed * 31 + static_cast<std::uint64_t>(index) * 17) % 97;
-            holders += fleet.at(index).holdsTurn(request(7), number, fleet.now_) ? 1 : 0;
+            holders += fleet.at(index).holdsLease(request(7), number, fleet.now_) ? 1 : 0;
         }
         BOOST_TEST(holders == 1);
     }
@@ -282,12 +283,13 @@
     fleet.runUntil(Start + millis(6'000));
     const std::size_t before = fleet.bytes_;
     std::mt19937_64 random(5);
-    for (std::uint64_t end = 1; end <= 42; ++end) {
-        std::vector<RequestKey> aboard;
+    for (std::uint64_t crash = 1; crash <= 42; ++crash) {
+        std::vector<RequestKey> inFlight;
         for (int stream = 0; stream < 30; ++stream) {
-            aboard.push_back(request(random()));
+            inFlight.push_back(request(random()));
         }
-        fleet.at(static_cast<int>(end)).onEnd(endOf(end, fleet.now_, 140), aboard, fleet.now_);
+        fleet.at(static_cast<int>(crash))
+            .onCrash(crashOf(crash, fleet.now_, 140), inFlight, fleet.now_);
     }
     fleet.runUntil(fleet.now_ + millis(10'000));
     BOOST_TEST(fleet.greatestDatagram_ <= Packet);
@@ -299,16 +301,16 @@
 BOOST_AUTO_TEST_CASE(unreadableNewsIsDropped)
 {
     CrashMessage message {InstanceId("a"), false, {}};
-    message.news_.ends_.push_back(
-        {static_cast<EndKey>(1), static_cast<EndGroup>(2), 3, 4, {request(5)}});
+    message.news_.crashes_.push_back(
+        {static_cast<CrashKey>(1), static_cast<CrashGroup>(2), 3, 4, {request(5)}});
     message.news_.cleared_.push_back({request(6), 7});
-    message.news_.turns_.push_back({request(8), 9, 10});
+    message.news_.leases_.push_back({request(8), 9, 10});
     const std::string whole = encodeCrashMessage(message);
     const auto read = decodeCrashMessage(whole);
     BOOST_REQUIRE(read.has_value());
-    BOOST_TEST(read->news_.ends_.front().aboard_.size() == 1);
+    BOOST_TEST(read->news_.crashes_.front().inFlight_.size() == 1);
     BOOST_TEST(read->news_.cleared_.front().ageMillis_ == 7);
-    BOOST_TEST(read->news_.turns_.front().holder_ == 9);
+    BOOST_TEST(read->news_.leases_.front().holder_ == 9);
     for (std::size_t length = 0; length < whole.size(); ++length) {
         BOOST_TEST(!decodeCrashMessage(whole.substr(0, length)).has_value());
     }
@@ -316,9 +318,9 @@
     for (int round = 0; round < 20'000; ++round) {
         std::string bytes = whole;
         bytes[1 + random() % (bytes.size() - 1)] = static_cast<char>(random());
-        decodeCrashMessage(bytes); // Whatever it reads, it ends.
+        decodeCrashMessage(bytes); // Whatever it reads, it returns.
     }
-    message.news_.ends_.front().groupSize_ = 0;
+    message.news_.crashes_.front().groupSize_ = 0;
     BOOST_TEST(!decodeCrashMessage(encodeCrashMessage(message)).has_value());
 }
 
--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -21,7 +21,7 @@
 
 namespace almondridge::news {
 
-enum class Topic { Config, Endpoints, Instances, Blamed };
+enum class Topic { Config, Endpoints, Instances, Quarantine };
 
 inline constexpr std::size_t TopicCount = 4;
 
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -120,7 +120,7 @@
 {
     const int status = asked->status_;
     const bool promisesNotRun = status == 503 || status == 429 || status == 408 || status == 421;
-    if (asked->body_.find("ended-endpoints") != std::string::npos) {
+    if (asked->body_.find("quarantined") != std::string::npos) {
         ledger_.violate(Promise::InnocentsServed, asked->id_ + " was refused for others' crashes");
     }
     if (promisesNotRun) {
