--- a/libs/observe/src/logstory.cpp
+++ b/libs/observe/src/logstory.cpp
@@ -21,7 +21,7 @@
     std::string_view text_;
 };
 
-constexpr std::array<Explanation, 13> Explanations {{
+constexpr std::array<Explanation, 16> Explanations {{
     {"caller-gone", "the caller left before its answer was whole; see first_ms and read_ms"},
     {"deadline", "the time of the caller or of the route was over; see which endpoint had it last"},
     {"unanswered",
@@ -36,6 +36,11 @@
     {"engine-unreachable", "no connection to an engine, and no further send was allowed"},
     {"prefill-failed", "the prompt could not be read apart, and no further send was allowed"},
     {"not-resumed", "the stream broke, and no engine could go on with it"},
+    {"quarantined", "equal requests crashed endpoints; see request_quarantined, and "
+                    "docs/OPERATIONS.md to lift it"},
+    {"suspected",
+     "an equal request that may crash its endpoint ran until the deadline of this one"},
+    {"no-spare-engine", "it may crash its endpoint, and only the last one of its kind was left"},
 }};
 
 bool isAmong(std::string_view event)
--- a/libs/observe/tests/logstorytest.cpp
+++ b/libs/observe/tests/logstorytest.cpp
@@ -59,6 +59,21 @@
     BOOST_TEST(story[5].starts_with("cause: engine-full"));
 }
 
+/** Who is refused without having been sent anywhere learns from the story what is held against it.
+ */
+BOOST_AUTO_TEST_CASE(aQuarantinedRequestsStoryHasTheEvidence)
+{
+    const auto story = tellStory(
+        read(
+            {"time=T1 instance=a event=request_quarantined id=r1 key=k crashes=3 last_crash_ms=900",
+             "time=T1 instance=a event=request id=r1 key=k outcome=refused status=503 "
+             "cause=quarantined sends=0 endpoints=\"\""}),
+        "r1");
+    BOOST_REQUIRE(story.size() == 3U);
+    BOOST_TEST(story[0].find("crashes=3") != std::string::npos);
+    BOOST_TEST(story[2].starts_with("cause: quarantined: "));
+}
+
 BOOST_AUTO_TEST_CASE(anUnknownRequestHasNoStory)
 {
     BOOST_TEST(tellStory(read({"time=T1 event=request id=r1"}), "r2").empty());
