--- a/libs/gateway/include/almondridge/gateway/crashevidence.h
+++ b/libs/gateway/include/almondridge/gateway/crashevidence.h
@@ -2,10 +2,10 @@
  * Which requests crash the endpoints that run them, as far as the instances of a deployment know.
  * Pure: crashes of endpoints, completed runs, what other instances told and the time go in.
  *
- * A crash cuts all requests on the endpoint, so being among them once says little. What counts is at
- * how many crashes a request was in flight without a completed run anywhere since, and how likely
- * each of these crashes was without it: of eleven endpoints that do the same work one seldom crashes
- * by itself, but where four crash at once many requests meet one by chance.
+ * A crash cuts all requests on the endpoint, so being among them once says little. What counts is
+ * at how many crashes a request was in flight without a completed run anywhere since, and how
+ * likely each of these crashes was without it: of eleven endpoints that do the same work one seldom
+ * crashes by itself, but where four crash at once many requests meet one by chance.
  */
 #pragma once
 
@@ -123,6 +123,9 @@
      * one has it. Whoever gets it waits until others had time to object, and asks holdsLease().
      */
     bool acquireLease(RequestKey key, std::uint64_t holder, TimePoint now);
+    /** The run goes on; to be called more often than a lease lapses. */
+    void renewLease(RequestKey key, std::uint64_t holder, TimePoint now);
+    /** Whether the run may begin. */
     bool holdsLease(RequestKey key, std::uint64_t holder, TimePoint now) const;
     /** The run came to nothing that says anything. */
     void releaseLease(RequestKey key, std::uint64_t holder);
@@ -177,6 +180,7 @@
     void clear(RequestKey key, TimePoint at);
     double weightOf(const Suspect &suspect, const EndpointCrash &crash) const;
     Assessment assess(const Suspect &suspect, TimePoint now) const;
+    bool isRenewed(const RunLease &known, const RunLease &told) const;
     bool isLive(const RunLease &lease, TimePoint now) const;
     bool worthTelling(const Suspect &suspect, const Sighting &sighting, TimePoint now) const;
     void tellSightings(Suspect &suspect, RequestKey key, TimePoint now, CrashNews &news);
--- a/libs/gateway/include/almondridge/gateway/crashgossip.h
+++ b/libs/gateway/include/almondridge/gateway/crashgossip.h
@@ -1,6 +1,6 @@
 /**
- * Tells other instances which requests were in flight at endpoints that crashed. Pure: datagrams and
- * the time go in, datagrams come out.
+ * Tells other instances which requests were in flight at endpoints that crashed. Pure: datagrams
+ * and the time go in, datagrams come out.
  *
  * News is told for a few rounds, in a small fleet to all, in a large one to a few peers that are
  * drawn anew each round and tell it on. Whatever loses all these rounds (a cut, a restart) is made
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -22,6 +22,8 @@
 constexpr Duration RetrialSettles = millis(1'000);
 /** An endpoint that says nothing for so long until its caller leaves may have ended. */
 constexpr Duration SuspiciousSilence = millis(1'000);
+/** A run that lasts keeps its lease: some renewals may be lost before it lapses. */
+constexpr Duration LeaseRenewal = millis(9'000);
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
 
@@ -81,6 +83,7 @@
         if (gateway_.crashes_.holdsLease(key())) {
             suspicion_ = Suspicion::Strong;
             started_ = true;
+            keepLease();
             start();
             return;
         }
@@ -93,6 +96,12 @@
     waitToBegin();
 }
 
+void Call::keepLease()
+{
+    gateway_.crashes_.renewLease(key());
+    begin_.startAt(BootClock::now() + LeaseRenewal, [this] { keepLease(); });
+}
+
 void Call::waitToBegin()
 {
     begin_.startAt(BootClock::now() + BeginInterval, [this] { begin(); });
@@ -113,10 +122,10 @@
     logEvent(LogLevel::Warning, "request_quarantined",
              {{"id", facts().requestId_},
               {"key", toString(key())},
-              {"ends", known.crashes_},
+              {"crashes", known.crashes_},
               {"weight", known.weight_},
-              {"first_end_ms", toMillis(now - known.firstCrashAt_)},
-              {"last_end_ms", toMillis(now - known.lastCrashAt_)},
+              {"first_crash_ms", toMillis(now - known.firstCrashAt_)},
+              {"last_crash_ms", toMillis(now - known.lastCrashAt_)},
               {"until_ms", millisUntil(known.quarantinedUntil_, now)}});
     refuse(QuarantinedCause);
 }
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -145,6 +145,7 @@
 private:
     void beginWithLease(const Assessment &known);
     void waitToBegin();
+    void keepLease();
     bool runsBesideAnother() const;
     void refuseQuarantined(const Assessment &known);
     void countOutcome(Outcome outcome, std::string_view cause, TimePoint now);
--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -173,7 +173,8 @@
         const RunLease lease {told.holder_, now - millis(told.ageMillis_)};
         const auto known = leases_.find(told.key_);
         const bool better = known == leases_.end() || !isLive(known->second.lease_, now)
-                            || lease.holder_ < known->second.lease_.holder_;
+                            || lease.holder_ < known->second.lease_.holder_
+                            || isRenewed(known->second.lease_, lease);
         if (isLive(lease, now) && better && leases_.size() < MostLeases) {
             leases_[told.key_] = {lease, TellRounds};
         }
@@ -235,6 +236,12 @@
     return found != suspects_.end() ? assess(found->second, now) : Assessment {};
 }
 
+/** By more than messages differ in their time on the way. */
+bool CrashEvidence::isRenewed(const RunLease &known, const RunLease &told) const
+{
+    return told.holder_ == known.holder_ && told.at_ > known.at_ + LeaseLifetime / 4;
+}
+
 bool CrashEvidence::isLive(const RunLease &lease, TimePoint now) const
 {
     return now < lease.at_ + LeaseLifetime;
@@ -250,11 +257,20 @@
     return true;
 }
 
+void CrashEvidence::renewLease(RequestKey key, std::uint64_t holder, TimePoint now)
+{
+    const auto known = leases_.find(key);
+    if (known != leases_.end() && known->second.lease_.holder_ == holder) {
+        known->second = {{holder, now}, TellRounds};
+    }
+}
+
 bool CrashEvidence::holdsLease(RequestKey key, std::uint64_t holder, TimePoint now) const
 {
     const auto known = leases_.find(key);
+    // Not begun late: others have to hear that it is renewed before they take it for lapsed.
     return known != leases_.end() && known->second.lease_.holder_ == holder
-           && isLive(known->second.lease_, now);
+           && now < known->second.lease_.at_ + LeaseLifetime / 2;
 }
 
 void CrashEvidence::releaseLease(RequestKey key, std::uint64_t holder)
@@ -442,7 +458,8 @@
     std::erase_if(suspects_, [&](const auto &entry) {
         const Suspect &suspect = entry.second;
         const Assessment known = assess(suspect, now);
-        // Once the quarantine is over it is remembered as long again: the next crash counts with these.
+        // Once the quarantine is over it is remembered as long again: the next crash counts with
+        // these.
         const TimePoint quarantined =
             known.quarantinedUntil_ + (known.quarantinedUntil_ - known.lastCrashAt_);
         const TimePoint until = std::max({known.lastCrashAt_ + EvidenceLifetime, quarantined,
--- a/libs/gateway/src/crashguard.h
+++ b/libs/gateway/src/crashguard.h
@@ -27,6 +27,7 @@
 
     Assessment assess(RequestKey key) const;
     bool acquireLease(RequestKey key);
+    void renewLease(RequestKey key);
     bool holdsLease(RequestKey key) const;
     void releaseLease(RequestKey key);
 
--- a/libs/gateway/tests/crashevidencetest.cpp
+++ b/libs/gateway/tests/crashevidencetest.cpp
@@ -219,4 +219,31 @@
     BOOST_TEST(evidence.acquireLease(request(7), 5, Start + millis(60'000)));
 }
 
+/** Guards against a run that begins as its lease lapses, when another instance takes the next. */
+BOOST_AUTO_TEST_CASE(aLeaseThatIsAboutToLapseBeginsNoRun)
+{
+    CrashEvidence evidence;
+    evidence.acquireLease(request(7), 5, Start);
+    BOOST_TEST(evidence.holdsLease(request(7), 5, Start + millis(10'000)));
+    BOOST_TEST(!evidence.holdsLease(request(7), 5, Start + millis(20'000)));
+}
+
+/** A run that lasts longer than a lease is told of again, and no second one is begun. */
+BOOST_AUTO_TEST_CASE(aLastingRunKeepsItsLease)
+{
+    CrashEvidence here;
+    CrashEvidence there;
+    here.acquireLease(request(7), 5, Start);
+    for (int renewal = 0; renewal < 6; ++renewal) {
+        const TimePoint now = Start + millis(renewal * 9'000);
+        here.renewLease(request(7), 5, now);
+        for (int round = 0; round < 10; ++round) {
+            there.onNews(here.takeNews(now), now);
+        }
+        BOOST_TEST(there.takeNews(now).leases_.size() == 1);
+        BOOST_TEST(!there.acquireLease(request(7), 3, now + millis(9'000)));
+    }
+    BOOST_TEST(here.holdsLease(request(7), 5, Start + millis(6 * 9'000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
