--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -92,6 +92,7 @@
         key, EndpointCrash {key, groupOf(endpoint.listed_), groupSize(endpoint), now});
     evidence_.onCrash(place->second, {inFlight.begin(), inFlight.end()}, now);
     if (added) {
+        gateway_.table_.onEvidence(id, Evidence::Unreachable, now);
         gateway_.metrics_.count("endpoints_crashed_total");
         logEvent(LogLevel::Warning, "endpoint_crashed",
                  {{"endpoint", id.value()},
@@ -125,6 +126,11 @@
     return evidence_.acquireLease(key, number_, BootClock::now());
 }
 
+void CrashGuard::renewLease(RequestKey key)
+{
+    evidence_.renewLease(key, number_, BootClock::now());
+}
+
 bool CrashGuard::holdsLease(RequestKey key) const
 {
     return evidence_.holdsLease(key, number_, BootClock::now());
