A refused request does not release the lease of another one; weak suspicion waits for a second at most

Found by reading, shown by a test that failed first (afterAQuarantineOneOfTwoRequestsRuns): after a quarantine the first of two equal requests at one instance waits for its lease to settle, the second is refused, and its end released the lease of the first, so that neither ran, or a third one as well. Now only what acquired a lease releases it, and also when its caller leaves before it ran. A weakly suspected request waits beside an equal one for a second at most: equal long streams would wait for each other until their deadlines.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t DefaultRetryAfterMillis = 300;
 /** Between two looks whether a suspected request may start. */
 constexpr Duration BeginInterval = millis(100);
+/** Longer than most runs that crash an endpoint, and little to whoever does not. */
+constexpr Duration WeakSuspicionWait = millis(1'000);
 /** Until whoever else wants to run the same suspected request has been heard. */
 constexpr Duration LeaseSettles = millis(300);
 /** The same for the one run that a request gets after its quarantine. */
@@ -59,7 +61,8 @@
         beginWithLease(known);
         return;
     case Suspicion::Weak:
-        if (runsBesideAnother()) {
+        if (runsBesideAnother()
+            && BootClock::now() < input_.request_.startedAt_ + WeakSuspicionWait) {
             waitToBegin();
             return;
         }
@@ -376,7 +379,7 @@
     begin_.stop();
     if (outcome == Outcome::Answered && status < FirstServerError) {
         gateway_.crashes_.onCompleted(key());
-    } else if (outcome == Outcome::Refused) {
+    } else if (leaseSettlesAt_ != TimePoint {} && (outcome == Outcome::Refused || !started_)) {
         gateway_.crashes_.releaseLease(key());
     }
     const TimePoint now = BootClock::now();
