--- a/libs/gateway/tests/crashevidencetest.cpp
+++ b/libs/gateway/tests/crashevidencetest.cpp
@@ -47,7 +47,7 @@
 BOOST_AUTO_TEST_CASE(oneEndCountsOnce)
 {
     CrashEvidence evidence;
-    for (int told = 0; told < 5; ++told) {
+    for (std::int64_t told = 0; told < 5; ++told) {
         const TimePoint now = Start + millis(told * 700);
         evidence.onNews(
             {{{static_cast<CrashKey>(1), static_cast<CrashGroup>(1), 12, told * 700, {request(7)}}},
@@ -160,7 +160,7 @@
         };
         CrashEvidence evidence;
         bool quarantined = false;
-        for (int second = 0; second < 60; ++second) {
+        for (std::int64_t second = 0; second < 60; ++second) {
             const TimePoint now = Start + millis(second * 1'000);
             std::vector<RequestKey> inFlight;
             for (int running = 1; running <= Engines / 2; ++running) {
@@ -195,6 +195,7 @@
     for (std::uint64_t crash = 1; crash <= Crashes; ++crash) {
         now += millis(100);
         std::vector<RequestKey> inFlight;
+        inFlight.reserve(31);
         for (int stream = 0; stream < 30; ++stream) {
             inFlight.push_back(request(++next));
         }
@@ -234,7 +235,7 @@
     CrashEvidence here;
     CrashEvidence there;
     here.acquireLease(request(7), 5, Start);
-    for (int renewal = 0; renewal < 6; ++renewal) {
+    for (std::int64_t renewal = 0; renewal < 6; ++renewal) {
         const TimePoint now = Start + millis(renewal * 9'000);
         here.renewLease(request(7), 5, now);
         for (int round = 0; round < 10; ++round) {
@@ -243,7 +244,7 @@
         BOOST_TEST(there.takeNews(now).leases_.size() == 1);
         BOOST_TEST(!there.acquireLease(request(7), 3, now + millis(9'000)));
     }
-    BOOST_TEST(here.holdsLease(request(7), 5, Start + millis(6 * 9'000)));
+    BOOST_TEST(here.holdsLease(request(7), 5, Start + millis(6LL * 9'000)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/tests/crashgossiptest.cpp
+++ b/libs/gateway/tests/crashgossiptest.cpp
@@ -81,7 +81,7 @@
         });
     }
 
-    void cutOff(std::set<int> instances)
+    void cutOff(const std::set<int> &instances)
     {
         cut_.clear();
         for (const int index : instances) {
@@ -285,6 +285,7 @@
     std::mt19937_64 random(5);
     for (std::uint64_t crash = 1; crash <= 42; ++crash) {
         std::vector<RequestKey> inFlight;
+        inFlight.reserve(30);
         for (int stream = 0; stream < 30; ++stream) {
             inFlight.push_back(request(random()));
         }
