--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -10,6 +10,8 @@
 
 constexpr int PatienceMillis = 4'000;
 constexpr Duration ConnectTime = millis(1'000);
+/** What cut a stream is known to instances by then. */
+constexpr Duration RepeatAfter = millis(300);
 
 } // namespace
 
@@ -21,7 +23,8 @@
     int lifetime_ = 0;
     int status_ = 0;
     std::string body_;
-    bool plannedStop_ = false; ///< The instance was stopping, and nothing else was wrong.
+    std::string sent_;
+    bool isRepeat_ = false;
 };
 
 Callers::Callers(async::EventLoop &loop, Ledger &ledger,
@@ -76,7 +79,7 @@
     }
 }
 
-void Callers::send(Kind kind, InstanceProcess &instance)
+void Callers::send(Kind kind, InstanceProcess &instance, const std::string &repeated)
 {
     auto asked = std::make_shared<Asked>();
     asked->id_ = fmt::format("{:x}-{}", seed_, next_++);
@@ -85,7 +88,10 @@
     asked->lifetime_ = instance.lifetime();
     const std::string_view service = nameOf(KindNames, kind);
     const bool prompt = kind == Kind::Stream || kind == Kind::ResumableStream;
-    const std::string body = kind == Kind::Safe ? "" : "body of " + asked->id_;
+    asked->isRepeat_ = !repeated.empty();
+    const std::string fresh = kind == Kind::Safe ? "" : "body of " + asked->id_;
+    const std::string body = asked->isRepeat_ ? repeated : fresh;
+    asked->sent_ = body;
     std::string text = fmt::format("{} /{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n"
                                    "X-Deadline-Ms: {}\r\nContent-Length: {}\r\n",
                                    kind == Kind::Safe ? "GET" : "POST", service, asked->id_,
@@ -137,6 +143,15 @@
     }
 }
 
+/** Whoever's stream was cut asks the same once more. */
+void Callers::repeat(const Asked &asked)
+{
+    const std::vector<InstanceProcess *> ready = readyInstances();
+    if (!ready.empty()) {
+        send(Kind::Stream, *ready[random_() % ready.size()], asked.sent_);
+    }
+}
+
 void Callers::checkStream(const Asked &asked, bool whole)
 {
     std::string expected;
@@ -158,6 +173,9 @@
         && (asked->kind_ == Kind::Stream || asked->kind_ == Kind::ResumableStream)) {
         checkStream(*asked, false);
     }
+    if (asked->kind_ == Kind::Stream && !asked->isRepeat_) {
+        later(loop_, RepeatAfter, [this, asked] { repeat(*asked); });
+    }
     const bool sent = failure != async::ExchangeFailure::NotSent;
     const bool stopped =
         asked->instance_->stopping() || asked->instance_->lifetime() != asked->lifetime_;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -32,7 +32,9 @@
     struct Asked;
 
     std::vector<InstanceProcess *> readyInstances() const;
-    void send(Kind kind, InstanceProcess &instance);
+    /** body: of the request that is sent once more; empty: a new one. */
+    void send(Kind kind, InstanceProcess &instance, const std::string &body = {});
+    void repeat(const Asked &asked);
     void onEnd(const std::shared_ptr<Asked> &asked);
     void onFailed(const std::shared_ptr<Asked> &asked, async::ExchangeFailure failure);
     void checkStream(const Asked &asked, bool whole);
