News that a request is cleared is passed on only where it changes something

Test that failed first: aClearedRequestIsNotToldForEver (30 kB and 107 kB in three idle seconds of 9 and 80 instances; now none). Whoever tells evidence from before a completed run is answered each time (whoNeverCompletesARequestIsToldThatOthersDo).

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -22,7 +22,7 @@
 constexpr Duration LeaseSettles = millis(300);
 /** The same for the one run that a request gets after its quarantine. */
 constexpr Duration RetrialSettles = millis(1'000);
-/** An endpoint that says nothing for so long until its caller leaves may have ended. */
+/** An endpoint that says nothing for so long until the caller leaves may have crashed. */
 constexpr Duration SuspiciousSilence = millis(1'000);
 /** A run that lasts keeps its lease: some renewals may be lost before it lapses. */
 constexpr Duration LeaseRenewal = millis(9'000);
@@ -75,7 +75,7 @@
     start();
 }
 
-/** A request that may be to blame runs once at a time in the whole fleet. */
+/** Under strong suspicion a request runs once at a time in the whole fleet. */
 void Call::beginWithLease(const Assessment &known)
 {
     const TimePoint now = BootClock::now();
@@ -118,7 +118,6 @@
     });
 }
 
-/** The same answer at once at each instance: nothing is won by coming back. */
 void Call::refuseQuarantined(const Assessment &known)
 {
     const TimePoint now = BootClock::now();
@@ -153,7 +152,7 @@
     return choice && !spared ? std::optional(choice->endpoint_) : std::nullopt;
 }
 
-/** Whether the endpoint has ended is tested: a broken connection alone does not tell. */
+/** A broken connection alone does not tell whether the endpoint has crashed: that is tested. */
 void Call::noteBreak()
 {
     if (attempt_.exchange_ != 0) {
@@ -301,7 +300,7 @@
     return sends_ < mostSends_ && BootClock::now() < deadline_ && !isQuarantined();
 }
 
-/** The allowance is for requests that others wait for, not for one that may end endpoints. */
+/** The allowance is for requests that others wait for, not for one that may crash endpoints. */
 bool Call::maySendAgain()
 {
     return mayTryAnother() && suspicion_ != Suspicion::Strong
--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -9,22 +9,22 @@
 namespace {
 
 constexpr int CrashesToQuarantine = 3;
-/** Three crashes, two of which have something else beside them that may explain them. */
+/** Reached by a third crash also where others coincide with some of the three. */
 constexpr double WeightToQuarantine = 2.0;
 constexpr int CrashesToSuspect = 2;
 constexpr double WeightToSuspect = 1.3;
-/** Half of the group would have had to crash for no reason before a sighting counts less. */
+/** Who was seen at one crash of less weight is neither suspected nor told of. */
 constexpr double LeastWeight = 0.5;
 
-/** Ends of one group within this time of each other may have one cause. */
+/** Crashes in one group within this time of each other may have one cause. */
 constexpr Duration SameMoment = millis(250);
-/** Ends that instances see in the same moment are all told by then. */
+/** Crashes of the same moment that other instances saw are told by then. */
 constexpr Duration SettledAfter = millis(200);
 
 /** A request that was quarantined is not run for this long; doubles with each further crash. */
 constexpr Duration FirstQuarantine = millis(60'000);
 constexpr int MostDoublings = 5;
-/** What is held against a request that is not quarantined. */
+/** Until what is held against a request that is not quarantined is forgotten. */
 constexpr Duration EvidenceLifetime = millis(120'000);
 constexpr Duration CrashLifetime = millis(3'600'000);
 /** A run of which nothing was heard. */
@@ -86,14 +86,18 @@
     const TimePoint crashedAt = crashes_.at(crash).crash_.at_;
     const auto whole = completed_.find(key);
     if (whole != completed_.end() && crashedAt <= whole->second + MessageDelay) {
-        clear(key, whole->second); // Whoever told this is told of the run.
+        clear(key, whole->second);
+        suspects_[key].clearedRoundsLeft_ = TellRounds; // Whoever told this is told of the run.
         return;
     }
     Suspect &suspect = suspects_[key];
+    if (suspect.clearedAt_ != TimePoint {} && crashedAt <= suspect.clearedAt_ + MessageDelay) {
+        suspect.clearedRoundsLeft_ = TellRounds;
+        return;
+    }
     const bool known = std::any_of(suspect.sightings_.begin(), suspect.sightings_.end(),
                                    [&](const Sighting &one) { return one.crash_ == crash; });
-    if (known
-        || (suspect.clearedAt_ != TimePoint {} && crashedAt <= suspect.clearedAt_ + MessageDelay)) {
+    if (known) {
         return;
     }
     if (suspect.sightings_.size() >= MostSightings) {
@@ -123,14 +127,16 @@
 void CrashEvidence::clear(RequestKey key, TimePoint at)
 {
     Suspect &suspect = suspects_[key];
-    std::erase_if(suspect.sightings_, [&](const Sighting &one) {
+    const std::size_t erased = std::erase_if(suspect.sightings_, [&](const Sighting &one) {
         const auto crash = crashes_.find(one.crash_);
         return crash == crashes_.end() || crash->second.crash_.at_ <= at + MessageDelay;
     });
-    if (at > suspect.clearedAt_) {
-        suspect.clearedAt_ = at;
+    // What changes nothing here is not passed on: by the time that messages take it comes back
+    // a little younger from everybody who was told.
+    if (erased > 0 || suspect.clearedAt_ == TimePoint {}) {
         suspect.clearedRoundsLeft_ = TellRounds;
     }
+    suspect.clearedAt_ = std::max(suspect.clearedAt_, at);
     if (suspect.sightings_.empty() && std::exchange(suspect.crashesStored_, 0) > 0) {
         clearedKeys_.push_back(key);
     }
--- a/libs/gateway/tests/crashgossiptest.cpp
+++ b/libs/gateway/tests/crashgossiptest.cpp
@@ -250,6 +250,39 @@
     BOOST_TEST(fleet.noneRefuses(request(7)));
 }
 
+/** An instance that never completes a popular request learns each time that others did. */
+BOOST_AUTO_TEST_CASE(whoNeverCompletesARequestIsToldThatOthersDo)
+{
+    Fleet fleet(9, 1);
+    fleet.runUntil(Start + millis(6'000));
+    for (std::uint64_t crash = 1; crash <= 6; ++crash) {
+        fleet.at(1).onCrash(crashOf(crash, fleet.now_), {request(7)}, fleet.now_);
+        fleet.runUntil(fleet.now_ + millis(100));
+        fleet.at(2).onCompleted(request(7), fleet.now_);
+        fleet.runUntil(fleet.now_ + millis(2'000));
+        BOOST_TEST(fleet.noneRefuses(request(7)));
+        BOOST_TEST(fleet.at(1).assess(request(7), fleet.now_).crashes_ == 0);
+    }
+}
+
+/** Guards against news that is passed on for ever, a little younger each time it arrives. */
+BOOST_AUTO_TEST_CASE(aClearedRequestIsNotToldForEver)
+{
+    for (const int size : {9, 80}) {
+        Fleet fleet(size, 1);
+        fleet.runUntil(Start + millis(6'000));
+        for (std::uint64_t crash = 1; crash <= 2; ++crash) {
+            fleet.at(1).onCrash(crashOf(crash, fleet.now_), {request(7)}, fleet.now_);
+        }
+        fleet.runUntil(fleet.now_ + KnownWithin);
+        fleet.at(2).onCompleted(request(7), fleet.now_);
+        fleet.runUntil(fleet.now_ + KnownWithin);
+        const std::size_t before = fleet.bytes_;
+        fleet.runUntil(fleet.now_ + KnownWithin);
+        BOOST_TEST(fleet.bytes_ == before);
+    }
+}
+
 /** Once the quarantine is over, of all instances that are asked at one moment one runs the request.
  */
 BOOST_AUTO_TEST_CASE(oneInstanceOfAllTriesAgain)
