Callers' keys: accounts, a strict parser, and a lease on what a key allows

- gateway/accounts, credentials, access, waitingkeys: pure; keys are kept as keyed hashes, taken off a request before anything else sees it.
- A key counts while the configuration is known to have been the newest less than 0.9 of the revocation bound ago.
The age is counted from when a question left, to the store or to a peer (news/board asOf, relay proofs), by the clock that counts suspended time; it is asked for again before each send.
- Unknown keys wait up to 400 ms for news, 64 of them at most, all for the same news; no call to the store is made for them.
- Ruled out: a proof by own reads of the store alone, as most instances of a domain ask a reader and would need a call each second of their own.

--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -28,6 +28,9 @@
     std::int64_t leaseTermMillis_ = 3'000;
     /** After it was told to leave, an endpoint must get no new work for longer than this. */
     std::int64_t leaveBoundMillis_ = 2'000;
+    /** Whether a key that was taken away must stop to work also at an instance that is cut off. */
+    bool strictRevocation_ = false;
+    std::int64_t revokeBoundMillis_ = 5'000; ///< Until then, if so.
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
     std::int64_t secondSendWindowSeconds_ = 10;
--- a/libs/fleet/src/entrysettings.cpp
+++ b/libs/fleet/src/entrysettings.cpp
@@ -23,6 +23,8 @@
     optional("graceSeconds", &EntrySettings::graceSeconds_, Seconds),
     optional("leaseTermMillis", &EntrySettings::leaseTermMillis_, Millis),
     optional("leaveBoundMillis", &EntrySettings::leaveBoundMillis_, Millis),
+    optional("strictRevocation", &EntrySettings::strictRevocation_, Flag {}),
+    optional("revokeBoundMillis", &EntrySettings::revokeBoundMillis_, Millis),
     optional("secondSendRatio", &EntrySettings::secondSendRatio_, Ratio),
     optional("secondSendSlack", &EntrySettings::secondSendSlack_, Slack),
     optional("secondSendWindowSeconds", &EntrySettings::secondSendWindowSeconds_, Seconds),
--- a/libs/gateway/include/almondridge/gateway/config.h
+++ b/libs/gateway/include/almondridge/gateway/config.h
@@ -6,6 +6,7 @@
 
 #include "almondridge/base/enumnames.h"
 #include "almondridge/base/ids.h"
+#include "almondridge/gateway/accounts.h"
 
 #include <cstdint>
 #include <memory>
@@ -49,6 +50,7 @@
     int priority_ = 5;                    ///< 0 is the most urgent.
     int maxAttempts_ = 1;                 ///< Servers that may run one request.
     bool resumable_ = false;
+    bool public_ = false; ///< Callers need no key.
 
     /** Whether a request may run again after it may have run. */
     bool idempotent() const noexcept
@@ -96,12 +98,15 @@
     const ServiceTraits *service(const ServiceId &id) const;
     const std::vector<Route> &routes() const noexcept { return routes_; }
     const std::vector<ServiceTraits> &services() const noexcept { return services_; }
+    /** nullopt: callers need no keys. */
+    const std::optional<Accounts> &accounts() const noexcept { return accounts_; }
 
 private:
     std::uint64_t version_ = 0;
     CallerLimits limits_;
     std::vector<Route> routes_;
     std::vector<ServiceTraits> services_;
+    std::optional<Accounts> accounts_;
     std::unordered_map<std::string, std::size_t> byPlace_; ///< "host/prefix/" to index in routes_.
 };
 
@@ -112,6 +117,7 @@
     Builder &limits(const CallerLimits &limits);
     Builder &route(Route route);
     Builder &service(ServiceTraits service);
+    Builder &accounts(Accounts accounts);
     std::shared_ptr<const Config> build();
 
 private:
--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "almondridge/async/parser.h"
+#include "almondridge/gateway/credentials.h"
 #include "almondridge/gateway/endpoints.h"
 
 #include <cstdint>
@@ -54,6 +55,7 @@
 struct SendOrder
 {
     EndpointId endpoint_;
+    AccountId account_; ///< Whose request it is; empty: nobody's.
     std::int64_t patienceMillis_ = 0;
     std::optional<int> urgency_; ///< Engines serve 0 first.
     bool prefillOnly_ = false;
@@ -99,6 +101,8 @@
     virtual ~Dialect() = default;
 
     virtual CallFacts readCall(const async::RequestHead &head) const = 0;
+    /** The key that a caller shows; it is taken off the request. */
+    virtual Credentials takeCredentials(async::RequestHead &head) const = 0;
     /** The request as it is sent to an endpoint, head and body. */
     virtual std::string requestText(const async::RequestHead &head, const std::string &body,
                                     const SendOrder &order) const = 0;
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -29,6 +29,8 @@
     SendBudgetLimits secondSends_;
     std::int64_t connectMillis_ = 400; ///< Until a connection to an endpoint counts as refused.
     std::size_t maxKeptConnections_ = 512;
+    /** Until a key that was taken away must not work any more, in touch or not; 0: no bound. */
+    std::int64_t revokeBoundMillis_ = 0;
     std::string keySecret_ {}; ///< Of request keys; the same for all instances of a deployment.
 };
 
@@ -46,6 +48,10 @@
     /** Puts a configuration in force; an older one than the present is ignored. */
     void setConfig(std::shared_ptr<const Config> config);
     const std::shared_ptr<const Config> &config() const noexcept;
+    /** The configuration in force was the store's newest at that time. */
+    void confirmConfig(TimePoint asOf);
+    /** Since the keys were last known to be those in force; -1: never. */
+    double keysAgeSeconds(TimePoint now) const;
     void listEndpoint(const ListedEndpoint &listed);
     void unlistEndpoint(const EndpointId &id);
     /** How many instances may share the allowance for second sends and the endpoints' connections.
--- a/libs/gateway/include/almondridge/gateway/requestkey.h
+++ b/libs/gateway/include/almondridge/gateway/requestkey.h
@@ -19,6 +19,7 @@
     std::string_view method_;
     std::string_view target_;
     std::string_view body_;
+    std::string_view account_ {}; ///< Whose request it is; empty: nobody's.
 };
 
 /** HMAC-SHA-256 with the secret that all instances of a deployment share, cut to 64 bits. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -152,6 +152,12 @@
     return choice && !spared ? std::optional(choice->endpoint_) : std::nullopt;
 }
 
+/** A process that was frozen between two sends has missed what was taken away meanwhile. */
+bool Call::isKeyValid() const
+{
+    return isStillGranted(*gateway_.config_, input_.access_, gateway_.keyLease_, BootClock::now());
+}
+
 /** A broken connection alone does not tell whether the endpoint has crashed: that is tested. */
 void Call::noteBreak()
 {
@@ -169,6 +175,7 @@
 {
     const Endpoint *target = gateway_.table_.find(endpoint);
     order.endpoint_ = endpoint;
+    order.account_ = input_.access_.account_.id_;
     order.patienceMillis_ = patienceMillis();
     ++sends_;
     attempt_ = {};
@@ -387,6 +394,7 @@
     logEvent(level, "request",
              {{"id", facts().requestId_},
               {"key", toString(input_.key_)},
+              {"account", input_.access_.account_.id_.value()},
               {"route", route().name_},
               {"service", input_.service_.value()},
               {"config", input_.config_->version()},
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -26,9 +26,13 @@
     RequestKey key_ {};
     std::shared_ptr<const Config> config_; ///< Keeps route_ alive.
     const Route *route_ = nullptr;
+    AccessVerdict access_ {}; ///< Whose request it is.
     ServiceId service_;
 };
 
+/** The cause of a request whose key counts no more. */
+inline constexpr std::string_view KeyWithdrawnCause = "key-withdrawn";
+
 /** Sends of one request, whatever became of them: a bound on what one request can cost. */
 inline constexpr int MaxSends = 5;
 
@@ -105,6 +109,8 @@
      * strong suspicion, only the last one that serves.
      */
     std::optional<EndpointId> quietestEndpoint() const;
+    /** Whether the key that the caller showed still counts: asked before each send. */
+    bool isKeyValid() const;
     /** Whether another endpoint may be tried after one that the request never reached. */
     bool mayTryAnother() const;
     /** Whether one more send is allowed: by the shared allowance, and by this call's own bound. */
@@ -121,6 +127,7 @@
     void finish(Outcome outcome, int status, std::string_view cause);
 
     const Route &route() const noexcept { return *input_.route_; }
+    int priority() const { return input_.access_.account_.priority_.value_or(route().priority_); }
     const CallFacts &facts() const noexcept { return input_.facts_; }
     TimePoint deadline() const noexcept { return deadline_; }
     std::int64_t patienceMillis() const;
--- a/libs/gateway/src/config.cpp
+++ b/libs/gateway/src/config.cpp
@@ -70,6 +70,12 @@
     return *this;
 }
 
+Config::Builder &Config::Builder::accounts(Accounts accounts)
+{
+    config_.accounts_ = std::move(accounts);
+    return *this;
+}
+
 std::shared_ptr<const Config> Config::Builder::build()
 {
     return std::make_shared<const Config>(std::move(config_));
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -12,6 +12,11 @@
 constexpr Duration TestInterval = millis(50);
 /** Between two looks which endpoints are left out, for the log. */
 constexpr Duration LeftOutInterval = millis(250);
+/** Another instance, to which a caller comes the next time, may have newer news. */
+constexpr std::int64_t UnconfirmedRetryMillis = 100;
+/** Anybody may send false keys: the counter has them all. */
+constexpr int MostDenialLines = 20;
+constexpr Duration DenialLogWindow = millis(10'000);
 
 } // namespace
 
@@ -24,6 +29,9 @@
                      [this](const async::CallId &id) { onWritten(id); }})
     , client_(loop)
     , placement_({settings_.domain_})
+    , keyLease_(settings_.revokeBoundMillis_)
+    , waitingKeysTimer_(loop)
+    , denialLines_(MostDenialLines, DenialLogWindow)
     , random_(std::random_device {}())
     , tests_(loop)
     , leftOutTimer_(loop)
@@ -147,6 +155,21 @@
               {"routes", config->routes().size()},
               {"services", config->services().size()}});
     state_->config_ = std::move(config);
+    for (WaitingKey &one : state_->waitingKeys_.takeAll()) {
+        state_->admit(std::move(one.request_), one.credentials_);
+    }
+}
+
+void Gateway::confirmConfig(TimePoint asOf)
+{
+    state_->keyLease_.confirm(asOf);
+    state_->lookAtWaitingKeys();
+}
+
+double Gateway::keysAgeSeconds(TimePoint now) const
+{
+    const auto asOf = state_->keyLease_.asOf();
+    return asOf ? toSeconds(now - *asOf) : -1;
 }
 
 void Gateway::listEndpoint(const ListedEndpoint &listed)
@@ -225,6 +248,14 @@
         refuse(request.id_, 503, "no-config");
         return;
     }
+    // Taken off first, so that nothing that is written or sent later can have it.
+    const Credentials credentials =
+        config_->accounts() ? dialect_.takeCredentials(request.head_) : Credentials {};
+    admit(std::move(request), credentials);
+}
+
+void GatewayState::admit(async::ServerCall request, const Credentials &credentials)
+{
     const std::string_view host = net::headerValue(request.head_.headers_, "Host");
     const Route *route = config_->find(host, request.head_.target_);
     if (route == nullptr || route->services_.empty()) {
@@ -234,24 +265,82 @@
         refuse(request.id_, 404, "no-route");
         return;
     }
+    const TimePoint now = BootClock::now();
+    AccessVerdict verdict = checkAccess(*config_, *route, credentials, keyLease_, now);
+    switch (verdict.access_) {
+    case Access::Anonymous:
+    case Access::Granted:
+        begin(std::move(request), *route, std::move(verdict));
+        return;
+    case Access::KeyUnknown:
+        if (waitingKeys_.mayWait(request, now)) {
+            waitingKeys_.add(std::move(request), credentials, now);
+            lookAtWaitingKeys();
+            return;
+        }
+        break;
+    case Access::Unproven:
+    case Access::KeyMissing:
+    case Access::KeyMalformed:
+        break;
+    }
+    deny(request.id_, verdict.access_);
+}
+
+void GatewayState::begin(async::ServerCall request, const Route &route, AccessVerdict verdict)
+{
     CallInput input;
     input.facts_ = dialect_.readCall(request.head_);
     input.key_ = requestKey(settings_.keySecret_,
-                            {host, request.head_.method_, request.head_.target_, request.body_});
+                            {net::headerValue(request.head_.headers_, "Host"),
+                             request.head_.method_, request.head_.target_, request.body_,
+                             verdict.account_.id_.value()});
     input.request_ = std::move(request);
     input.config_ = config_;
-    input.route_ = route;
-    input.service_ = pickService(*route);
+    input.route_ = &route;
+    input.access_ = std::move(verdict);
+    input.service_ = pickService(route);
     budget(input.service_).onRequest(BootClock::now());
-    const bool model = route->kind_ == RouteKind::Streaming && input.facts_.prompt_.has_value();
+    const bool model = route.kind_ == RouteKind::Streaming && input.facts_.prompt_.has_value();
     const std::uint64_t number = input.request_.id_.call_;
     auto &call = calls_[number] =
         model ? makeModelCall(*this, std::move(input)) : makeServiceCall(*this, std::move(input));
     call->begin();
 }
 
+void GatewayState::deny(const async::CallId &id, Access access)
+{
+    const std::string_view reason = nameOf(AccessNames, access);
+    metrics_.count("requests_denied_total", observe::metricLabel("reason", reason));
+    const TimePoint now = BootClock::now();
+    if (denialLines_.take(now)) {
+        const auto asOf = keyLease_.asOf();
+        logEvent(LogLevel::Info, "denied",
+                 {{"reason", reason},
+                  {"config", config_->version()},
+                  {"keys_age_ms", asOf ? toMillis(now - *asOf) : -1}});
+    }
+    if (access == Access::Unproven) {
+        server_.respond(id, dialect_.refusal(503, UnconfirmedRetryMillis, reason));
+    } else {
+        server_.respond(id, dialect_.refusal(401, std::nullopt, reason));
+    }
+}
+
+void GatewayState::lookAtWaitingKeys()
+{
+    for (const WaitingKey &one : waitingKeys_.takeSettled(keyLease_.asOf(), BootClock::now())) {
+        deny(one.request_.id_, Access::KeyUnknown);
+    }
+    waitingKeysTimer_.stop();
+    if (const auto due = waitingKeys_.nextDue()) {
+        waitingKeysTimer_.startAt(*due, [this] { lookAtWaitingKeys(); });
+    }
+}
+
 void GatewayState::onCallerGone(const async::CallId &id)
 {
+    waitingKeys_.forget(id);
     const auto found = calls_.find(id.call_);
     if (found != calls_.end()) {
         found->second->onCallerGone();
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -4,10 +4,13 @@
 #pragma once
 
 #include "almondridge/async/httpserver.h"
+#include "almondridge/base/lineallowance.h"
+#include "almondridge/gateway/access.h"
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
 #include "crashguard.h"
+#include "waitingkeys.h"
 
 #include <map>
 #include <random>
@@ -24,6 +27,12 @@
     ~GatewayState();
 
     void onCall(async::ServerCall request);
+    void admit(async::ServerCall request, const Credentials &credentials);
+    void begin(async::ServerCall request, const Route &route, AccessVerdict verdict);
+    /** 401, or 503 where this instance cannot tell. */
+    void deny(const async::CallId &id, Access access);
+    /** Requests whose key was not known are looked at again, as there is news or time has passed. */
+    void lookAtWaitingKeys();
     void onCallerGone(const async::CallId &id);
     void onWritten(const async::CallId &id);
     void refuse(const async::CallId &id, int status, std::string_view reason);
@@ -47,6 +56,10 @@
     CrashGuard crashes_ {*this};
     std::map<ServiceId, SendBudget> budgets_;
     std::shared_ptr<const Config> config_;
+    KeyLease keyLease_;
+    WaitingKeys waitingKeys_;
+    async::Timer waitingKeysTimer_;
+    LineAllowance denialLines_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -21,7 +21,7 @@
     PromptQuery query;
     query.service_ = input_.service_;
     query.prompt_ = &prompt();
-    query.priority_ = route().priority_;
+    query.priority_ = priority();
     query.inTime_ = inTimeUntil();
     query.costs_ = &costs();
     query.excluded_ = excluded_;
@@ -31,6 +31,10 @@
 void ModelCall::place()
 {
     const TimePoint now = BootClock::now();
+    if (!isKeyValid()) {
+        giveUp(KeyWithdrawnCause);
+        return;
+    }
     PromptQuery query = promptQuery();
     const auto generator = chooseGenerator(gateway_.settings_.domain_);
     if (generator) {
@@ -298,7 +302,7 @@
 {
     abandonEndpoints();
     cancelAttempt(std::nullopt);
-    if (cause != DeadlineCause && mayOfferAgain()) {
+    if (cause != DeadlineCause && cause != KeyWithdrawnCause && mayOfferAgain()) {
         phase_ = ModelPhase::Idle;
         excluded_.clear();
         watchSilence(BootClock::now() + OfferAgainAfter);
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -23,6 +23,10 @@
 void ModelCall::sendToDecode()
 {
     const TimePoint now = BootClock::now();
+    if (!isKeyValid()) {
+        giveUp(KeyWithdrawnCause);
+        return;
+    }
     auto choice = chooseGenerator(prefillDomain_);
     if (!choice || isQuarantined()) {
         giveUp("no-engine");
@@ -41,7 +45,7 @@
     ++runs_;
     SendOrder order;
     order.urgency_ =
-        std::clamp(route().priority_, 0, LateUrgencies - 1) + (late ? LateUrgencies : 0);
+        std::clamp(priority(), 0, LateUrgencies - 1) + (late ? LateUrgencies : 0);
     order.prompt_ = handle_;
     fetches_ = true;
     send(choice->engine_, order, Placement::handoverTokens(prompt()));
--- a/libs/gateway/src/requestkey.cpp
+++ b/libs/gateway/src/requestkey.cpp
@@ -28,6 +28,9 @@
          {identity.host_, identity.method_, identity.target_, identity.body_}) {
         addField(text, field);
     }
+    if (!identity.account_.empty()) {
+        addField(text, identity.account_);
+    }
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
     unsigned int size = 0;
     HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -17,17 +17,21 @@
     void attemptEnd() override;
     void attemptFailed(async::ExchangeFailure failure) override;
     void attemptSilent() override;
-    void giveUp();
+    void giveUp(std::string_view cause);
 };
 
 void ServiceCall::sendNext()
 {
+    if (!isKeyValid()) {
+        giveUp(KeyWithdrawnCause);
+        return;
+    }
     const auto endpoint =
         suspicion_ == Suspicion::None ? gateway_.placement_.chooseService(
             gateway_.table_, input_.service_, excluded_, gateway_.random_(), BootClock::now())
                                       : quietestEndpoint();
     if (!endpoint) {
-        giveUp();
+        giveUp("no-endpoint");
         return;
     }
     ++runs_;
@@ -37,12 +41,12 @@
     }
 }
 
-void ServiceCall::giveUp()
+void ServiceCall::giveUp(std::string_view cause)
 {
     if (mayHaveRun_) {
-        failCall(502, "no-endpoint-left");
+        failCall(502, cause);
     } else {
-        refuse("no-endpoint");
+        refuse(cause);
     }
 }
 
@@ -54,7 +58,7 @@
         --runs_;
         retryAfterMillis_ = facts.retryAfterMillis_;
         leaveEndpoint(refusalEvidence());
-        maySendAgain() ? sendNext() : giveUp();
+        maySendAgain() ? sendNext() : giveUp("no-endpoint");
         return;
     }
     mayHaveRun_ = true;
@@ -77,7 +81,7 @@
     if (failure == async::ExchangeFailure::NotSent) {
         --runs_;
         leaveEndpoint(Evidence::Unreachable);
-        mayTryAnother() ? sendNext() : giveUp();
+        mayTryAnother() ? sendNext() : giveUp("no-endpoint");
         return;
     }
     leaveEndpoint(Evidence::Broken);
--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -39,6 +39,11 @@
 {
     std::optional<TimePoint> readAt_; ///< When it was known to be as the store has it; none: never.
     LogOffset end_ = 0;               ///< All records before this offset are known.
+    /**
+     * All that the store had accepted by then is known. Counted from when a question left, never
+     * from its answer, which may have been on its way, or in a process that was frozen, for long.
+     */
+    std::optional<TimePoint> asOf_ {};
 };
 
 using TopicStates = std::array<TopicState, TopicCount>;
@@ -76,6 +81,8 @@
     void onSkipped();
     /** The topic is as the store had it at that time, when its log ended there. */
     void onRead(Topic topic, TimePoint readAt, LogOffset end);
+    /** All that the store had accepted by then of the topic is known. */
+    void onProven(Topic topic, TimePoint asOf);
     std::optional<TimePoint> readAt(Topic topic) const;
     const TopicStates &topics() const noexcept { return topics_; }
 
--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -22,8 +22,12 @@
 /** Older news than this is no news: the peer has lost the store itself. */
 inline constexpr Duration UselessAge = millis(1'600);
 
-/** A change set as an answer's body: ages instead of points in time, as clocks differ. */
-std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now);
+/**
+ * A change set as an answer's body: ages instead of points in time, as clocks differ. Of when a
+ * topic was known to be the newest it says how long before the question's arrival that was.
+ */
+std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now,
+                          TimePoint askedAt);
 
 struct ReceivedChanges
 {
@@ -32,8 +36,9 @@
     bool lost_ = false;          ///< The sender has lost the store and has no other news.
 };
 
-/** nullopt: it is no such body. */
-std::optional<ReceivedChanges> decodeChanges(const std::string &body, TimePoint now);
+/** askedAt: when the question left. nullopt: it is no such body. */
+std::optional<ReceivedChanges> decodeChanges(const std::string &body, TimePoint now,
+                                             TimePoint askedAt);
 
 /** Answers peers that ask for news. */
 class RelayServer
@@ -58,11 +63,12 @@
     {
         async::CallId id_;
         std::uint64_t from_ = 0;
+        TimePoint askedAt_ {};
         TimePoint until_ {};
         bool patient_ = false; ///< Waits also for one that has lost the store.
     };
 
-    void respond(const async::CallId &id, std::uint64_t from);
+    void respond(const async::CallId &id, std::uint64_t from, TimePoint askedAt);
     void answerLate();
     bool isFresh(TimePoint now) const;
     void answerThose(const std::function<bool(const Waiting &)> &chosen);
@@ -107,6 +113,7 @@
     async::ExchangeId exchange_ = 0;
     std::uint64_t lifetime_ = 0;
     std::uint64_t from_ = 0;
+    TimePoint askedAt_ {}; ///< When the question that waits for its answer left.
     bool patient_ = false;
 };
 
--- a/libs/news/src/board.cpp
+++ b/libs/news/src/board.cpp
@@ -115,6 +115,12 @@
     known.end_ = std::max(known.end_, end);
 }
 
+void Board::onProven(Topic topic, TimePoint asOf)
+{
+    TopicState &known = topics_[indexOf(topic)];
+    known.asOf_ = std::max(known.asOf_.value_or(asOf), asOf);
+}
+
 std::optional<TimePoint> Board::readAt(Topic topic) const
 {
     return topics_[indexOf(topic)].readAt_;
@@ -151,6 +157,9 @@
         if (told.readAt_) {
             onRead(topic, *told.readAt_, told.end_);
         }
+        if (told.asOf_) {
+            onProven(topic, *told.asOf_);
+        }
     }
 }
 
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -24,9 +24,20 @@
     return number;
 }
 
+/** nullopt: the peer has none, or is of a version that tells none. */
+std::optional<TimePoint> readProof(const Json &json, std::size_t index, TimePoint askedAt)
+{
+    const auto proofs = json.find("proofs");
+    if (proofs == json.end() || proofs->at(index).is_null()) {
+        return std::nullopt;
+    }
+    return askedAt - millis(proofs->at(index).get<std::int64_t>());
+}
+
 } // namespace
 
-std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now)
+std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now,
+                          TimePoint askedAt)
 {
     Json changes = Json::array();
     for (const Change &change : set.changes_) {
@@ -35,19 +46,22 @@
     }
     Json ages = Json::array();
     Json ends = Json::array();
+    Json proofs = Json::array();
     for (const TopicState &topic : set.topics_) {
         ages.push_back(topic.readAt_ ? Json(toMillis(now - *topic.readAt_)) : Json(nullptr));
         ends.push_back(topic.end_);
+        proofs.push_back(topic.asOf_ ? Json(toMillis(askedAt - *topic.asOf_) + 1) : Json(nullptr));
     }
     const Json json {{"lifetime", lifetime}, {"lost", lost}, {"whole", set.whole_},
                      {"next", set.next_},    {"ages", ages}, {"ends", ends},
-                     {"changes", changes}};
+                     {"proofs", proofs},     {"changes", changes}};
     std::string body;
     Json::to_cbor(json, body);
     return body;
 }
 
-std::optional<ReceivedChanges> decodeChanges(const std::string &body, TimePoint now)
+std::optional<ReceivedChanges> decodeChanges(const std::string &body, TimePoint now,
+                                             TimePoint askedAt)
 {
     try {
         const Json json = Json::from_cbor(body);
@@ -62,6 +76,7 @@
                 received.set_.topics_[index].readAt_ = now - millis(age.get<std::int64_t>());
             }
             received.set_.topics_[index].end_ = json.at("ends").at(index).get<LogOffset>();
+            received.set_.topics_[index].asOf_ = readProof(json, index, askedAt);
         }
         for (const Json &change : json.at("changes")) {
             const auto topic = change.at(0).get<std::size_t>();
@@ -96,24 +111,25 @@
     const bool sameLifetime = numberIn(call.head_.target_, "lifetime=") == lifetime_;
     const std::uint64_t from = sameLifetime ? numberIn(call.head_.target_, "from=") : 0;
     const TimePoint now = BootClock::now();
+    const TimePoint askedAt = call.startedAt_;
     // With old news the answer would be of no use: this instance may be about to have newer ones,
     // as whoever asks it now was left by the same reader at the same moment.
     if (from != board_.next() && isFresh(now)) {
-        respond(call.id_, from);
+        respond(call.id_, from, askedAt);
         return;
     }
     const bool patient = call.head_.target_.ends_with(PatientMark);
     if (lost_ && !patient) {
-        respond(call.id_, from);
+        respond(call.id_, from, askedAt);
         return;
     }
-    waiting_.push_back({call.id_, from, now + HoldTime, patient});
+    waiting_.push_back({call.id_, from, askedAt, now + HoldTime, patient});
     if (waiting_.size() == 1) {
         timer_.startAt(waiting_.front().until_, [this] { answerLate(); });
     }
 }
 
-void RelayServer::respond(const async::CallId &id, std::uint64_t from)
+void RelayServer::respond(const async::CallId &id, std::uint64_t from, TimePoint askedAt)
 {
     ChangeSet set;
     if (lost_) {
@@ -122,14 +138,16 @@
     } else {
         set = board_.since(from);
     }
-    server_->respond(id, {200, {}, encodeChanges(set, lifetime_, lost_, BootClock::now())});
+    server_->respond(
+        id, {200, {}, encodeChanges(set, lifetime_, lost_, BootClock::now(), askedAt)});
 }
 
 void RelayServer::answerLate()
 {
     const TimePoint now = BootClock::now();
     while (!waiting_.empty() && waiting_.front().until_ <= now) {
-        respond(waiting_.front().id_, waiting_.front().from_);
+        const Waiting &one = waiting_.front();
+        respond(one.id_, one.from_, one.askedAt_);
         waiting_.pop_front();
     }
     if (!waiting_.empty()) {
@@ -165,7 +183,7 @@
         one = next;
     }
     for (const Waiting &one : answered) {
-        respond(one.id_, one.from_);
+        respond(one.id_, one.from_, one.askedAt_);
     }
 }
 
@@ -191,7 +209,7 @@
     loop_.post([this] {
         newsPosted_ = false;
         for (const Waiting &one : std::exchange(waiting_, {})) {
-            respond(one.id_, one.from_);
+            respond(one.id_, one.from_, one.askedAt_);
         }
     });
 }
@@ -223,6 +241,7 @@
 void RelayClient::ask()
 {
     const TimePoint now = BootClock::now();
+    askedAt_ = now;
     timer_.startAt(now + LongestSilence, [this] { giveUp(Uselessness::Silent); });
     async::ExchangeRequest request;
     request.peer_ = net::toString(*peer_);
@@ -240,7 +259,7 @@
 void RelayClient::onAnswer(int status, const std::string &body)
 {
     const TimePoint now = BootClock::now();
-    const auto received = status == 200 ? decodeChanges(body, now) : std::nullopt;
+    const auto received = status == 200 ? decodeChanges(body, now, askedAt_) : std::nullopt;
     if (!received) {
         giveUp(status == 0 ? Uselessness::Unanswered : Uselessness::Unreadable);
         return;
--- a/libs/news/tests/newstest.cpp
+++ b/libs/news/tests/newstest.cpp
@@ -149,8 +149,8 @@
     CountingBoard reader;
     reader.board_.put({Topic::Instances, "i", "{}", 3});
     reader.board_.onRead(Topic::Config, at(0), 12);
-    const std::string body = encodeChanges(reader.board_.since(1), 7, false, at(250));
-    const auto received = decodeChanges(body, at(10'000));
+    const std::string body = encodeChanges(reader.board_.since(1), 7, false, at(250), at(250));
+    const auto received = decodeChanges(body, at(10'000), at(10'000));
     BOOST_REQUIRE(received.has_value());
     BOOST_TEST(received->lifetime_ == 7U);
     BOOST_TEST((received->set_.topics_[0].readAt_ == at(9'750)));
@@ -158,8 +158,8 @@
     BOOST_TEST(!received->set_.topics_[1].readAt_.has_value());
     BOOST_REQUIRE(received->set_.changes_.size() == 1U);
     BOOST_TEST(received->set_.changes_[0].offset_ == 3U);
-    BOOST_TEST(!decodeChanges("", at(0)).has_value());
-    BOOST_TEST(!decodeChanges(body.substr(0, body.size() / 2), at(0)).has_value());
+    BOOST_TEST(!decodeChanges("", at(0), at(0)).has_value());
+    BOOST_TEST(!decodeChanges(body.substr(0, body.size() / 2), at(0), at(0)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(aFewInstancesAllReadAndOfManyOnlyTwo)
