Usage of client accounts is counted, gathered and reported once

The right to act for all is kept by gateway/authoritykeeper, for orders and reports alike; where fences are checked a new holder waits only for its own earlier right, as a report is due 10 s after its window.

--- a/libs/gateway/src/cbor.h
+++ b/libs/base/include/almondridge/base/cbor.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string_view>
 
-namespace almondridge::gateway {
+namespace almondridge {
 
 /**
  * nullopt: it is no CBOR. Sizes that no record can have are refused by an exception even where the
@@ -23,4 +23,4 @@
     }
 }
 
-} // namespace almondridge::gateway
+} // namespace almondridge
--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -31,6 +31,11 @@
     /** Whether a key that was taken away must stop to work also at an instance that is cut off. */
     bool strictRevocation_ = false;
     std::int64_t revokeBoundMillis_ = 5'000; ///< Until then, if so.
+    /** Whoever takes orders refuses lower fencing numbers than it has seen. */
+    bool fencesAreChecked_ = false;
+    std::string operationsApi_;      ///< Where usage is reported; empty: nowhere.
+    double usageWindowSeconds_ = 0; ///< In which requests are counted; 0: usage is not reported.
+    double usageDueSeconds_ = 10;   ///< After a window's end.
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
     std::int64_t secondSendWindowSeconds_ = 10;
--- a/libs/gateway/include/almondridge/gateway/authority.h
+++ b/libs/gateway/include/almondridge/gateway/authority.h
@@ -5,7 +5,9 @@
  * The store names one member of a group. Its word is a lease that runs from the moment it was
  * asked, so a holder that was frozen or cut off finds it lapsed by its own clock. The store may
  * name another member at any time without telling this one; so a new holder waits until the one
- * before it has surely asked again or lapsed.
+ * before it has surely asked again or lapsed. Where fencing numbers are checked these keep the one
+ * before out, and a holder only waits for its own earlier right to be long over: two holders that
+ * take turns within a term would undo each other's work.
  */
 #pragma once
 
@@ -21,6 +23,8 @@
     std::int64_t termMillis_ = 3'000;  ///< How long the store's word holds.
     std::int64_t renewMillis_ = 1'000; ///< Between two questions to the store.
     std::int64_t marginMillis_ = 500;  ///< Clocks that run apart, and orders on their way.
+    /** Whoever gets an order refuses lower fencing numbers than it has seen. */
+    bool fencesAreChecked_ = false;
 };
 
 /** A right to give orders, until a point in time. */
@@ -33,7 +37,7 @@
 class Authority
 {
 public:
-    explicit Authority(AuthoritySettings settings);
+    Authority(AuthoritySettings settings, TimePoint startedAt);
 
     /** The store named this instance, or another one, when asked at askedAt. */
     void onNamed(bool named, TimePoint askedAt, TimePoint now);
@@ -52,11 +56,13 @@
 
 private:
     Duration takeOverWait() const;
+    TimePoint firstOrderAt(TimePoint now) const;
 
     AuthoritySettings settings_;
     bool named_ = false;
     TimePoint namedUntil_ {};
     TimePoint ordersFrom_ {};
+    TimePoint mayHaveActedUntil_; ///< By an earlier right, or in an earlier lifetime.
     std::optional<Fence> fence_;
 };
 
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "almondridge/gateway/stageplan.h"
 #include "almondridge/observe/metrics.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -48,6 +49,9 @@
     /** Puts a configuration in force; an older one than the present is ignored. */
     void setConfig(std::shared_ptr<const Config> config);
     const std::shared_ptr<const Config> &config() const noexcept;
+    /** Told of each request of an account that an endpoint began to run, and when. */
+    using OnBegan = std::function<void(const AccountId &account, TimePoint began)>;
+    void setOnBegan(OnBegan onBegan);
     /** The configuration in force was the store's newest at that time. */
     void confirmConfig(TimePoint asOf);
     /** Since the keys were last known to be those in force; -1: never. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -44,6 +44,13 @@
     void onOrder(const EndpointId &engine, TimePoint until);
 
     bool isRelay() const noexcept { return mesh_.isRelay(); }
+    /** The instances that relay load in their failure domains, as far as is known here. */
+    std::set<InstanceId> relays() const { return mesh_.relaysOfAll(); }
+    /** Datagrams that begin with this letter are told to the handler, and not taken for load. */
+    using Handler = std::function<Reception(std::string_view datagram, TimePoint now)>;
+    void setHandler(char mark, Handler handler);
+    /** Sends what a handler's owner has to tell. */
+    void send(const std::vector<MeshDatagram> &datagrams);
 
 private:
     using Receiver = boost::asio::ip::udp::endpoint;
@@ -53,7 +60,6 @@
     Reception onDatagram(std::string_view datagram, TimePoint now);
     void onDropped(Reception reception);
     void tick();
-    void send(const std::vector<MeshDatagram> &datagrams);
     LoadNote currentNote(TimePoint now) const;
 
     Gateway &gateway_;
@@ -61,6 +67,7 @@
     boost::asio::ip::udp::socket socket_;
     async::Timer timer_;
     std::map<InstanceId, Receiver> receivers_;
+    std::map<char, Handler> handlers_;
     LoadMesh mesh_;
     CrashGossip crashes_;
     std::map<EndpointId, TimePoint> changing_;
--- a/libs/gateway/include/almondridge/gateway/loadmesh.h
+++ b/libs/gateway/include/almondridge/gateway/loadmesh.h
@@ -70,6 +70,8 @@
     StageDemand demand(const ServiceId &service) const;
 
     bool isRelay() const noexcept { return choice_.isRelay(); }
+    /** Those that come first as relays of each domain. */
+    std::set<InstanceId> relaysOfAll() const;
     /** The relay that this instance follows; empty: none. */
     const InstanceId &followed() const noexcept { return choice_.followed(); }
 
--- a/libs/gateway/src/authority.cpp
+++ b/libs/gateway/src/authority.cpp
@@ -1,9 +1,12 @@
 #include "almondridge/gateway/authority.h"
 
+#include <algorithm>
+
 namespace almondridge::gateway {
 
-Authority::Authority(AuthoritySettings settings)
+Authority::Authority(AuthoritySettings settings, TimePoint startedAt)
     : settings_(settings)
+    , mayHaveActedUntil_(startedAt)
 { }
 
 Duration Authority::takeOverWait() const
@@ -11,11 +14,20 @@
     return millis(settings_.termMillis_ + settings_.renewMillis_ + settings_.marginMillis_);
 }
 
+TimePoint Authority::firstOrderAt(TimePoint now) const
+{
+    return settings_.fencesAreChecked_ ? std::max(now, mayHaveActedUntil_ + takeOverWait())
+                                       : now + takeOverWait();
+}
+
 void Authority::onNamed(bool named, TimePoint askedAt, TimePoint now)
 {
     const bool lapsed = namedUntil_ <= now;
     if (!named || lapsed) {
         // Whoever was named in between may have given orders: begin anew, with a higher fence.
+        if (fence_) {
+            mayHaveActedUntil_ = std::min(now, namedUntil_);
+        }
         fence_.reset();
     }
     named_ = named;
@@ -35,11 +47,12 @@
     }
     fence_ = offset + 1;
     // The first claim of all has nobody before it.
-    ordersFrom_ = offset == 0 ? now : now + takeOverWait();
+    ordersFrom_ = offset == 0 ? now : firstOrderAt(now);
 }
 
-void Authority::onOvertaken(TimePoint)
+void Authority::onOvertaken(TimePoint now)
 {
+    mayHaveActedUntil_ = now;
     fence_.reset();
     named_ = false;
     namedUntil_ = {};
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -3,6 +3,7 @@
 #include "almondridge/base/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -152,6 +153,15 @@
     return choice && !spared ? std::optional(choice->endpoint_) : std::nullopt;
 }
 
+void Call::countBegan(TimePoint began)
+{
+    const AccountId &account = input_.access_.account_.id_;
+    if (std::exchange(beganCounted_, true) || account.empty() || !gateway_.onBegan_) {
+        return;
+    }
+    gateway_.onBegan_(account, began);
+}
+
 /** A process that was frozen between two sends has missed what was taken away meanwhile. */
 bool Call::isKeyValid() const
 {
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -109,6 +109,8 @@
      * strong suspicion, only the last one that serves.
      */
     std::optional<EndpointId> quietestEndpoint() const;
+    /** An endpoint began to run the request then; told once. */
+    void countBegan(TimePoint began);
     /** Whether the key that the caller showed still counts: asked before each send. */
     bool isKeyValid() const;
     /** Whether another endpoint may be tried after one that the request never reached. */
@@ -163,6 +165,7 @@
     async::Timer begin_;          ///< Until it is looked again whether this request may start.
     TimePoint leaseSettlesAt_ {}; ///< Others that want the lease have been heard by then.
     bool started_ = false;
+    bool beganCounted_ = false;
     bool finished_ = false;
 };
 
--- a/libs/gateway/src/crashgossip.cpp
+++ b/libs/gateway/src/crashgossip.cpp
@@ -1,6 +1,6 @@
 #include "almondridge/gateway/crashgossip.h"
 
-#include "cbor.h"
+#include "almondridge/base/cbor.h"
 
 #include <algorithm>
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -160,6 +160,11 @@
     }
 }
 
+void Gateway::setOnBegan(OnBegan onBegan)
+{
+    state_->onBegan_ = std::move(onBegan);
+}
+
 void Gateway::confirmConfig(TimePoint asOf)
 {
     state_->keyLease_.confirm(asOf);
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -57,6 +57,7 @@
     std::map<ServiceId, SendBudget> budgets_;
     std::shared_ptr<const Config> config_;
     KeyLease keyLease_;
+    Gateway::OnBegan onBegan_;
     WaitingKeys waitingKeys_;
     async::Timer waitingKeysTimer_;
     LineAllowance denialLines_;
--- a/libs/gateway/src/loaddigest.cpp
+++ b/libs/gateway/src/loaddigest.cpp
@@ -1,6 +1,6 @@
 #include "almondridge/gateway/loaddigest.h"
 
-#include "cbor.h"
+#include "almondridge/base/cbor.h"
 
 #include <algorithm>
 #include <cmath>
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -105,8 +105,17 @@
     }
 }
 
+void LoadExchange::setHandler(char mark, Handler handler)
+{
+    handlers_[mark] = std::move(handler);
+}
+
 Reception LoadExchange::onDatagram(std::string_view datagram, TimePoint now)
 {
+    const auto handler = datagram.empty() ? handlers_.end() : handlers_.find(datagram.front());
+    if (handler != handlers_.end()) {
+        return handler->second(datagram, now);
+    }
     if (!isCrashNews(datagram)) {
         return mesh_.onDatagram(datagram, gateway_.endpoints(), now);
     }
--- a/libs/gateway/src/loadmesh.cpp
+++ b/libs/gateway/src/loadmesh.cpp
@@ -96,6 +96,17 @@
     lastSentAt_ = {}; // Whoever is new is told at once.
 }
 
+std::set<InstanceId> LoadMesh::relaysOfAll() const
+{
+    std::set<InstanceId> relays;
+    for (const DomainId &domain : choice_.domains()) {
+        for (const InstanceId &relay : choice_.firstOf(domain)) {
+            relays.insert(relay);
+        }
+    }
+    return relays;
+}
+
 bool LoadMesh::isDirect() const noexcept
 {
     return members_.size() <= MostToldDirectly;
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -118,6 +118,7 @@
 void ModelCall::passEvents(std::string_view events)
 {
     phase_ = ModelPhase::Streaming;
+    countBegan(BootClock::now());
     if (!begun_) {
         begun_ = true;
         mostSends_ = std::numeric_limits<int>::max(); // Bounded by the pause between two offers.
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -13,6 +13,9 @@
 
 private:
     void start() override { sendNext(); }
+    /** Nothing has told that it did not run what it was sent. */
+    void abandonEndpoints() override { countUnanswered(); }
+    void countUnanswered();
     void sendNext();
     void attemptEnd() override;
     void attemptFailed(async::ExchangeFailure failure) override;
@@ -50,6 +53,13 @@
     }
 }
 
+void ServiceCall::countUnanswered()
+{
+    if (attempt_.exchange_ != 0) {
+        countBegan(attempt_.sentAt_);
+    }
+}
+
 void ServiceCall::attemptEnd()
 {
     const int status = attempt_.head_.status_;
@@ -62,6 +72,7 @@
         return;
     }
     mayHaveRun_ = true;
+    countBegan(attempt_.sentAt_);
     if (status < 300 && !facts.signed_) {
         // Not the endpoint's own word: passing it on could give the caller someone else's answer.
         attemptFailed(async::ExchangeFailure::Garbled);
@@ -84,6 +95,7 @@
         mayTryAnother() ? sendNext() : giveUp("no-endpoint");
         return;
     }
+    countBegan(attempt_.sentAt_);
     leaveEndpoint(Evidence::Broken);
     mayHaveRun_ = true;
     if (mayRunAgain()) {
@@ -99,6 +111,7 @@
         return;
     }
     mayHaveRun_ = true;
+    countBegan(attempt_.sentAt_);
     leaveEndpoint(Evidence::Silent);
     sendNext();
 }
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -7,8 +7,6 @@
 
 /** Between two looks at the plan. */
 constexpr Duration PlanInterval = millis(500);
-/** Until the instances know of each other, and so which one asks for the right. */
-constexpr Duration SettleTime = millis(2'500);
 /** An order's connection must not outlive the right to give it. */
 constexpr std::int64_t OrderConnectMillis = 300;
 constexpr int Accepted = 202;
@@ -18,14 +16,12 @@
 } // namespace
 
 StageKeeper::StageKeeper(async::EventLoop &loop, Gateway &gateway, const Dialect &dialect,
-                         AuthorityStore &store, StageKeeperSettings settings)
+                         AuthorityKeeper &authority, StageKeeperSettings settings)
     : gateway_(gateway)
     , dialect_(dialect)
-    , store_(store)
+    , authority_(authority)
     , settings_(std::move(settings))
-    , authority_(settings_.authority_)
     , client_(loop)
-    , renewal_(loop)
     , planning_(loop)
 { }
 
@@ -34,52 +30,15 @@
 void StageKeeper::start()
 {
     running_ = true;
-    // Not at once: each instance that joins may take the lease away from another one, and each
-    // new holder has to wait.
-    renewal_.startAt(BootClock::now() + SettleTime, [this] { renew(); });
     planAll();
 }
 
 void StageKeeper::stop()
 {
     running_ = false;
-    renewal_.stop();
     planning_.stop();
 }
 
-void StageKeeper::renew()
-{
-    const TimePoint askedAt = BootClock::now();
-    renewal_.startAt(askedAt + millis(settings_.authority_.renewMillis_), [this] { renew(); });
-    store_.ask([this, askedAt](std::optional<bool> named) {
-        if (!named || !running_) {
-            return;
-        }
-        if (*named != authority_.named()) {
-            logEvent(LogLevel::Info, "authority", {{"named", *named ? "yes" : "no"}});
-        }
-        authority_.onNamed(*named, askedAt, BootClock::now());
-        claimIfNeeded();
-    });
-}
-
-void StageKeeper::claimIfNeeded()
-{
-    if (claiming_ || !authority_.needsFence(BootClock::now())) {
-        return;
-    }
-    claiming_ = true;
-    store_.claim([this](std::optional<LogOffset> offset) {
-        claiming_ = false;
-        if (!offset) {
-            return;
-        }
-        authority_.onClaimed(*offset, BootClock::now());
-        planAll();
-        logEvent(LogLevel::Info, "fence_claimed", {{"offset", *offset}});
-    });
-}
-
 StagePlan &StageKeeper::planOf(const ServiceId &service)
 {
     return plans_.try_emplace(service, settings_.plan_).first->second;
@@ -99,7 +58,7 @@
         StagePlan &plan = planOf(service.id_);
         plan.watch(gateway_.endpoints(), service.id_,
                    gateway_.stageLoad(service.id_, settings_.demand_(service.id_)), now);
-        if (!authority_.right(now)) {
+        if (!authority_.right()) {
             continue;
         }
         for (const StageChange &change : plan.plan(gateway_.endpoints(), service.id_, now)) {
@@ -166,7 +125,7 @@
                        const EngineReport &report)
 {
     // Asked again here: the right may have lapsed while the engine was read.
-    const auto right = authority_.right(BootClock::now());
+    const auto right = authority_.right();
     const Endpoint *engine = gateway_.endpoints().find(change.engine_);
     if (!right || engine == nullptr || !running_) {
         return;
@@ -195,7 +154,7 @@
         onTaken(service, engine, now);
     }
     if (status == Overtaken) {
-        authority_.onOvertaken(now);
+        authority_.onOvertaken();
     }
     if (status == Overtaken || status == Conflict) {
         planOf(service).onRefused(engine, now);
--- a/libs/gateway/tests/decisiontest.cpp
+++ b/libs/gateway/tests/decisiontest.cpp
@@ -107,7 +107,7 @@
 
 BOOST_AUTO_TEST_CASE(theFirstHolderOfAllMayOrderAtOnce)
 {
-    Authority authority({3'000, 1'000, 500});
+    Authority authority({3'000, 1'000, 500}, at(0));
     authority.onNamed(true, at(0), at(10));
     BOOST_TEST(authority.needsFence(at(10)));
     BOOST_TEST(!authority.right(at(10)));
@@ -123,10 +123,10 @@
  */
 BOOST_AUTO_TEST_CASE(aLaterHolderWaitsUntilTheOneBeforeMustKnow)
 {
-    Authority before({3'000, 1'000, 500});
+    Authority before({3'000, 1'000, 500}, at(0));
     before.onNamed(true, at(0), at(5));
     before.onClaimed(0, at(10));
-    Authority after({3'000, 1'000, 500});
+    Authority after({3'000, 1'000, 500}, at(0));
     after.onNamed(true, at(100), at(105));
     after.onClaimed(1, at(110));
     for (std::int64_t now = 150; now < 10'000; now += 50) {
@@ -144,7 +144,7 @@
  */
 BOOST_AUTO_TEST_CASE(aHolderThatWakesHasNoRightLeft)
 {
-    Authority authority({3'000, 1'000, 500});
+    Authority authority({3'000, 1'000, 500}, at(0));
     authority.onNamed(true, at(0), at(5));
     authority.onClaimed(0, at(10));
     BOOST_TEST(!authority.right(at(2'600)).has_value());
@@ -153,9 +153,45 @@
     BOOST_TEST(!authority.right(at(9'005)).has_value());
 }
 
+// Guards against a report that is due while a new holder waits for nothing.
+BOOST_AUTO_TEST_CASE(whereFencesAreCheckedANewHolderDoesNotWait)
+{
+    Authority after({3'000, 1'000, 500, true}, at(0));
+    after.onNamed(true, at(60'000), at(60'005));
+    after.onClaimed(7, at(60'010));
+    BOOST_TEST(after.right(at(60'010)).has_value());
+}
+
+// Guards against two holders that act by turns within a term, as the store names one, then the other.
+BOOST_AUTO_TEST_CASE(aHolderThatIsNamedAnewWaitsForItsOwnEarlierRight)
+{
+    Authority turns({3'000, 1'000, 500, true}, at(0));
+    turns.onNamed(true, at(60'000), at(60'005));
+    turns.onClaimed(7, at(60'010));
+    turns.onNamed(false, at(61'000), at(61'005));
+    turns.onNamed(true, at(62'000), at(62'005));
+    turns.onClaimed(9, at(62'010));
+    BOOST_TEST(!turns.right(at(62'010)).has_value());
+    for (std::int64_t now = 63'000; now <= 66'000; now += 1'000) {
+        turns.onNamed(true, at(now), at(now));
+    }
+    BOOST_TEST(turns.right(at(66'000)).has_value());
+}
+
+// Guards against the same after a restart, which remembers nothing of the right before it.
+BOOST_AUTO_TEST_CASE(aRestartedInstanceWaitsAsIfItHadActed)
+{
+    Authority restarted({3'000, 1'000, 500, true}, at(60'000));
+    restarted.onNamed(true, at(62'500), at(62'505));
+    restarted.onClaimed(9, at(62'510));
+    BOOST_TEST(!restarted.right(at(62'510)).has_value());
+    restarted.onNamed(true, at(64'000), at(64'005));
+    BOOST_TEST(restarted.right(at(64'600)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aHolderThatAnEngineKnowsToBeOvertakenStops)
 {
-    Authority authority({3'000, 1'000, 500});
+    Authority authority({3'000, 1'000, 500}, at(0));
     authority.onNamed(true, at(0), at(5));
     authority.onClaimed(0, at(10));
     authority.onOvertaken(at(20));
--- /dev/null
+++ b/libs/usage/include/almondridge/usage/window.h
@@ -0,0 +1,30 @@
+/**
+ * Windows of the wall clock, in which the requests of each client account are counted.
+ */
+#pragma once
+
+#include "almondridge/base/ids.h"
+
+#include <cstdint>
+#include <map>
+
+namespace almondridge::usage {
+
+/** Window k begins k times the windows' length after the Unix epoch. */
+using Window = std::int64_t;
+
+using AccountCounts = std::map<AccountId, std::uint64_t>;
+
+/** The window that a moment lies in. unixMillis: since the Unix epoch. */
+constexpr Window windowAt(std::int64_t unixMillis, std::int64_t windowMillis) noexcept
+{
+    return unixMillis / windowMillis;
+}
+
+/** The first moment after the window, in milliseconds since the Unix epoch. */
+constexpr std::int64_t endOf(Window window, std::int64_t windowMillis) noexcept
+{
+    return (window + 1) * windowMillis;
+}
+
+} // namespace almondridge::usage
--- /dev/null
+++ b/libs/usage/src/usagenote.cpp
@@ -0,0 +1,172 @@
+#include "almondridge/usage/usagenote.h"
+
+#include "almondridge/base/cbor.h"
+
+#include <nlohmann/json.hpp>
+
+namespace almondridge::usage {
+namespace {
+
+using Json = nlohmann::json;
+
+/** Of the names and numbers in one datagram, so that it fits into one packet. */
+constexpr std::size_t MostBytes = 1'000;
+/** A name's and a number's own bytes in CBOR, at most. */
+constexpr std::size_t BytesBesideAName = 12;
+constexpr std::size_t MostNameBytes = 128;
+constexpr std::uint64_t MostCount = 1'000'000'000;
+constexpr std::int64_t LongestCorrectionMillis = 3'600'000;
+
+std::string encode(const Json &json)
+{
+    std::string bytes(1, UsageMark);
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+std::string encodeParts(const UsageNote &note, const Json &parts)
+{
+    return encode(Json::array({"note", note.sender_.value(), note.lifetime_, note.timeMillis_,
+                               note.wallMillis_, parts}));
+}
+
+bool isName(const Json &json)
+{
+    return json.is_string() && !json.get_ref<const std::string &>().empty()
+           && json.get_ref<const std::string &>().size() <= MostNameBytes;
+}
+
+bool readCounts(const Json &json, WindowPart &part)
+{
+    if (!json.is_array() || json.size() % 2 != 0) {
+        return false;
+    }
+    std::uint64_t sum = 0;
+    for (std::size_t index = 0; index < json.size(); index += 2) {
+        if (!isName(json[index]) || !json[index + 1].is_number_unsigned()
+            || json[index + 1].get<std::uint64_t>() > MostCount) {
+            return false;
+        }
+        const auto count = json[index + 1].get<std::uint64_t>();
+        part.counts_[AccountId(json[index].get<std::string>())] = count;
+        sum += count;
+    }
+    return sum <= part.total_;
+}
+
+std::optional<WindowPart> readPart(const Json &json)
+{
+    if (!json.is_array() || json.size() != 4 || !json[0].is_number_integer() || !json[1].is_boolean()
+        || !json[2].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    WindowPart part;
+    part.window_ = json[0].get<Window>();
+    part.closed_ = json[1].get<bool>();
+    part.total_ = json[2].get<std::uint64_t>();
+    return readCounts(json[3], part) ? std::optional(std::move(part)) : std::nullopt;
+}
+
+std::optional<UsageNote> readNote(const Json &json)
+{
+    if (json.size() != 6 || !json[2].is_number_unsigned() || !json[3].is_number_integer()
+        || !json[4].is_number_integer() || !json[5].is_array()) {
+        return std::nullopt;
+    }
+    UsageNote note;
+    note.sender_ = InstanceId(json[1].get<std::string>());
+    note.lifetime_ = json[2].get<std::uint64_t>();
+    note.timeMillis_ = json[3].get<std::int64_t>();
+    note.wallMillis_ = json[4].get<std::int64_t>();
+    for (const Json &row : json[5]) {
+        auto part = readPart(row);
+        if (!part) {
+            return std::nullopt;
+        }
+        note.parts_.push_back(std::move(*part));
+    }
+    return note;
+}
+
+} // namespace
+
+std::vector<std::string> encodeNote(const UsageNote &note)
+{
+    std::vector<std::string> datagrams;
+    Json parts = Json::array();
+    std::size_t bytes = 0;
+    const auto flush = [&] {
+        datagrams.push_back(encodeParts(note, parts));
+        parts = Json::array();
+        bytes = 0;
+    };
+    for (const WindowPart &part : note.parts_) {
+        Json counts = Json::array();
+        const auto addPart = [&] {
+            parts.push_back(Json::array({part.window_, part.closed_, part.total_, counts}));
+            counts = Json::array();
+        };
+        for (const auto &[account, count] : part.counts_) {
+            counts.push_back(account.value());
+            counts.push_back(count);
+            bytes += account.value().size() + BytesBesideAName;
+            if (bytes >= MostBytes) {
+                addPart();
+                flush();
+            }
+        }
+        if (!counts.empty() || part.counts_.empty()) {
+            addPart();
+        }
+    }
+    if (!parts.empty() || datagrams.empty()) {
+        flush();
+    }
+    return datagrams;
+}
+
+std::string encodeQuestion(const UsageQuestion &question)
+{
+    const char *kind = question.ofAll_ ? "ask-all" : "ask";
+    return encode(Json::array({kind, question.sender_.value(), question.from_}));
+}
+
+std::string encodeCorrection(const TimeCorrection &correction)
+{
+    return encode(Json::array({"time", correction.sender_.value(), correction.byMillis_}));
+}
+
+std::optional<UsageMessage> decodeUsageMessage(std::string_view datagram)
+{
+    if (datagram.empty() || datagram.front() != UsageMark) {
+        return std::nullopt;
+    }
+    const auto json = fromCbor(datagram.substr(1));
+    if (!json || !json->is_array() || json->size() < 3 || !json->at(0).is_string()
+        || !isName(json->at(1))) {
+        return std::nullopt;
+    }
+    UsageMessage message;
+    const std::string kind = json->at(0).get<std::string>();
+    const InstanceId sender(json->at(1).get<std::string>());
+    if (kind == "note") {
+        message.note_ = readNote(*json);
+        return message.note_ ? std::optional(std::move(message)) : std::nullopt;
+    }
+    const Json &number = json->at(2);
+    if (json->size() != 3 || !number.is_number_integer()) {
+        return std::nullopt;
+    }
+    const auto value = number.get<std::int64_t>();
+    if (kind == "ask" || kind == "ask-all") {
+        message.question_ = {sender, value, kind == "ask-all"};
+        return message;
+    }
+    if (kind == "time" && std::abs(value) <= LongestCorrectionMillis) {
+        message.correction_ = {sender, value};
+        return message;
+    }
+    return std::nullopt;
+}
+
+} // namespace almondridge::usage
--- /dev/null
+++ b/libs/usage/src/usagereporter.cpp
@@ -0,0 +1,133 @@
+#include "almondridge/usage/usagereporter.h"
+
+#include <algorithm>
+
+namespace almondridge::usage {
+namespace {
+
+/** After a window's end its counts have come from almost all instances. */
+constexpr std::int64_t SettleMillis = 1'200;
+constexpr std::int64_t FirstRetryMillis = 250;
+constexpr std::int64_t LongestRetryMillis = 1'000;
+constexpr int MostDoublings = 4;
+
+} // namespace
+
+UsageReporter::UsageReporter(ReporterSettings settings)
+    : settings_(settings)
+{ }
+
+void UsageReporter::setRight(std::optional<Fence> fence)
+{
+    if (fence == fence_) {
+        return;
+    }
+    fence_ = fence;
+    // Others may have reported in between.
+    logKnown_ = false;
+    busy_ = false;
+    failures_ = 0;
+    againAt_ = 0;
+}
+
+void UsageReporter::setKnownSince(std::int64_t unixMillis)
+{
+    knownSince_ = unixMillis;
+}
+
+/** The first window that is still of use to report. */
+Window UsageReporter::firstOpen(std::int64_t nowMillis) const
+{
+    return std::max(windowAt(knownSince_, settings_.windowMillis_) + 1,
+                    windowAt(nowMillis - settings_.dueMillis_, settings_.windowMillis_));
+}
+
+std::vector<Window> UsageReporter::open(std::int64_t nowMillis) const
+{
+    std::vector<Window> windows;
+    if (!fence_ || !logKnown_) {
+        return windows;
+    }
+    const Window current = windowAt(nowMillis - SettleMillis, settings_.windowMillis_);
+    for (Window window = firstOpen(nowMillis); window < current; ++window) {
+        if (!reports_.contains(window)) {
+            windows.push_back(window);
+        }
+    }
+    return windows;
+}
+
+void UsageReporter::forgetOld(std::int64_t nowMillis)
+{
+    const Window first = firstOpen(nowMillis);
+    reports_.erase(reports_.begin(), reports_.lower_bound(first));
+    sent_.erase(sent_.begin(), sent_.lower_bound(first));
+}
+
+std::optional<ReportAction> UsageReporter::next(std::int64_t nowMillis)
+{
+    if (!fence_ || busy_ || nowMillis < againAt_) {
+        return std::nullopt;
+    }
+    forgetOld(nowMillis);
+    busy_ = true;
+    if (!logKnown_) {
+        return ReportAction {ReportStep::ReadLog, next_, 0, {}};
+    }
+    for (const auto &[window, counts] : reports_) {
+        if (!sent_.contains(window)) {
+            return ReportAction {ReportStep::Send, 0, window, counts};
+        }
+    }
+    const std::vector<Window> windows = open(nowMillis);
+    if (!windows.empty()) {
+        return ReportAction {ReportStep::Append, 0, windows.front(), {}};
+    }
+    busy_ = false;
+    return std::nullopt;
+}
+
+void UsageReporter::onLogRead(const std::vector<ReportRecord> &records, LogOffset end, bool isLast,
+                              std::int64_t nowMillis)
+{
+    busy_ = false;
+    failures_ = 0;
+    logKnown_ = isLast;
+    next_ = std::max(next_, end);
+    for (const ReportRecord &record : records) {
+        reports_.try_emplace(record.window_, record.counts_);
+    }
+    forgetOld(nowMillis);
+}
+
+void UsageReporter::onAppended(Window window, AccountCounts counts, LogOffset offset)
+{
+    busy_ = false;
+    failures_ = 0;
+    if (offset != next_) {
+        // Somebody else, or an earlier call of ours, wrote before: its record may come first.
+        logKnown_ = false;
+        return;
+    }
+    ++next_;
+    reports_.try_emplace(window, std::move(counts));
+}
+
+void UsageReporter::onSent(Window window)
+{
+    busy_ = false;
+    failures_ = 0;
+    sent_.insert(window);
+}
+
+void UsageReporter::onFailed(ReportStep step, std::int64_t nowMillis)
+{
+    busy_ = false;
+    // A record may have been appended all the same, and is found in the log then.
+    logKnown_ = logKnown_ && step != ReportStep::Append;
+    againAt_ = nowMillis
+               + std::min(FirstRetryMillis << std::min(failures_, MostDoublings), LongestRetryMillis);
+    ++failures_;
+}
+
+} // namespace almondridge::usage
