--- a/libs/usage/include/almondridge/usage/usagemesh.h
+++ b/libs/usage/include/almondridge/usage/usagemesh.h
@@ -44,7 +44,8 @@
 
 private:
     std::set<InstanceId> receivers(TimePoint now) const;
-    UsageNote ownNote(std::vector<WindowPart> parts, TimePoint now) const;
+    UsageNote ownNote(std::vector<WindowPart> parts, TimePoint now);
+    void onCorrection(const TimeCorrection &correction);
     Window openWindow(TimePoint now) const;
     void onNote(const UsageNote &note, TimePoint now, std::vector<gateway::MeshDatagram> &out);
     void onQuestion(const UsageQuestion &question, TimePoint now,
@@ -61,6 +62,8 @@
     OwnCounts own_;
     UsageBook book_;
     TimePoint tellAt_ {};
+    std::uint64_t noteNumber_ = 0;
+    std::uint64_t correctedAfter_ = 0; ///< Notes up to this one told a time that was mended since.
 };
 
 } // namespace almondridge::usage
--- a/libs/usage/include/almondridge/usage/usagenote.h
+++ b/libs/usage/include/almondridge/usage/usagenote.h
@@ -28,6 +28,7 @@
 {
     InstanceId sender_;
     std::uint64_t lifetime_ = 0;
+    std::uint64_t number_ = 0;    ///< Rises within a lifetime.
     std::int64_t timeMillis_ = 0; ///< The sender's time when it was sent, since the Unix epoch.
     std::int64_t wallMillis_ = 0; ///< What its wall clock showed then.
     std::vector<WindowPart> parts_;
@@ -45,6 +46,7 @@
 struct TimeCorrection
 {
     InstanceId sender_;
+    std::uint64_t note_ = 0; ///< The number of the note that told it.
     std::int64_t byMillis_ = 0;
 };
 
--- a/libs/usage/src/truetime.cpp
+++ b/libs/usage/src/truetime.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /** Smaller differences come from the way of a message. */
-constexpr std::int64_t LeastCorrectionMillis = 50;
+constexpr std::int64_t LeastDriftMillis = 50;
+/** Two instances that tell the same one its time may differ by the drift of both. */
+constexpr std::int64_t LeastCorrectionMillis = 2 * LeastDriftMillis + 50;
 /** A clock that was not heard of for so long tells nothing of now. */
 constexpr Duration ClockHolds = millis(10'000);
 
@@ -51,7 +53,7 @@
     }
     const auto middle = epochs.begin() + static_cast<std::ptrdiff_t>(epochs.size() / 2);
     std::nth_element(epochs.begin(), middle, epochs.end());
-    if (std::abs(*middle - epochMillis_) >= LeastCorrectionMillis) {
+    if (std::abs(*middle - epochMillis_) >= LeastDriftMillis) {
         epochMillis_ = *middle;
     }
 }
--- a/libs/usage/src/usagemesh.cpp
+++ b/libs/usage/src/usagemesh.cpp
@@ -55,9 +55,9 @@
     return windowAt(time_.millisAt(now - CloseMargin), windowMillis_);
 }
 
-UsageNote UsageMesh::ownNote(std::vector<WindowPart> parts, TimePoint now) const
+UsageNote UsageMesh::ownNote(std::vector<WindowPart> parts, TimePoint now)
 {
-    return {self_, lifetime_, time_.millisAt(now), wallMillis_, std::move(parts)};
+    return {self_, lifetime_, ++noteNumber_, time_.millisAt(now), wallMillis_, std::move(parts)};
 }
 
 std::set<InstanceId> UsageMesh::receivers(TimePoint now) const
@@ -121,10 +121,19 @@
     if (!collectors_.contains(message->correction_->sender_)) {
         return Reception::Unknown;
     }
-    time_.correct(message->correction_->byMillis_);
+    onCorrection(*message->correction_);
     return Reception::Taken;
 }
 
+/** Several collectors correct the same note, and only the first of them counts. */
+void UsageMesh::onCorrection(const TimeCorrection &correction)
+{
+    if (correction.note_ > correctedAfter_) {
+        correctedAfter_ = noteNumber_;
+        time_.correct(correction.byMillis_);
+    }
+}
+
 void UsageMesh::onNote(const UsageNote &note, TimePoint now, std::vector<MeshDatagram> &out)
 {
     book_.add(note);
@@ -135,7 +144,7 @@
     const bool corrects = collectors_.contains(self_) && !collectors_.contains(note.sender_);
     const auto correction = corrects ? time_.correctionOf(note.timeMillis_, now) : std::nullopt;
     if (correction) {
-        out.push_back({note.sender_, encodeCorrection({self_, *correction})});
+        out.push_back({note.sender_, encodeCorrection({self_, note.number_, *correction})});
     }
 }
 
--- a/libs/usage/src/usagenote.cpp
+++ b/libs/usage/src/usagenote.cpp
@@ -26,8 +26,8 @@
 
 std::string encodeParts(const UsageNote &note, const Json &parts)
 {
-    return encode(Json::array({"note", note.sender_.value(), note.lifetime_, note.timeMillis_,
-                               note.wallMillis_, parts}));
+    return encode(Json::array({"note", note.sender_.value(), note.lifetime_, note.number_,
+                               note.timeMillis_, note.wallMillis_, parts}));
 }
 
 bool isName(const Json &json)
@@ -69,16 +69,17 @@
 
 std::optional<UsageNote> readNote(const Json &json)
 {
-    if (json.size() != 6 || !json[2].is_number_unsigned() || !json[3].is_number_integer()
-        || !json[4].is_number_integer() || !json[5].is_array()) {
+    if (json.size() != 7 || !json[2].is_number_unsigned() || !json[3].is_number_unsigned()
+        || !json[4].is_number_integer() || !json[5].is_number_integer() || !json[6].is_array()) {
         return std::nullopt;
     }
     UsageNote note;
     note.sender_ = InstanceId(json[1].get<std::string>());
     note.lifetime_ = json[2].get<std::uint64_t>();
-    note.timeMillis_ = json[3].get<std::int64_t>();
-    note.wallMillis_ = json[4].get<std::int64_t>();
-    for (const Json &row : json[5]) {
+    note.number_ = json[3].get<std::uint64_t>();
+    note.timeMillis_ = json[4].get<std::int64_t>();
+    note.wallMillis_ = json[5].get<std::int64_t>();
+    for (const Json &row : json[6]) {
         auto part = readPart(row);
         if (!part) {
             return std::nullopt;
@@ -133,7 +134,7 @@
 
 std::string encodeCorrection(const TimeCorrection &correction)
 {
-    return encode(Json::array({"time", correction.sender_.value(), correction.byMillis_}));
+    return encode(Json::array({"time", correction.sender_.value(), correction.byMillis_, correction.note_}));
 }
 
 std::optional<UsageMessage> decodeUsageMessage(std::string_view datagram)
@@ -154,7 +155,7 @@
         return message.note_ ? std::optional(std::move(message)) : std::nullopt;
     }
     const Json &number = json->at(2);
-    if (json->size() != 3 || !number.is_number_integer()) {
+    if (!number.is_number_integer()) {
         return std::nullopt;
     }
     const auto value = number.get<std::int64_t>();
@@ -162,8 +163,9 @@
         message.question_ = {sender, value, kind == "ask-all"};
         return message;
     }
-    if (kind == "time" && std::abs(value) <= LongestCorrectionMillis) {
-        message.correction_ = {sender, value};
+    if (kind == "time" && json->size() == 4 && json->at(3).is_number_unsigned()
+        && std::abs(value) <= LongestCorrectionMillis) {
+        message.correction_ = {sender, json->at(3).get<std::uint64_t>(), value};
         return message;
     }
     return std::nullopt;
--- /dev/null
+++ b/libs/usage/tests/usagereportertest.cpp
@@ -0,0 +1,162 @@
+#include "almondridge/usage/usagereporter.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <set>
+
+using namespace almondridge;
+using namespace almondridge::usage;
+
+namespace {
+
+constexpr ReporterSettings Settings {5'000, 10'000};
+constexpr std::int64_t Epoch = 1'764'750'000'000;
+constexpr Window First = Epoch / 5'000;
+
+AccountCounts counted(std::uint64_t count)
+{
+    return {{AccountId("acme"), count}};
+}
+
+/** What the billing API and the log have seen of all reporters. */
+struct World
+{
+    std::vector<ReportRecord> log_;
+    std::map<Window, std::set<std::uint64_t>> accepted_;
+
+    LogOffset append(Window window, std::uint64_t count)
+    {
+        log_.push_back({window, counted(count), log_.size()});
+        return log_.size() - 1;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UsageReports)
+
+BOOST_AUTO_TEST_CASE(aWindowIsWrittenDownThenSent)
+{
+    UsageReporter reporter(Settings);
+    reporter.setKnownSince(Epoch - 1);
+    reporter.setRight(1);
+    auto action = reporter.next(Epoch + 7'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::ReadLog));
+    reporter.onLogRead({}, 0, true, Epoch + 7'000);
+    action = reporter.next(Epoch + 7'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::Append));
+    BOOST_TEST(action->window_ == First);
+    BOOST_TEST(!reporter.next(Epoch + 7'000).has_value());
+    reporter.onAppended(First, counted(3), 0);
+    action = reporter.next(Epoch + 7'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::Send));
+    BOOST_TEST((action->counts_ == counted(3)));
+    reporter.onSent(First);
+    BOOST_TEST(!reporter.next(Epoch + 7'000).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(withoutTheRightNothingIsDone)
+{
+    UsageReporter reporter(Settings);
+    reporter.setKnownSince(Epoch - 1);
+    BOOST_TEST(!reporter.next(Epoch + 7'000).has_value());
+}
+
+// Guards against a report that says nothing happened where all that knew of it are gone.
+BOOST_AUTO_TEST_CASE(aWindowThatBeganBeforeAnythingIsKnownIsNotReported)
+{
+    UsageReporter reporter(Settings);
+    reporter.setKnownSince(Epoch + 1'000);
+    reporter.setRight(1);
+    reporter.next(Epoch + 7'000);
+    reporter.onLogRead({}, 0, true, Epoch + 7'000);
+    BOOST_TEST(!reporter.next(Epoch + 7'000).has_value());
+    const auto action = reporter.next(Epoch + 12'000);
+    BOOST_REQUIRE(action.has_value());
+    BOOST_TEST(action->window_ == First + 1);
+}
+
+// Guards against old windows that keep a reporter from those that are still of use.
+BOOST_AUTO_TEST_CASE(windowsThatAreNoMoreDueAreLeft)
+{
+    UsageReporter reporter(Settings);
+    reporter.setKnownSince(Epoch - 1);
+    reporter.setRight(1);
+    reporter.next(Epoch + 7'000);
+    reporter.onLogRead({}, 0, true, Epoch + 7'000);
+    const auto action = reporter.next(Epoch + 100'000);
+    BOOST_REQUIRE(action.has_value());
+    BOOST_TEST(action->window_ == First + 18);
+}
+
+/** Reporters that come and go, whose calls are lost, late, and carried out after all. */
+BOOST_AUTO_TEST_CASE(noTwoReportsOfAWindowDiffer)
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        std::mt19937_64 random(seed);
+        World world;
+        std::vector<UsageReporter> reporters(3, UsageReporter(Settings));
+        std::vector<std::pair<Window, std::uint64_t>> lateAppends;
+        std::vector<std::pair<Window, std::uint64_t>> lateSends;
+        for (UsageReporter &reporter : reporters) {
+            reporter.setKnownSince(Epoch - 1);
+        }
+        Fence fence = 0;
+        for (std::int64_t now = Epoch; now < Epoch + 60'000; now += 100) {
+            UsageReporter &reporter = reporters[random() % reporters.size()];
+            if (random() % 20 == 0) {
+                // Also without taking it from the one before, as a frozen one would still have it.
+                reporter.setRight(++fence);
+            }
+            if (random() % 40 == 0) {
+                reporter.setRight(std::nullopt);
+            }
+            const auto late = [&](auto &calls, const auto &run) {
+                if (!calls.empty() && random() % 10 == 0) {
+                    run(calls.front());
+                    calls.erase(calls.begin());
+                }
+            };
+            late(lateAppends, [&](const auto &call) { world.append(call.first, call.second); });
+            late(lateSends, [&](const auto &call) { world.accepted_[call.first].insert(call.second); });
+            const auto action = reporter.next(now);
+            if (!action) {
+                continue;
+            }
+            const auto fate = random() % 4;
+            if (action->step_ == ReportStep::ReadLog) {
+                const std::vector<ReportRecord> records(
+                    world.log_.begin() + static_cast<std::ptrdiff_t>(action->from_),
+                    world.log_.end());
+                reporter.onLogRead(records, world.log_.size(), true, now);
+            } else if (action->step_ == ReportStep::Append) {
+                const std::uint64_t count = random() % 1'000;
+                if (fate == 0) {
+                    lateAppends.emplace_back(action->window_, count);
+                    reporter.onFailed(action->step_, now);
+                } else if (fate == 1) {
+                    world.append(action->window_, count);
+                    reporter.onFailed(action->step_, now);
+                } else {
+                    const LogOffset offset = world.append(action->window_, count);
+                    reporter.onAppended(action->window_, counted(count), offset);
+                }
+            } else {
+                const std::uint64_t count = action->counts_.begin()->second;
+                if (fate == 0) {
+                    lateSends.emplace_back(action->window_, count);
+                    reporter.onFailed(action->step_, now);
+                } else {
+                    world.accepted_[action->window_].insert(count);
+                    reporter.onSent(action->window_);
+                }
+            }
+        }
+        for (const auto &[window, counts] : world.accepted_) {
+            BOOST_TEST(counts.size() == 1U, "seed " << seed << ", window " << window);
+        }
+        BOOST_TEST(!world.accepted_.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
