--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -33,11 +33,12 @@
     std::int64_t revokeBoundMillis_ = 5'000; ///< Until then, if so.
     /** Whoever takes orders refuses lower fencing numbers than it has seen. */
     bool fencesAreChecked_ = false;
-    std::string operationsApi_;      ///< Where usage is reported; empty: nowhere.
+    std::string operationsApi_;     ///< Where usage is reported; empty: nowhere.
     double usageWindowSeconds_ = 0; ///< In which requests are counted; 0: usage is not reported.
     double usageDueSeconds_ = 10;   ///< After a window's end.
-    bool ordersEndpoints_ = true; ///< False: the sizes of services are left as they are.
-    /** Failure domains whose spot endpoints may all be gone at once without others being missing. */
+    bool ordersEndpoints_ = true;   ///< False: the sizes of services are left as they are.
+    /** Failure domains whose spot endpoints may all be gone at once without others being missing.
+     */
     int spotLossesBorne_ = 2;
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
--- a/libs/gateway/include/almondridge/gateway/config.h
+++ b/libs/gateway/include/almondridge/gateway/config.h
@@ -75,8 +75,8 @@
 {
     int least_ = 0; ///< Of each failure domain, both kinds together.
     int most_ = 0;
-    std::int64_t bootMillis_ = 0;     ///< Until an ordered endpoint serves.
-    double spotPrice_ = 1;            ///< Of a spot endpoint, against another one's.
+    std::int64_t bootMillis_ = 0;          ///< Until an ordered endpoint serves.
+    double spotPrice_ = 1;                 ///< Of a spot endpoint, against another one's.
     std::map<DomainId, double> prices_ {}; ///< Of a second of an endpoint; none: 1.
 
     bool hasSpot() const noexcept { return spotPrice_ < 1; }
--- a/libs/gateway/include/almondridge/gateway/sizeplan.h
+++ b/libs/gateway/include/almondridge/gateway/sizeplan.h
@@ -22,7 +22,8 @@
 
 struct SizePlanSettings
 {
-    /** Failure domains whose spot endpoints may all be gone at once without others being missing. */
+    /** Failure domains whose spot endpoints may all be gone at once without others being missing.
+     */
     int lossesBorne_ = 2;
     /** Below this share of what the service was found with, lasting endpoints stand in. */
     double floorShare_ = 0.6;
@@ -54,7 +55,8 @@
 public:
     explicit SizePlan(SizePlanSettings settings);
 
-    /** Looks at what is listed; to be called some times a second, also without the right to order. */
+    /** Looks at what is listed; to be called some times a second, also without the right to order.
+     */
     void watch(const EndpointTable &table, const ServiceTraits &service, TimePoint now);
     /** Whether lasting endpoints of the domain are given back, or will be in a moment. */
     bool givesBack(const DomainId &domain) const;
@@ -82,7 +84,7 @@
     struct Given
     {
         int count_ = 0;
-        bool pending_ = false;  ///< Its answer is awaited.
+        bool pending_ = false; ///< Its answer is awaited.
         bool taken_ = false;
         TimePoint againAt_ {}; ///< Not to be given again before.
         int refusals_ = 0;     ///< In a row.
@@ -103,7 +105,7 @@
     bool settled_ = false; ///< The list was whole once.
     std::map<Key, Given> orders_;
     int lastCount_ = 0;
-    TimePoint countedAt_ {}; ///< Since when there are so many endpoints.
+    TimePoint countedAt_ {};                   ///< Since when there are so many endpoints.
     std::map<DomainId, TimePoint> spotsSince_; ///< Since when a domain has all its spot endpoints.
 };
 
--- a/libs/gateway/src/access.cpp
+++ b/libs/gateway/src/access.cpp
@@ -13,8 +13,7 @@
 AccessVerdict withoutKey(CredentialState state)
 {
     AccessVerdict verdict;
-    verdict.access_ =
-        state == CredentialState::Absent ? Access::KeyMissing : Access::KeyMalformed;
+    verdict.access_ = state == CredentialState::Absent ? Access::KeyMissing : Access::KeyMalformed;
     return verdict;
 }
 
@@ -22,7 +21,8 @@
 
 KeyLease::KeyLease(std::int64_t boundMillis)
     : isBounded_(boundMillis > 0)
-    , term_(static_cast<Duration::rep>(TermShare * NanosPerMilli * static_cast<double>(boundMillis)))
+    , term_(
+          static_cast<Duration::rep>(TermShare * NanosPerMilli * static_cast<double>(boundMillis)))
 { }
 
 void KeyLease::confirm(TimePoint asOf)
@@ -61,8 +61,7 @@
     if (granted.access_ != Access::Granted) {
         return true;
     }
-    const Account *account =
-        config.accounts() ? config.accounts()->find(granted.digest_) : nullptr;
+    const Account *account = config.accounts() ? config.accounts()->find(granted.digest_) : nullptr;
     return lease.holds(now) && account != nullptr && account->id_ == granted.account_.id_;
 }
 
--- a/libs/gateway/src/credentials.cpp
+++ b/libs/gateway/src/credentials.cpp
@@ -50,11 +50,11 @@
     }
     const std::string_view value = trimmed(only->value_);
     const std::size_t space = value.find(' ');
-    if (space == std::string_view::npos
-        || !net::equalWithoutCase(value.substr(0, space), scheme)) {
+    if (space == std::string_view::npos || !net::equalWithoutCase(value.substr(0, space), scheme)) {
         return {CredentialState::Malformed, {}};
     }
-    const std::string_view key = value.substr(std::min(value.find_first_not_of(' ', space), value.size()));
+    const std::string_view key =
+        value.substr(std::min(value.find_first_not_of(' ', space), value.size()));
     if (!isToken(key)) {
         return {CredentialState::Malformed, {}};
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -296,10 +296,9 @@
 {
     CallInput input;
     input.facts_ = dialect_.readCall(request.head_);
-    input.key_ = requestKey(settings_.keySecret_,
-                            {net::headerValue(request.head_.headers_, "Host"),
-                             request.head_.method_, request.head_.target_, request.body_,
-                             verdict.account_.id_.value()});
+    input.key_ = requestKey(settings_.keySecret_, {net::headerValue(request.head_.headers_, "Host"),
+                                                   request.head_.method_, request.head_.target_,
+                                                   request.body_, verdict.account_.id_.value()});
     input.request_ = std::move(request);
     input.config_ = config_;
     input.route_ = &route;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -31,7 +31,8 @@
     void begin(async::ServerCall request, const Route &route, AccessVerdict verdict);
     /** 401, or 503 where this instance cannot tell. */
     void deny(const async::CallId &id, Access access);
-    /** Requests whose key was not known are looked at again, as there is news or time has passed. */
+    /** Requests whose key was not known are looked at again, as there is news or time has passed.
+     */
     void lookAtWaitingKeys();
     void onCallerGone(const async::CallId &id);
     void onWritten(const async::CallId &id);
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -44,8 +44,7 @@
     phase_ = ModelPhase::Waiting;
     ++runs_;
     SendOrder order;
-    order.urgency_ =
-        std::clamp(priority(), 0, LateUrgencies - 1) + (late ? LateUrgencies : 0);
+    order.urgency_ = std::clamp(priority(), 0, LateUrgencies - 1) + (late ? LateUrgencies : 0);
     order.prompt_ = handle_;
     fetches_ = true;
     send(choice->engine_, order, Placement::handoverTokens(prompt()));
--- a/libs/gateway/src/peerload.cpp
+++ b/libs/gateway/src/peerload.cpp
@@ -1,7 +1,7 @@
 #include "almondridge/gateway/peerload.h"
 
-#include "almondridge/gateway/promptmemory.h"
 #include "almondridge/base/cbor.h"
+#include "almondridge/gateway/promptmemory.h"
 
 #include <algorithm>
 #include <array>
--- a/libs/gateway/src/sizeplan.cpp
+++ b/libs/gateway/src/sizeplan.cpp
@@ -66,8 +66,8 @@
 
 int SizePlan::totalOf(int found, const SizeLimits &limits) const
 {
-    return std::clamp(static_cast<int>(std::ceil(mix_.size_ * found)),
-                      std::max(1, limits.least_), std::max(1, limits.most_));
+    return std::clamp(static_cast<int>(std::ceil(mix_.size_ * found)), std::max(1, limits.least_),
+                      std::max(1, limits.most_));
 }
 
 /** Lasting endpoints beyond the usual ones that the whole service needs for its floor. */
--- a/libs/gateway/src/stagekeeper.cpp
+++ b/libs/gateway/src/stagekeeper.cpp
@@ -61,8 +61,8 @@
         if (!authority_.right()) {
             continue;
         }
-        for (const StageChange &change : plan.plan(gateway_.endpoints(), service.id_, now,
-                                                   settings_.mayLeave_)) {
+        for (const StageChange &change :
+             plan.plan(gateway_.endpoints(), service.id_, now, settings_.mayLeave_)) {
             logEvent(LogLevel::Info, "stage_change",
                      {{"engine", change.engine_.value()},
                       {"stage", nameOf(StageNames, change.stage_)},
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -236,8 +236,7 @@
     std::erase_if(engines,
                   [](const Endpoint *engine) { return engine->listed_.stage_ == Stage::None; });
     const std::size_t listed = engines.size();
-    std::erase_if(engines,
-                  [&](const Endpoint *engine) { return mayLeave && mayLeave(*engine); });
+    std::erase_if(engines, [&](const Endpoint *engine) { return mayLeave && mayLeave(*engine); });
     forgetOrders(table, now);
     const int count = static_cast<int>(engines.size());
     // Engines that take the place of others come one by one: before the first request each is made
--- a/libs/gateway/tests/accesstest.cpp
+++ b/libs/gateway/tests/accesstest.cpp
@@ -76,8 +76,8 @@
     BOOST_TEST((read({{"authorization", "token  k1 "}}) == Access::Granted));
     BOOST_TEST((read({{"Authorization", "Token k1"}, {"authorization", "Token k1"}})
                 == Access::KeyMalformed));
-    for (const char *value : {"", "Token", "Token ", "k1", "Bearer k1", "Token k1 k2", "Token k1,k2",
-                              "Token\tk1", "Token \"k1\"", "Token k\x01"}) {
+    for (const char *value : {"", "Token", "Token ", "k1", "Bearer k1", "Token k1 k2",
+                              "Token k1,k2", "Token\tk1", "Token \"k1\"", "Token k\x01"}) {
         BOOST_TEST((read({{"Authorization", value}}) == Access::KeyMalformed), value);
     }
     const std::string longKey(MostKeyBytes + 1, 'k');
@@ -125,9 +125,10 @@
     BOOST_TEST(isStillGranted(*configWith({"k1"}), granted, lease_, at(100)));
     BOOST_TEST(!isStillGranted(*configWith({"k2"}), granted, lease_, at(100)));
     BOOST_TEST(!isStillGranted(*config_, granted, lease_, at(BoundMillis)));
-    const auto another = Config::Builder()
-                             .accounts(Accounts::Builder().add({AccountId("other")}, {"k1"}).build())
-                             .build();
+    const auto another =
+        Config::Builder()
+            .accounts(Accounts::Builder().add({AccountId("other")}, {"k1"}).build())
+            .build();
     BOOST_TEST(!isStillGranted(*another, granted, lease_, at(100)));
 }
 
--- a/libs/gateway/tests/decisiontest.cpp
+++ b/libs/gateway/tests/decisiontest.cpp
@@ -162,7 +162,8 @@
     BOOST_TEST(after.right(at(60'010)).has_value());
 }
 
-// Guards against two holders that act by turns within a term, as the store names one, then the other.
+// Guards against two holders that act by turns within a term, as the store names one, then the
+// other.
 BOOST_AUTO_TEST_CASE(aHolderThatIsNamedAnewWaitsForItsOwnEarlierRight)
 {
     Authority turns({3'000, 1'000, 500, true}, at(0));
--- a/libs/gateway/tests/sizeplantest.cpp
+++ b/libs/gateway/tests/sizeplantest.cpp
@@ -200,7 +200,8 @@
 // Guards against spot endpoints that cost more, with what has to stand beside them, than they save.
 BOOST_AUTO_TEST_CASE(theMixFollowsPricesAndDomains)
 {
-    const std::map<DomainId, int> three {{DomainId("a"), 20}, {DomainId("b"), 20}, {DomainId("c"), 20}};
+    const std::map<DomainId, int> three {
+        {DomainId("a"), 20}, {DomainId("b"), 20}, {DomainId("c"), 20}};
     const auto mixOf = [&](double price, int most, int losses) {
         return cheapestMix(SizeLimits {1, most, 4'000, price, {}}, three, losses);
     };
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -52,8 +52,8 @@
         ends.push_back(topic.end_);
         proofs.push_back(topic.asOf_ ? Json(toMillis(askedAt - *topic.asOf_) + 1) : Json(nullptr));
     }
-    const Json json {{"lifetime", lifetime}, {"lost", lost}, {"whole", set.whole_},
-                     {"next", set.next_},    {"ages", ages}, {"ends", ends},
+    const Json json {{"lifetime", lifetime}, {"lost", lost},      {"whole", set.whole_},
+                     {"next", set.next_},    {"ages", ages},      {"ends", ends},
                      {"proofs", proofs},     {"changes", changes}};
     std::string body;
     Json::to_cbor(json, body);
@@ -138,8 +138,8 @@
     } else {
         set = board_.since(from);
     }
-    server_->respond(
-        id, {200, {}, encodeChanges(set, lifetime_, lost_, BootClock::now(), askedAt)});
+    server_->respond(id,
+                     {200, {}, encodeChanges(set, lifetime_, lost_, BootClock::now(), askedAt)});
 }
 
 void RelayServer::answerLate()
--- a/libs/usage/include/almondridge/usage/usagemesh.h
+++ b/libs/usage/include/almondridge/usage/usagemesh.h
@@ -26,6 +26,8 @@
     void onBegan(const AccountId &account, TimePoint began);
     /** What is to be sent now; to be called some times a second. */
     std::vector<gateway::MeshDatagram> tick(std::int64_t wallMillis, TimePoint now);
+    /** The same, whenever it was called last. */
+    std::vector<gateway::MeshDatagram> tellNow(std::int64_t wallMillis, TimePoint now);
     /** What is to be sent in answer goes to out. */
     gateway::Reception onDatagram(std::string_view datagram, TimePoint now,
                                   std::vector<gateway::MeshDatagram> &out);
@@ -55,7 +57,7 @@
     std::uint64_t lifetime_;
     std::int64_t windowMillis_;
     TrueTime time_;
-    std::int64_t wallMillis_ = 0; ///< As this instance's wall clock last showed.
+    std::int64_t wallMillis_ = 0;  ///< As this instance's wall clock last showed.
     std::set<InstanceId> members_; ///< The others.
     std::set<InstanceId> collectors_;
     std::map<InstanceId, TimePoint> askers_; ///< They are told as well until then.
--- a/libs/usage/src/truetime.cpp
+++ b/libs/usage/src/truetime.cpp
@@ -42,7 +42,8 @@
 
 void TrueTime::settle(TimePoint now)
 {
-    std::erase_if(clocks_, [&](const auto &entry) { return entry.second.heardAt_ + ClockHolds < now; });
+    std::erase_if(clocks_,
+                  [&](const auto &entry) { return entry.second.heardAt_ + ClockHolds < now; });
     std::vector<std::int64_t> epochs;
     epochs.reserve(clocks_.size());
     for (const auto &[instance, clock] : clocks_) {
--- a/libs/usage/src/usagebook.cpp
+++ b/libs/usage/src/usagebook.cpp
@@ -96,8 +96,8 @@
 
 bool UsageBook::isComplete(const InstanceId &instance, Window window) const
 {
-    auto place = entries_.upper_bound(
-        {window, instance, std::numeric_limits<std::uint64_t>::max()});
+    auto place =
+        entries_.upper_bound({window, instance, std::numeric_limits<std::uint64_t>::max()});
     if (place == entries_.begin()) {
         return false;
     }
--- a/libs/usage/src/usagemesh.cpp
+++ b/libs/usage/src/usagemesh.cpp
@@ -99,6 +99,12 @@
     return datagrams;
 }
 
+std::vector<MeshDatagram> UsageMesh::tellNow(std::int64_t wallMillis, TimePoint now)
+{
+    tellAt_ = now;
+    return tick(wallMillis, now);
+}
+
 Reception UsageMesh::onDatagram(std::string_view datagram, TimePoint now,
                                 std::vector<MeshDatagram> &out)
 {
--- a/libs/usage/src/usagenote.cpp
+++ b/libs/usage/src/usagenote.cpp
@@ -56,8 +56,8 @@
 
 std::optional<WindowPart> readPart(const Json &json)
 {
-    if (!json.is_array() || json.size() != 4 || !json[0].is_number_integer() || !json[1].is_boolean()
-        || !json[2].is_number_unsigned()) {
+    if (!json.is_array() || json.size() != 4 || !json[0].is_number_integer()
+        || !json[1].is_boolean() || !json[2].is_number_unsigned()) {
         return std::nullopt;
     }
     WindowPart part;
@@ -134,7 +134,8 @@
 
 std::string encodeCorrection(const TimeCorrection &correction)
 {
-    return encode(Json::array({"time", correction.sender_.value(), correction.byMillis_, correction.note_}));
+    return encode(
+        Json::array({"time", correction.sender_.value(), correction.byMillis_, correction.note_}));
 }
 
 std::optional<UsageMessage> decodeUsageMessage(std::string_view datagram)
--- a/libs/usage/src/usagereporter.cpp
+++ b/libs/usage/src/usagereporter.cpp
@@ -125,8 +125,9 @@
     busy_ = false;
     // A record may have been appended all the same, and is found in the log then.
     logKnown_ = logKnown_ && step != ReportStep::Append;
-    againAt_ = nowMillis
-               + std::min(FirstRetryMillis << std::min(failures_, MostDoublings), LongestRetryMillis);
+    againAt_ =
+        nowMillis
+        + std::min(FirstRetryMillis << std::min(failures_, MostDoublings), LongestRetryMillis);
     ++failures_;
 }
 
--- a/libs/usage/tests/usagemeshtest.cpp
+++ b/libs/usage/tests/usagemeshtest.cpp
@@ -46,11 +46,10 @@
     {
         const std::int64_t wall = EpochMillis + now + aheadMillis_[id];
         meshes_.erase(id);
-        UsageMesh &mesh =
-            meshes_
-                .try_emplace(id, id, static_cast<std::uint64_t>(wall), WindowMillis,
-                             TrueTime(wall, at(now)))
-                .first->second;
+        UsageMesh &mesh = meshes_
+                              .try_emplace(id, id, static_cast<std::uint64_t>(wall), WindowMillis,
+                                           TrueTime(wall, at(now)))
+                              .first->second;
         mesh.setMembers(members_, collectors_);
     }
 
@@ -131,8 +130,8 @@
     fleet.run(0, 11'200, 30);
     for (int collector = 0; collector < 4; ++collector) {
         BOOST_TEST(fleet.mesh(collector).missing(FirstWindow + 1).empty());
-        BOOST_TEST((fleet.mesh(collector).counts(FirstWindow + 1)
-                    == fleet.truth_.at(FirstWindow + 1)));
+        BOOST_TEST(
+            (fleet.mesh(collector).counts(FirstWindow + 1) == fleet.truth_.at(FirstWindow + 1)));
     }
 }
 
--- a/libs/usage/tests/usagenotetest.cpp
+++ b/libs/usage/tests/usagenotetest.cpp
@@ -66,7 +66,8 @@
 
 BOOST_AUTO_TEST_CASE(questionsAndCorrectionsComeThrough)
 {
-    const auto question = decodeUsageMessage(encodeQuestion({InstanceId("a-1"), 352'950'000, true}));
+    const auto question =
+        decodeUsageMessage(encodeQuestion({InstanceId("a-1"), 352'950'000, true}));
     BOOST_REQUIRE(question.has_value());
     BOOST_REQUIRE(question->question_.has_value());
     BOOST_TEST(question->question_->from_ == 352'950'000);
--- a/libs/usage/tests/usagereportertest.cpp
+++ b/libs/usage/tests/usagereportertest.cpp
@@ -118,7 +118,8 @@
                 }
             };
             late(lateAppends, [&](const auto &call) { world.append(call.first, call.second); });
-            late(lateSends, [&](const auto &call) { world.accepted_[call.first].insert(call.second); });
+            late(lateSends,
+                 [&](const auto &call) { world.accepted_[call.first].insert(call.second); });
             const auto action = reporter.next(now);
             if (!action) {
                 continue;
