--- a/libs/usage/include/almondridge/usage/usagereporter.h
+++ b/libs/usage/include/almondridge/usage/usagereporter.h
@@ -66,7 +66,7 @@
     void onLogRead(const std::vector<ReportRecord> &records, LogOffset end, bool isLast,
                    std::int64_t nowMillis);
     /** Appended at that offset. */
-    void onAppended(Window window, AccountCounts counts, LogOffset offset);
+    void onAppended(Window window, const AccountCounts &counts, LogOffset offset);
     /** The report was accepted. */
     void onSent(Window window);
     /** The step got no answer, or a refusal that another try may mend. */
--- a/libs/usage/src/usagereporter.cpp
+++ b/libs/usage/src/usagereporter.cpp
@@ -100,7 +100,7 @@
     forgetOld(nowMillis);
 }
 
-void UsageReporter::onAppended(Window window, AccountCounts counts, LogOffset offset)
+void UsageReporter::onAppended(Window window, const AccountCounts &counts, LogOffset offset)
 {
     busy_ = false;
     failures_ = 0;
@@ -110,7 +110,7 @@
         return;
     }
     ++next_;
-    reports_.try_emplace(window, std::move(counts));
+    reports_.try_emplace(window, counts);
 }
 
 void UsageReporter::onSent(Window window)
