--- a/libs/gateway/include/almondridge/gateway/sizekeeper.h
+++ b/libs/gateway/include/almondridge/gateway/sizekeeper.h
@@ -44,7 +44,6 @@
 
     void start() { planAll(); }
     void stop() { timer_.stop(); }
-    std::uint64_t orders() const noexcept { return orders_; }
     /** Whether the endpoint may be given back in a moment. */
     bool mayLeave(const Endpoint &endpoint) const;
 
@@ -61,7 +60,6 @@
     std::map<ServiceId, SizePlan> plans_;
     async::Timer timer_;
     Fence fence_ = 0; ///< Of the right that orders were last given with.
-    std::uint64_t orders_ = 0;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/sizekeeper.cpp
+++ b/libs/gateway/src/sizekeeper.cpp
@@ -26,11 +26,11 @@
     if (gateway_.config() == nullptr) {
         return;
     }
-    for (const ServiceTraits &service : gateway_.config()->services()) {
-        planOf(service.id_).watch(gateway_.endpoints(), service, now);
-    }
     const auto right = authority_.right();
     if (!right) {
+        for (const ServiceTraits &service : gateway_.config()->services()) {
+            planOf(service.id_).watch(gateway_.endpoints(), service, now);
+        }
         return;
     }
     if (right->fence_ != fence_) {
@@ -66,7 +66,6 @@
 
 void SizeKeeper::give(const OrderRight &right, const ServiceId &service, const SizeOrder &order)
 {
-    ++orders_;
     api_.order(right, service, order, [this, service, order](OrderOutcome outcome) {
         logEvent(LogLevel::Info, "size_order",
                  {{"service", service.value()},
--- a/libs/gateway/src/sizeplan.cpp
+++ b/libs/gateway/src/sizeplan.cpp
@@ -105,7 +105,7 @@
         if (!settled_) {
             found = std::max({found, here.lasting_, here.spot_});
         }
-        found = std::max(found, std::min(here.lasting_ + here.spot_, here.lasting_));
+        found = std::max(found, here.lasting_);
     }
     if (listed != lastCount_) {
         lastCount_ = listed;
