A request that may have run ends with its own cause again

Found by reading the change: passing a cause to ServiceCall::giveUp() had made no-endpoint of no-endpoint-left, which explain tells apart: one of the endpoints may have run the request. Platform and observe tests pass.

--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -20,13 +20,15 @@
     void attemptEnd() override;
     void attemptFailed(async::ExchangeFailure failure) override;
     void attemptSilent() override;
-    void giveUp(std::string_view cause);
+    void giveUp();
+    /** 502 where the request may have run, a refusal where it did not. */
+    void endUnserved(std::string_view cause);
 };
 
 void ServiceCall::sendNext()
 {
     if (!isKeyValid()) {
-        giveUp(KeyWithdrawnCause);
+        endUnserved(KeyWithdrawnCause);
         return;
     }
     const auto endpoint =
@@ -34,7 +36,7 @@
             gateway_.table_, input_.service_, excluded_, gateway_.random_(), BootClock::now())
                                       : quietestEndpoint();
     if (!endpoint) {
-        giveUp("no-endpoint");
+        giveUp();
         return;
     }
     ++runs_;
@@ -44,7 +46,12 @@
     }
 }
 
-void ServiceCall::giveUp(std::string_view cause)
+void ServiceCall::giveUp()
+{
+    endUnserved(mayHaveRun_ ? "no-endpoint-left" : "no-endpoint");
+}
+
+void ServiceCall::endUnserved(std::string_view cause)
 {
     if (mayHaveRun_) {
         failCall(502, cause);
@@ -68,7 +75,7 @@
         --runs_;
         retryAfterMillis_ = facts.retryAfterMillis_;
         leaveEndpoint(refusalEvidence());
-        maySendAgain() ? sendNext() : giveUp("no-endpoint");
+        maySendAgain() ? sendNext() : giveUp();
         return;
     }
     mayHaveRun_ = true;
@@ -92,7 +99,7 @@
     if (failure == async::ExchangeFailure::NotSent) {
         --runs_;
         leaveEndpoint(Evidence::Unreachable);
-        mayTryAnother() ? sendNext() : giveUp("no-endpoint");
+        mayTryAnother() ? sendNext() : giveUp();
         return;
     }
     countBegan(attempt_.sentAt_);
