Boards tell everything in parts, and a newcomer only what it lacks

Cause: each change of the peer that an instance asks cost a whole list, 2.5 MB at 10,000 endpoints, in one answer; over 20 Mbit/s that takes longer than the 1.2 s after which a peer counts as silent, so no such list ever ends. Now a list leaves in parts that go on where the last one stopped, and whoever knows all records before an offset is told only what is later. Ruled out: compression alone, which moves the size at which it breaks.

Found by the random histories while it was made, each in my own change: a value that was another one in between was not told again (now numbered anew unless the log was read record by record); a removal that a reader holds back was counted as known (records now end before it); a whole list left out removals later than its end.

--- a/libs/news/src/board.cpp
+++ b/libs/news/src/board.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace almondridge::news {
 namespace {
@@ -64,11 +65,18 @@
     // A removal of a key that is not listed here is told on all the same: a peer may have seen it
     // listed in between, and only this removal takes it off there.
     if (isSame && !(isRemoval && isLater)) {
+        // It may have been another in between, which whoever was told by others may still have.
+        if (isLater && !change.followsKnown_) {
+            item.valueOffset_ = change.offset_;
+            renumber(place);
+        }
         return;
     }
     const bool wasRemoved = !added && item.value_.empty();
     item.value_ = change.value_;
-    item.change_ = next_++;
+    item.valueOffset_ = change.offset_;
+    item.isLate_ = change.offset_ < topics_[indexOf(change.topic_)].end_;
+    renumber(place);
     removals_ += isRemoval ? 1 : 0;
     removals_ -= wasRemoved ? 1 : 0;
     if (!isSame) {
@@ -77,13 +85,28 @@
     forgetOldRemovals();
 }
 
+void Board::renumber(Items::iterator item)
+{
+    byChange_.erase(item->second.change_);
+    item->second.change_ = next_++;
+    byChange_.emplace(item->second.change_, item);
+}
+
 void Board::forgetOldRemovals()
 {
     if (removals_ <= RememberedRemovals) {
         return;
     }
     knownFrom_ = next_;
-    std::erase_if(items_, [](const auto &entry) { return entry.second.value_.empty(); });
+    for (auto item = items_.begin(); item != items_.end();) {
+        const bool isRemoved = item->second.value_.empty();
+        if (isRemoved) {
+            LogOffset &skipped = skippedUntil_[indexOf(item->first.first)];
+            skipped = std::max(skipped, item->second.offset_ + 1);
+            byChange_.erase(item->second.change_);
+        }
+        item = isRemoved ? items_.erase(item) : std::next(item);
+    }
     removals_ = 0;
 }
 
@@ -99,13 +122,15 @@
         }
     }
     if (end > topics_[indexOf(topic)].end_) {
-        onSkipped();
+        onSkipped(topic, end);
     }
 }
 
-void Board::onSkipped()
+void Board::onSkipped(Topic topic, LogOffset end)
 {
     knownFrom_ = ++next_;
+    LogOffset &skipped = skippedUntil_[indexOf(topic)];
+    skipped = std::max(skipped, end);
 }
 
 void Board::onRead(Topic topic, TimePoint readAt, LogOffset end)
@@ -126,34 +151,106 @@
     return topics_[indexOf(topic)].readAt_;
 }
 
-ChangeSet Board::since(std::uint64_t from) const
+ChangeSet Board::emptySet() const
 {
     ChangeSet set;
-    set.whole_ = from < knownFrom_ || from > next_;
     set.next_ = next_;
+    set.base_ = knownFrom_;
     set.topics_ = topics_;
-    for (const auto &[key, item] : items_) {
-        const bool wanted = set.whole_ ? !item.value_.empty() : item.change_ >= from;
-        if (wanted) {
-            set.changes_.push_back({key.first, key.second, item.value_, item.offset_});
+    return set;
+}
+
+ChangeSet Board::since(std::uint64_t from) const
+{
+    const bool isKnown = from >= knownFrom_ && from <= next_;
+    return after({from, isKnown ? knownFrom_ : 0, false}, items_.size());
+}
+
+ChangeSet Board::after(const Position &position, std::size_t most) const
+{
+    const bool goesOn = position.base_ == knownFrom_ && position.from_ <= next_;
+    ChangeSet set = emptySet();
+    set.first_ = !goesOn;
+    set.whole_ = !goesOn || position.listing_;
+    for (auto change = byChange_.lower_bound(goesOn ? position.from_ : 0);
+         change != byChange_.end(); ++change) {
+        const auto &[key, item] = *change->second;
+        // The last part tells of removals before the end: what is in no part is gone.
+        const bool isToldByEnd =
+            item.value_.empty() && item.offset_ < topics_[indexOf(key.first)].end_;
+        if (set.first_ && isToldByEnd) {
+            continue;
+        }
+        if (set.changes_.size() >= most) {
+            set.more_ = true;
+            set.next_ = change->first;
+            break;
+        }
+        set.changes_.push_back({key.first, key.second, item.value_, item.offset_});
+    }
+    return set;
+}
+
+std::optional<ChangeSet> Board::missingAt(const TopicEnds &ends, std::size_t most) const
+{
+    for (std::size_t index = 0; index < TopicCount; ++index) {
+        if (ends[index] < skippedUntil_[index]) {
+            return std::nullopt;
+        }
+    }
+    ChangeSet set = emptySet();
+    for (const auto &[number, place] : byChange_) {
+        const auto &[key, item] = *place;
+        if (!item.isLate_ && item.valueOffset_ < ends[indexOf(key.first)]) {
+            continue;
+        }
+        if (set.changes_.size() >= most) {
+            return std::nullopt;
         }
+        set.changes_.push_back({key.first, key.second, item.value_, item.offset_});
     }
     return set;
 }
 
+TopicEnds Board::ends() const
+{
+    TopicEnds ends {};
+    std::transform(topics_.begin(), topics_.end(), ends.begin(),
+                   [](const TopicState &topic) { return topic.end_; });
+    return ends;
+}
+
+/** Keys that are in no part are gone, which is known with the last part. */
+void Board::takeList(const ChangeSet &set)
+{
+    if (!set.whole_) {
+        listed_.reset();
+        return;
+    }
+    if (set.first_ || !listed_) {
+        listed_.emplace();
+    }
+    for (const Change &change : set.changes_) {
+        (*listed_)[indexOf(change.topic_)].push_back(change.key_);
+    }
+    if (set.more_) {
+        return;
+    }
+    const auto listed = *std::exchange(listed_, std::nullopt);
+    for (std::size_t index = 0; index < TopicCount; ++index) {
+        keepOnly(static_cast<Topic>(index), listed[index], set.topics_[index].end_);
+    }
+}
+
 void Board::apply(const ChangeSet &set)
 {
-    std::array<std::vector<std::string>, TopicCount> present;
     for (const Change &change : set.changes_) {
         put(change);
-        present[indexOf(change.topic_)].push_back(change.key_);
     }
-    for (std::size_t index = 0; index < TopicCount; ++index) {
+    takeList(set);
+    for (std::size_t index = 0; index < TopicCount && !set.more_; ++index) {
         const auto topic = static_cast<Topic>(index);
         const TopicState &told = set.topics_[index];
-        if (set.whole_) {
-            keepOnly(topic, present[index], told.end_);
-        }
         if (told.readAt_) {
             onRead(topic, *told.readAt_, told.end_);
         }
--- a/libs/news/tests/boardorderstest.cpp
+++ b/libs/news/tests/boardorderstest.cpp
@@ -59,7 +59,7 @@
     LogOffset read_ = 0;       ///< Of a reader: where it goes on.
     std::vector<Change> held_; ///< Of a reader: removals that it holds back.
     Instance *source_ = nullptr;
-    std::uint64_t from_ = 0; ///< Of a follower: its source's number.
+    Position position_;        ///< Of a follower, in what its source tells.
 
     void onChange(const Change &change)
     {
@@ -77,10 +77,15 @@
             if (holds && record.value_.empty()) {
                 held_.push_back(record);
             } else {
-                board_.put(record);
+                Change change = record;
+                change.followsKnown_ =
+                    std::erase_if(held_,
+                                  [&](const Change &one) { return one.key_ == record.key_; })
+                    == 0;
+                board_.put(change);
             }
         }
-        board_.onRead(Topic::Endpoints, AnyTime, read_);
+        board_.onRead(Topic::Endpoints, AnyTime, held_.empty() ? read_ : held_.front().offset_);
     }
 
     /** The newest record of each key, in place of the history. */
@@ -109,13 +114,32 @@
         }
     }
 
-    void follow(Instance &source)
+    /** One answer of a source: further changes, what is missing, or a part of everything. */
+    void ask(Instance &source, std::size_t most)
     {
-        from_ = source_ == &source ? from_ : 0;
-        source_ = &source;
-        const ChangeSet set = source.board_.since(from_);
+        if (source_ != &source) {
+            source_ = &source;
+            position_ = {};
+        }
+        const auto missing = position_.base_ == 0
+                                 ? source.board_.missingAt(board_.ends(), most)
+                                 : std::optional<ChangeSet>();
+        const ChangeSet set = missing ? *missing : source.board_.after(position_, most);
+        for (const Change &change : set.changes_) {
+            // A removal of what is not shown is known all the same.
+            if (change.value_.empty() && value(change.key_).empty()) {
+                newest_[change.key_] = std::max(newest_[change.key_], change.offset_);
+            }
+        }
         board_.apply(set);
-        from_ = set.next_;
+        position_ = set.position();
+    }
+
+    void follow(Instance &source)
+    {
+        do {
+            ask(source, 2);
+        } while (!source.board_.isAtEnd(position_));
     }
 
     std::string value(const std::string &key) const
@@ -138,7 +162,7 @@
         const std::string key = keyNamed(below(Keys));
         Instance &reader = readers_.at(below(Readers));
         Instance &follower = followers_.at(below(Followers));
-        switch (below(9)) {
+        switch (below(10)) {
         case 0:
             history_.list(key);
             break;
@@ -164,6 +188,9 @@
         case 7:
             follower.follow(reader);
             break;
+        case 8:
+            follower.ask(below(2) == 0 ? reader : followers_.at(below(Followers)), 2);
+            break;
         default:
             follower.follow(followers_.at(below(Followers)));
         }
