News: parts, progress and confirmation over tiers

Cause: a list that keeps arriving was cut 1.2 s after the question, so over a narrow link it never ended; and news grew older by up to 0.8 s at each instance that passed them on, more than the 1.6 s after which they count as useless with two tiers. Answers have 1,000 changes at most, each part that arrives counts as a word, one that knows nothing yet says so and is asked again, and all who wait are told as soon as what is known was confirmed.

--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -21,6 +21,8 @@
 inline constexpr Duration LongestSilence = HoldTime + millis(400);
 /** Older news than this is no news: the peer has lost the store itself. */
 inline constexpr Duration UselessAge = millis(1'600);
+/** Changes in one answer: a whole list leaves in parts that a narrow link bears. */
+inline constexpr std::size_t MostChangesInAnswer = 1'000;
 
 /**
  * A change set as an answer's body: ages instead of points in time, as clocks differ. Of when a
@@ -55,20 +57,30 @@
     /** Whether this instance has lost the store: those who would not wait for it are told at once.
      */
     void setLost(bool lost);
-    /** What is known was confirmed: whoever asked while it was too old is answered. */
+    /**
+     * What is known was confirmed: all who wait are told its age, so that whoever follows over
+     * several instances knows no older news than the first of them.
+     */
     void onConfirmed();
 
 private:
-    struct Waiting
+    struct Question
     {
         async::CallId id_;
-        std::uint64_t from_ = 0;
+        Position position_;
+        TopicEnds ends_ {};
         TimePoint askedAt_ {};
+    };
+    struct Waiting
+    {
+        Question question_;
         TimePoint until_ {};
         bool patient_ = false; ///< Waits also for one that has lost the store.
     };
 
-    void respond(const async::CallId &id, std::uint64_t from, TimePoint askedAt);
+    Question readQuestion(const async::ServerCall &call) const;
+    ChangeSet answerTo(const Question &question) const;
+    void respond(const Question &question);
     void answerLate();
     bool isFresh(TimePoint now) const;
     void answerThose(const std::function<bool(const Waiting &)> &chosen);
@@ -79,6 +91,7 @@
     std::list<Waiting> waiting_;
     async::Timer timer_;
     async::EventLoop &loop_;
+    TimePoint confirmedAt_ {}; ///< What those who waited were last told of.
     bool newsPosted_ = false;
     bool lost_ = false;
 };
@@ -92,6 +105,8 @@
         /** What the peer knows beyond us; told before onUseless_ when it is old. */
         std::function<void(const ChangeSet &)> onChanges_;
         std::function<void(Uselessness)> onUseless_;
+        /** Up to which records all is known here. */
+        std::function<TopicEnds()> ends_ {};
     };
 
     RelayClient(async::EventLoop &loop, Events events);
@@ -103,6 +118,7 @@
 
 private:
     void ask();
+    void awaitWord();
     void onAnswer(int status, const std::string &body);
     void giveUp(Uselessness cause);
 
@@ -112,7 +128,7 @@
     std::optional<net::Address> peer_;
     async::ExchangeId exchange_ = 0;
     std::uint64_t lifetime_ = 0;
-    std::uint64_t from_ = 0;
+    Position position_;
     TimePoint askedAt_ {}; ///< When the question that waits for its answer left.
     bool patient_ = false;
 };
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
 namespace almondridge::news {
@@ -12,6 +13,9 @@
 constexpr std::string_view NewsPath = "/news?";
 constexpr std::string_view PatientMark = "&patient";
 constexpr std::int64_t ConnectMillis = 250;
+/** News this much newer than what those who wait were told are told to them. */
+constexpr Duration ConfirmStep = millis(300);
+constexpr char EndsSeparator = '.';
 
 std::uint64_t numberIn(std::string_view target, std::string_view name)
 {
@@ -24,6 +28,29 @@
     return number;
 }
 
+std::string textOf(const TopicEnds &ends)
+{
+    return fmt::format("{}", fmt::join(ends, "."));
+}
+
+/** Ends that are missing are 0. */
+TopicEnds endsIn(std::string_view target, std::string_view name)
+{
+    TopicEnds ends {};
+    std::size_t at = target.find(name);
+    at = at != std::string_view::npos ? at + name.size() : target.size();
+    for (LogOffset &end : ends) {
+        const char *const last = target.data() + target.size();
+        const auto read = std::from_chars(target.data() + at, last, end);
+        at = static_cast<std::size_t>(read.ptr - target.data());
+        if (at >= target.size() || target[at] != EndsSeparator) {
+            break;
+        }
+        ++at;
+    }
+    return ends;
+}
+
 /** nullopt: the peer has none, or is of a version that tells none. */
 std::optional<TimePoint> readProof(const Json &json, std::size_t index, TimePoint askedAt)
 {
@@ -53,7 +80,8 @@
         proofs.push_back(topic.asOf_ ? Json(toMillis(askedAt - *topic.asOf_) + 1) : Json(nullptr));
     }
     const Json json {{"lifetime", lifetime}, {"lost", lost},      {"whole", set.whole_},
-                     {"next", set.next_},    {"ages", ages},      {"ends", ends},
+                     {"first", set.first_},  {"more", set.more_}, {"next", set.next_},
+                     {"base", set.base_},    {"ages", ages},      {"ends", ends},
                      {"proofs", proofs},     {"changes", changes}};
     std::string body;
     Json::to_cbor(json, body);
@@ -69,7 +97,10 @@
         received.lifetime_ = json.at("lifetime").get<std::uint64_t>();
         received.lost_ = json.at("lost").get<bool>();
         received.set_.whole_ = json.at("whole").get<bool>();
+        received.set_.first_ = json.value("first", received.set_.whole_);
+        received.set_.more_ = json.value("more", false);
         received.set_.next_ = json.at("next").get<std::uint64_t>();
+        received.set_.base_ = json.value("base", std::uint64_t {0});
         for (std::size_t index = 0; index < TopicCount; ++index) {
             const Json &age = json.at("ages").at(index);
             if (!age.is_null()) {
@@ -105,49 +136,69 @@
     return call.head_.target_.starts_with(NewsPath);
 }
 
+RelayServer::Question RelayServer::readQuestion(const async::ServerCall &call) const
+{
+    const std::string &target = call.head_.target_;
+    Question question {call.id_, {}, endsIn(target, "ends="), call.startedAt_};
+    if (numberIn(target, "lifetime=") == lifetime_) {
+        question.position_ = {numberIn(target, "from="), numberIn(target, "base="),
+                              numberIn(target, "listing=") != 0};
+    }
+    return question;
+}
+
 void RelayServer::answer(async::HttpServer &server, const async::ServerCall &call)
 {
     server_ = &server;
-    const bool sameLifetime = numberIn(call.head_.target_, "lifetime=") == lifetime_;
-    const std::uint64_t from = sameLifetime ? numberIn(call.head_.target_, "from=") : 0;
+    const Question question = readQuestion(call);
     const TimePoint now = BootClock::now();
-    const TimePoint askedAt = call.startedAt_;
     // With old news the answer would be of no use: this instance may be about to have newer ones,
     // as whoever asks it now was left by the same reader at the same moment.
-    if (from != board_.next() && isFresh(now)) {
-        respond(call.id_, from, askedAt);
+    if (!board_.isAtEnd(question.position_) && isFresh(now)) {
+        respond(question);
         return;
     }
     const bool patient = call.head_.target_.ends_with(PatientMark);
     if (lost_ && !patient) {
-        respond(call.id_, from, askedAt);
+        respond(question);
         return;
     }
-    waiting_.push_back({call.id_, from, askedAt, now + HoldTime, patient});
+    waiting_.push_back({question, now + HoldTime, patient});
     if (waiting_.size() == 1) {
         timer_.startAt(waiting_.front().until_, [this] { answerLate(); });
     }
 }
 
-void RelayServer::respond(const async::CallId &id, std::uint64_t from, TimePoint askedAt)
+ChangeSet RelayServer::answerTo(const Question &question) const
 {
-    ChangeSet set;
-    if (lost_) {
-        // Nothing of use: whoever asked goes to another one, and need not be sent a whole list.
-        set.next_ = from;
-    } else {
-        set = board_.since(from);
+    const bool knowsAll = ageOf(board_.topics(), BootClock::now()).has_value();
+    if (lost_ || !knowsAll) {
+        // Nothing of use, or not yet: whoever asked need not be sent what may be half a list.
+        ChangeSet none;
+        none.next_ = question.position_.from_;
+        none.base_ = question.position_.base_;
+        return none;
     }
-    server_->respond(id,
-                     {200, {}, encodeChanges(set, lifetime_, lost_, BootClock::now(), askedAt)});
+    const bool isNew = question.position_.base_ == 0;
+    const auto missing = isNew ? board_.missingAt(question.ends_, MostChangesInAnswer)
+                               : std::optional<ChangeSet>();
+    return missing ? *missing : board_.after(question.position_, MostChangesInAnswer);
+}
+
+void RelayServer::respond(const Question &question)
+{
+    server_->respond(question.id_,
+                     {200,
+                      {},
+                      encodeChanges(answerTo(question), lifetime_, lost_, BootClock::now(),
+                                    question.askedAt_)});
 }
 
 void RelayServer::answerLate()
 {
     const TimePoint now = BootClock::now();
     while (!waiting_.empty() && waiting_.front().until_ <= now) {
-        const Waiting &one = waiting_.front();
-        respond(one.id_, one.from_, one.askedAt_);
+        respond(waiting_.front().question_);
         waiting_.pop_front();
     }
     if (!waiting_.empty()) {
@@ -183,20 +234,29 @@
         one = next;
     }
     for (const Waiting &one : answered) {
-        respond(one.id_, one.from_, one.askedAt_);
+        respond(one.question_);
     }
 }
 
 void RelayServer::onConfirmed()
 {
-    if (!waiting_.empty() && isFresh(BootClock::now())) {
-        answerThose([this](const Waiting &one) { return one.from_ != board_.next(); });
+    const TimePoint now = BootClock::now();
+    if (!isFresh(now)) {
+        return;
     }
+    const TimePoint readAt = now - *ageOf(board_.topics(), now);
+    if (readAt < confirmedAt_ + ConfirmStep) {
+        answerThose(
+            [this](const Waiting &one) { return !board_.isAtEnd(one.question_.position_); });
+        return;
+    }
+    confirmedAt_ = readAt;
+    answerThose([](const Waiting &) { return true; });
 }
 
 void RelayServer::forget(const async::CallId &id)
 {
-    waiting_.remove_if([&](const Waiting &one) { return one.id_ == id; });
+    waiting_.remove_if([&](const Waiting &one) { return one.question_.id_ == id; });
 }
 
 void RelayServer::onNews()
@@ -209,7 +269,7 @@
     loop_.post([this] {
         newsPosted_ = false;
         for (const Waiting &one : std::exchange(waiting_, {})) {
-            respond(one.id_, one.from_, one.askedAt_);
+            respond(one.question_);
         }
     });
 }
@@ -226,7 +286,7 @@
     patient_ = patient;
     peer_ = peer;
     lifetime_ = 0;
-    from_ = 0;
+    position_ = {};
     ask();
 }
 
@@ -238,22 +298,34 @@
     exchange_ = 0;
 }
 
+/** A list that keeps arriving over a narrow link is waited for. */
+void RelayClient::awaitWord()
+{
+    timer_.startAt(BootClock::now() + LongestSilence, [this] { giveUp(Uselessness::Silent); });
+}
+
 void RelayClient::ask()
 {
     const TimePoint now = BootClock::now();
     askedAt_ = now;
-    timer_.startAt(now + LongestSilence, [this] { giveUp(Uselessness::Silent); });
+    awaitWord();
     async::ExchangeRequest request;
     request.peer_ = net::toString(*peer_);
     request.address_ = *peer_;
     request.connectBy_ = now + millis(ConnectMillis);
-    request.text_ =
-        fmt::format("GET /news?lifetime={}&from={}{} HTTP/1.1\r\nHost: {}\r\n\r\n", lifetime_,
-                    from_, patient_ ? PatientMark : "", net::toString(*peer_));
-    exchange_ = client_.start(std::move(request),
-                              async::gatherAnswer([this](const async::ExchangeResult &result) {
-                                  onAnswer(result.failure_ ? 0 : result.status_, result.body_);
-                              }));
+    request.text_ = fmt::format(
+        "GET /news?lifetime={}&from={}&base={}&listing={}&ends={}{} HTTP/1.1\r\nHost: {}\r\n\r\n",
+        lifetime_, position_.from_, position_.base_, position_.listing_ ? 1 : 0,
+        textOf(events_.ends_ ? events_.ends_() : TopicEnds {}), patient_ ? PatientMark : "",
+        net::toString(*peer_));
+    async::ExchangeEvents answer = async::gatherAnswer([this](const async::ExchangeResult &result) {
+        onAnswer(result.failure_ ? 0 : result.status_, result.body_);
+    });
+    answer.onBody_ = [this, gather = std::move(answer.onBody_)](std::string part) {
+        gather(std::move(part));
+        awaitWord();
+    };
+    exchange_ = client_.start(std::move(request), std::move(answer));
 }
 
 void RelayClient::onAnswer(int status, const std::string &body)
@@ -269,12 +341,13 @@
         return;
     }
     lifetime_ = received->lifetime_;
-    from_ = received->set_.next_;
+    position_ = received->set_.position();
     timer_.stop();
     // Taken also when it is old: the peer may know a later configuration all the same.
     events_.onChanges_(received->set_);
+    // A peer that knows nothing yet is about to: it has not lost the store, and says so.
     const auto age = ageOf(received->set_.topics_, now);
-    if (!age || *age > UselessAge) {
+    if (age && *age > UselessAge && !received->set_.more_) {
         giveUp(Uselessness::Old);
         return;
     }
