An instance that may lack a configuration answers 503, not 404; settings for the first start and the bound

Endpoints' log lines are bounded to 200 in ten seconds: a list of 10,000 wrote 2 MB at each instance.

--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -43,6 +43,10 @@
     double secondSendRatio_ = 0.2; ///< Second sends for each request of a service.
     double secondSendSlack_ = 10;  ///< Beside these, all instances together, in each window.
     std::int64_t secondSendWindowSeconds_ = 10;
+    /** Until a configuration that was accepted is in force everywhere. */
+    std::int64_t configBoundMillis_ = 2'000;
+    /** The whole system starts for the first time: others start at the same moment. */
+    bool isFirstStart_ = false;
     double linkMbps_ = 100; ///< Of this machine.
     int maxDescriptors_ = 1'024;
     /** Of the keys that stand for requests; the same for all instances of a deployment. */
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -32,6 +32,8 @@
     std::size_t maxKeptConnections_ = 512;
     /** Until a key that was taken away must not work any more, in touch or not; 0: no bound. */
     std::int64_t revokeBoundMillis_ = 0;
+    /** Until a configuration that was accepted is in force everywhere; 0: no bound. */
+    std::int64_t configBoundMillis_ = 0;
     std::string keySecret_ {}; ///< Of request keys; the same for all instances of a deployment.
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -17,6 +17,9 @@
 /** Anybody may send false keys: the counter has them all. */
 constexpr int MostDenialLines = 20;
 constexpr Duration DenialLogWindow = millis(10'000);
+/** Lines on endpoints in one window: a whole list has thousands, and a line of its own. */
+constexpr int MostEndpointLines = 200;
+constexpr Duration EndpointLogWindow = millis(10'000);
 
 } // namespace
 
@@ -32,6 +35,7 @@
     , keyLease_(settings_.revokeBoundMillis_)
     , waitingKeysTimer_(loop)
     , denialLines_(MostDenialLines, DenialLogWindow)
+    , endpointLines_(MostEndpointLines, EndpointLogWindow)
     , random_(std::random_device {}())
     , tests_(loop)
     , leftOutTimer_(loop)
@@ -183,15 +187,17 @@
     if (news == Listing::Same) {
         return;
     }
-    logEvent(LogLevel::Info, "endpoint",
-             {{"endpoint", listed.id_.value()},
-              {"service", listed.service_.value()},
-              {"address", net::toString(listed.address_)},
-              {"domain", listed.domain_.value()},
-              {"state", listed.draining_ ? "draining" : "ready"},
-              {"stage", nameOf(StageNames, listed.stage_)},
-              {"restarted", news == Listing::Restarted ? "yes" : "no"},
-              {"started_at", listed.startedAtMillis_}});
+    if (state_->endpointLines_.take(BootClock::now())) {
+        logEvent(LogLevel::Info, "endpoint",
+                 {{"endpoint", listed.id_.value()},
+                  {"service", listed.service_.value()},
+                  {"address", net::toString(listed.address_)},
+                  {"domain", listed.domain_.value()},
+                  {"state", listed.draining_ ? "draining" : "ready"},
+                  {"stage", nameOf(StageNames, listed.stage_)},
+                  {"restarted", news == Listing::Restarted ? "yes" : "no"},
+                  {"started_at", listed.startedAtMillis_}});
+    }
     // After a restart the kept connections lead to a process that is gone.
     if (listed.draining_ || news == Listing::Restarted) {
         state_->client_.dropKept(listed.id_.value());
@@ -201,7 +207,9 @@
 void Gateway::unlistEndpoint(const EndpointId &id)
 {
     if (state_->table_.unlist(id)) {
-        logEvent(LogLevel::Info, "endpoint", {{"endpoint", id.value()}, {"state", "gone"}});
+        if (state_->endpointLines_.take(BootClock::now())) {
+            logEvent(LogLevel::Info, "endpoint", {{"endpoint", id.value()}, {"state", "gone"}});
+        }
         state_->client_.dropKept(id.value());
     }
 }
@@ -264,10 +272,7 @@
     const std::string_view host = net::headerValue(request.head_.headers_, "Host");
     const Route *route = config_->find(host, request.head_.target_);
     if (route == nullptr || route->services_.empty()) {
-        logEvent(
-            LogLevel::Info, "no_route",
-            {{"host", host}, {"target", request.head_.target_}, {"config", config_->version()}});
-        refuse(request.id_, 404, "no-route");
+        refuseUnrouted(request);
         return;
     }
     const TimePoint now = BootClock::now();
@@ -292,6 +297,33 @@
     deny(request.id_, verdict.access_);
 }
 
+/**
+ * Whether a configuration could be in force elsewhere that this instance does not know. Then that it
+ * has no such route says nothing of whether there is one.
+ */
+bool GatewayState::mayLackConfig(TimePoint now) const
+{
+    const auto asOf = keyLease_.asOf();
+    return settings_.configBoundMillis_ > 0
+           && (!asOf || *asOf + millis(settings_.configBoundMillis_) < now);
+}
+
+void GatewayState::refuseUnrouted(const async::ServerCall &request)
+{
+    const bool isUnproven = mayLackConfig(BootClock::now());
+    logEvent(LogLevel::Info, "no_route",
+             {{"host", net::headerValue(request.head_.headers_, "Host")},
+              {"target", request.head_.target_},
+              {"config", config_->version()},
+              {"proven", isUnproven ? "no" : "yes"}});
+    if (isUnproven) {
+        server_.respond(request.id_,
+                        dialect_.refusal(503, UnconfirmedRetryMillis, "config-unproven"));
+    } else {
+        refuse(request.id_, 404, "no-route");
+    }
+}
+
 void GatewayState::begin(async::ServerCall request, const Route &route, AccessVerdict verdict)
 {
     CallInput input;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -28,6 +28,8 @@
 
     void onCall(async::ServerCall request);
     void admit(async::ServerCall request, const Credentials &credentials);
+    bool mayLackConfig(TimePoint now) const;
+    void refuseUnrouted(const async::ServerCall &request);
     void begin(async::ServerCall request, const Route &route, AccessVerdict verdict);
     /** 401, or 503 where this instance cannot tell. */
     void deny(const async::CallId &id, Access access);
@@ -62,6 +64,7 @@
     WaitingKeys waitingKeys_;
     async::Timer waitingKeysTimer_;
     LineAllowance denialLines_;
+    LineAllowance endpointLines_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
