--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -52,6 +52,7 @@
     std::vector<EndpointId> excluded_ {};
     const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Of the service's requests.
     double slotWaitMillis_ = 0; ///< Once it is read, as far as is known now.
+    bool inPlace_ = false;      ///< It is read where it is generated, whoever else could read it.
 };
 
 /** What is asked of an engine that generates. */
@@ -121,20 +122,27 @@
 
 private:
     struct Offer;
-
-    std::vector<const Endpoint *> enginesInOrder(const EndpointTable &table,
-                                                 const PromptQuery &query, TimePoint now) const;
+    /** An engine and its place in the order of a prompt's leading part: the highest goes first. */
+    struct Candidate
+    {
+        std::uint64_t weight_ = 0;
+        const Endpoint *engine_ = nullptr;
+    };
+    using Candidates = std::vector<Candidate>;
+
+    Candidates candidates(const EndpointTable &table, const PromptQuery &query,
+                          TimePoint now) const;
+    static std::vector<const Endpoint *> homesAmong(const Candidates &engines);
+    static const Endpoint *firstGenerator(const Candidates &engines);
     Offer offerOf(const Endpoint &engine, const PromptQuery &query, bool mayHold) const;
     /** The time in which an engine reads a token. */
     double millisPerToken(const RequestCosts &costs, const Endpoint &engine) const;
     /** An engine to copy shared parts from that the reader lacks; null when there is none. */
-    const Endpoint *partsSource(const std::vector<const Endpoint *> &engines,
-                                const Endpoint &reader, const Prompt &prompt, TimePoint now) const;
+    const Endpoint *partsSource(const Candidates &engines, const Endpoint &reader,
+                                const Prompt &prompt, TimePoint now) const;
     Offer rank(const Endpoint &engine, const PromptQuery &query, bool mayHold, int urgency) const;
-    Offer bestReader(const std::vector<const Endpoint *> &engines, const PromptQuery &query,
-                     TimePoint now) const;
-    Offer bestGenerator(const std::vector<const Endpoint *> &engines,
-                        const PromptQuery &query) const;
+    Offer bestReader(const Candidates &engines, const PromptQuery &query, TimePoint now) const;
+    Offer bestGenerator(const Candidates &engines, const PromptQuery &query) const;
 
     PlacementSettings settings_;
     PromptMemory memory_;
--- a/libs/gateway/include/almondridge/gateway/promptmemory.h
+++ b/libs/gateway/include/almondridge/gateway/promptmemory.h
@@ -53,5 +53,8 @@
  * it, so that they choose alike without talking.
  */
 std::uint64_t rendezvousWeight(std::string_view name, std::uint64_t key);
+/** The same in two steps, for a name that is weighed again and again. */
+std::uint64_t nameHash(std::string_view name);
+std::uint64_t rendezvousWeight(std::uint64_t nameHash, std::uint64_t key);
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -25,6 +25,7 @@
     query.inTime_ = inTimeUntil();
     query.costs_ = &costs();
     query.excluded_ = excluded_;
+    query.inPlace_ = inPlaceOnly_;
     return query;
 }
 
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
+#include <tuple>
 
 namespace almondridge::gateway {
 namespace {
@@ -172,35 +174,60 @@
     return offer;
 }
 
-std::vector<const Endpoint *>
-Placement::enginesInOrder(const EndpointTable &table, const PromptQuery &query, TimePoint now) const
+Placement::Candidates Placement::candidates(const EndpointTable &table, const PromptQuery &query,
+                                            TimePoint now) const
 {
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
     removeExcluded(engines, query.excluded_);
     const PromptPart *leading = leadingPart(*query.prompt_);
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
-    // Each weight once: comparing would hash two names each time.
-    std::vector<std::pair<std::uint64_t, const Endpoint *>> weighed;
-    weighed.reserve(engines.size());
+    Candidates found;
+    found.reserve(engines.size());
     for (const Endpoint *engine : engines) {
-        weighed.emplace_back(rendezvousWeight(engine->listed_.id_.value(), part), engine);
+        found.push_back({rendezvousWeight(engine->idHash_, part), engine});
     }
-    std::sort(weighed.begin(), weighed.end(),
-              [](const auto &one, const auto &other) { return one.first > other.first; });
-    std::transform(weighed.begin(), weighed.end(), engines.begin(),
-                   [](const auto &entry) { return entry.second; });
-    return engines;
+    return found;
 }
 
-Placement::Offer Placement::bestReader(const std::vector<const Endpoint *> &engines,
-                                       const PromptQuery &query, TimePoint now) const
+/** The first ones of the order that read prompts. */
+std::vector<const Endpoint *> Placement::homesAmong(const Candidates &engines)
 {
-    std::vector<const Endpoint *> homes;
-    for (const Endpoint *engine : engines) {
-        if (engine->listed_.stage_ == Stage::Prefill && homes.size() < HomesOfAPart) {
-            homes.push_back(engine);
+    Candidates homes;
+    for (const Candidate &one : engines) {
+        if (one.engine_->listed_.stage_ != Stage::Prefill) {
+            continue;
+        }
+        const auto place =
+            std::find_if(homes.begin(), homes.end(),
+                         [&](const Candidate &home) { return home.weight_ < one.weight_; });
+        if (place != homes.end() || homes.size() < HomesOfAPart) {
+            homes.insert(place, one);
+            homes.resize(std::min(homes.size(), HomesOfAPart));
+        }
+    }
+    std::vector<const Endpoint *> found;
+    std::transform(homes.begin(), homes.end(), std::back_inserter(found),
+                   [](const Candidate &home) { return home.engine_; });
+    return found;
+}
+
+/** The first one of the order that generates; null: there is none. */
+const Endpoint *Placement::firstGenerator(const Candidates &engines)
+{
+    Candidate first;
+    for (const Candidate &one : engines) {
+        const bool generates = one.engine_->listed_.stage_ != Stage::Prefill;
+        if (generates && (first.engine_ == nullptr || one.weight_ > first.weight_)) {
+            first = one;
         }
     }
+    return first.engine_;
+}
+
+Placement::Offer Placement::bestReader(const Candidates &engines, const PromptQuery &query,
+                                       TimePoint now) const
+{
+    const std::vector<const Endpoint *> homes = homesAmong(engines);
     const PromptPart *leading = leadingPart(*query.prompt_);
     const bool known =
         leading == nullptr || std::any_of(homes.begin(), homes.end(), [&](const Endpoint *home) {
@@ -224,49 +251,52 @@
     return best.engine_ == nullptr || best.millis_ <= left ? best : bestAt(LateUrgencies + inTime);
 }
 
-Placement::Offer Placement::bestGenerator(const std::vector<const Endpoint *> &engines,
+Placement::Offer Placement::bestGenerator(const Candidates &engines,
                                           const PromptQuery &query) const
 {
     Offer best;
-    for (const Endpoint *engine : engines) {
+    std::uint64_t weightOfBest = 0;
+    for (const auto &[weight, engine] : engines) {
         if (engine->listed_.stage_ == Stage::Prefill) {
             continue;
         }
         const Offer offer =
             rank(*engine, query, false, std::clamp(query.priority_, 0, LateUrgencies - 1));
-        if (offer.betterThan(best)) {
+        const bool isFirstOfEqual = offer.cost_ == best.cost_ && weight > weightOfBest;
+        if (offer.betterThan(best) || isFirstOfEqual) {
             best = offer;
+            weightOfBest = weight;
         }
     }
     return best;
 }
 
-const Endpoint *Placement::partsSource(const std::vector<const Endpoint *> &engines,
-                                       const Endpoint &reader, const Prompt &prompt,
-                                       TimePoint now) const
+const Endpoint *Placement::partsSource(const Candidates &engines, const Endpoint &reader,
+                                       const Prompt &prompt, TimePoint now) const
 {
     // What was sent to be read a moment ago is not there yet.
     constexpr Duration ReadBy = millis(1'500);
     // Fewer tokens are read about as fast as a copy is set up.
     constexpr std::int64_t LeastTokens = 1'000;
     const std::int64_t shared = prompt.tokens_ - prompt.ownTokens();
-    std::int64_t most = memory_.cachedTokens(reader.listed_, prompt) + LeastTokens;
-    if (most >= shared) {
+    const std::int64_t least = memory_.cachedTokens(reader.listed_, prompt) + LeastTokens;
+    if (least >= shared) {
         return nullptr; // Most prompts: their shared parts are there, or are short.
     }
+    // The most tokens, then the reader's own failure domain, then the order.
+    using Rank = std::tuple<std::int64_t, bool, std::uint64_t>;
     const Endpoint *best = nullptr;
-    for (const Endpoint *engine : engines) {
-        if (engine == &reader) {
-            continue;
-        }
+    Rank rankOfBest;
+    for (const auto &[weight, engine] : engines) {
         const std::int64_t kept =
             std::min(shared, memory_.cachedTokens(engine->listed_, prompt, now - ReadBy));
-        const bool nearer = best != nullptr && kept == most
-                            && engine->listed_.domain_ == reader.listed_.domain_
-                            && best->listed_.domain_ != reader.listed_.domain_;
-        if (kept > most || nearer) {
+        if (engine == &reader || kept <= least) {
+            continue;
+        }
+        const Rank rank {kept, engine->listed_.domain_ == reader.listed_.domain_, weight};
+        if (best == nullptr || rank > rankOfBest) {
             best = engine;
-            most = kept;
+            rankOfBest = rank;
         }
     }
     return best;
@@ -275,18 +305,20 @@
 std::optional<PromptPlan> Placement::planPrompt(const EndpointTable &table,
                                                 const PromptQuery &query, TimePoint now) const
 {
-    const std::vector<const Endpoint *> engines = enginesInOrder(table, query, now);
-    const Offer generator = bestGenerator(engines, query);
-    if (generator.engine_ == nullptr) {
+    const Candidates engines = candidates(table, query, now);
+    const Endpoint *generator = firstGenerator(engines);
+    if (generator == nullptr) {
         return std::nullopt;
     }
     const Offer reader = bestReader(engines, query, now);
-    const Offer &reads = reader.engine_ != nullptr ? reader : generator;
+    const bool isInPlace = query.inPlace_ || reader.engine_ == nullptr;
+    const Offer inPlace = isInPlace ? bestGenerator(engines, query) : Offer();
+    const Offer &reads = reader.engine_ != nullptr ? reader : inPlace;
     PromptPlan plan;
     if (reader.engine_ != nullptr) {
         plan.prefill_ = reader.engine_->listed_.id_;
     }
-    plan.decode_ = generator.engine_->listed_.id_;
+    plan.decode_ = (isInPlace ? inPlace.engine_ : generator)->listed_.id_;
     plan.urgency_ = reads.urgency_;
     plan.newTokens_ = reads.newTokens_;
     plan.aheadTokens_ = reads.aheadTokens_;
--- a/libs/gateway/src/promptmemory.cpp
+++ b/libs/gateway/src/promptmemory.cpp
@@ -28,7 +28,17 @@
 
 std::uint64_t rendezvousWeight(std::string_view name, std::uint64_t key)
 {
-    return mix(stableHash(name) ^ mix(key));
+    return rendezvousWeight(nameHash(name), key);
+}
+
+std::uint64_t nameHash(std::string_view name)
+{
+    return stableHash(name);
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t nameHash, std::uint64_t key)
+{
+    return mix(nameHash ^ mix(key));
 }
 
 PromptMemory::PromptMemory(std::size_t capacity)
