--- a/libs/control/src/controllog.cpp
+++ b/libs/control/src/controllog.cpp
@@ -39,7 +39,9 @@
         , timeline_(timeline)
         , store_(keyHorizonMillis)
         , follower_(store_, follower)
-        , appender_(service, std::move(appender), [this](bool reached) { noteReached(reached); })
+        , appender_(
+              service, std::move(appender), [this](bool reached) { noteReached(reached); },
+              [this] { reader_.onWentBack(); })
         , reader_(service, source, store_, follower_, appender_, reader,
                   [this](bool reached) { noteReached(reached); })
     { }
--- a/libs/control/src/logappender.cpp
+++ b/libs/control/src/logappender.cpp
@@ -2,6 +2,7 @@
 
 #include "almondridge/base/log.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace almondridge::control {
@@ -26,10 +27,12 @@
 
 } // namespace
 
-LogAppender::LogAppender(store::LogService &service, Options options, ReachedListener reached)
+LogAppender::LogAppender(store::LogService &service, Options options, ReachedListener reached,
+                         WentBackListener wentBack)
     : service_(service)
     , idPrefix_(std::move(options.idPrefix_))
     , reached_(std::move(reached))
+    , wentBack_(std::move(wentBack))
     , queue_(MaxGroupRecords, MaxGroupBytes)
     , budget_(options.appendsPerSecond_, BudgetBurst)
     , backoff_(FirstBackoffMillis, LastBackoffMillis)
@@ -108,6 +111,8 @@
 
 void LogAppender::onFolded(const FoldStep &step)
 {
+    const std::lock_guard lock(mutex_);
+    folded_ = std::max(folded_, step.offset_ + 1);
     const std::string &recordId = step.recordId_;
     if (recordId.size() <= idPrefix_.size() || !recordId.starts_with(idPrefix_)) {
         return;
@@ -115,13 +120,13 @@
     AppendId id = 0;
     const char *digits = recordId.data() + idPrefix_.size();
     std::from_chars(digits, recordId.data() + recordId.size(), id);
-    const std::lock_guard lock(mutex_);
     answerLocked(queue_.onFolded(id, step));
 }
 
 void LogAppender::onJumped(LogOffset next)
 {
     const std::lock_guard lock(mutex_);
+    folded_ = std::max(folded_, next);
     answerLocked(queue_.onJumped(next));
 }
 
@@ -168,11 +173,15 @@
     }
     budget_.spend(now);
     ++appends_;
+    const LogOffset folded = folded_; // Before the call: later records may be folded meanwhile.
     lock.unlock();
     const auto answer =
         capture([&] { return service_.append(group.bodies_, now + millis(AppendTimeoutMillis)); });
     const Error *error = std::get_if<Error>(&answer);
     reached_(error == nullptr || error->kind_ == ErrorKind::Overloaded);
+    if (error == nullptr && std::get<LogOffset>(answer) < folded) {
+        wentBack_();
+    }
     lock.lock();
     if (error != nullptr) {
         noteFailure(group, *error);
--- a/libs/control/src/logappender.h
+++ b/libs/control/src/logappender.h
@@ -27,8 +27,11 @@
     };
     /** Told of each answer of the log: whether it could be reached. */
     using ReachedListener = std::function<void(bool)>;
+    /** Told when a record was put before others that were folded here: the log has lost those. */
+    using WentBackListener = std::function<void()>;
 
-    LogAppender(store::LogService &service, Options options, ReachedListener reached);
+    LogAppender(store::LogService &service, Options options, ReachedListener reached,
+                WentBackListener wentBack);
     ~LogAppender();
     LogAppender(const LogAppender &) = delete;
     LogAppender &operator=(const LogAppender &) = delete;
@@ -65,6 +68,7 @@
     store::LogService &service_;
     const std::string idPrefix_;
     const ReachedListener reached_;
+    const WentBackListener wentBack_;
     std::atomic<std::uint64_t> appends_ = 0;
 
     mutable std::mutex mutex_;
@@ -75,6 +79,7 @@
     AppendBudget budget_;
     Backoff backoff_;
     TimePoint retryAt_ {};
+    LogOffset folded_ = 0; ///< All offsets before it are folded.
     std::mt19937_64 random_;
     bool stopping_ = false;
     std::thread thread_;
--- a/libs/control/src/logreader.cpp
+++ b/libs/control/src/logreader.cpp
@@ -65,7 +65,8 @@
 void LogReader::readOnce()
 {
     const LogOffset next = store_.next();
-    const std::optional<store::LogRecord> last = unchecked_ ? store_.lastRecord() : std::nullopt;
+    const bool compares = unchecked_;
+    const std::optional<store::LogRecord> last = compares ? store_.lastRecord() : std::nullopt;
     const LogOffset from = last ? last->offset_ : next;
     const TimePoint start = BootClock::now();
     auto read = capture([&] { return service_.read(from, start + wait_); });
@@ -74,6 +75,9 @@
         return;
     }
     store::LogPage &page = std::get<store::LogPage>(read);
+    if (unchecked_ && !compares) {
+        return; // An append found another log while this read was on its way.
+    }
     if (!continues(page, next, last)) {
         onOtherLog(page, next);
         return;
@@ -103,6 +107,20 @@
     return !last || (!page.records_.empty() && page.records_.front().body_ == last->body_);
 }
 
+/**
+ * Appends may fill the other log past the last offset folded before this instance reads again. The
+ * next read compares the record there.
+ */
+void LogReader::onWentBack()
+{
+    unchecked_ = true;
+    if (!wentBack_.exchange(true)) {
+        logEvent(LogLevel::Error, "control.log-went-back",
+                 {{"folded", store_.next() - 1},
+                  {"remedy", "bring the log back; until then nothing is read or appended"}});
+    }
+}
+
 void LogReader::onOtherLog(const store::LogPage &page, LogOffset next)
 {
     unchecked_ = true;
--- a/libs/control/src/logreader.h
+++ b/libs/control/src/logreader.h
@@ -33,6 +33,8 @@
 
     /** Whether the log was last seen without what is folded here: it lost records. */
     bool logWentBack() const noexcept { return wentBack_; }
+    /** An append found that out, before the next read does. */
+    void onWentBack();
 
 private:
     void run();
@@ -57,7 +59,7 @@
     Backoff backoff_;
     std::mt19937_64 random_;
     std::atomic<bool> wentBack_ = false;
-    bool unchecked_ = false; ///< Whether the log may be another one since the last good read.
+    std::atomic<bool> unchecked_ = false; ///< Whether the log may be another one since the last good read.
     LogOffset stuckAt_ = 0;  ///< Where trimmed records were last reported as missing.
 
     std::mutex mutex_;
--- a/libs/control/tests/controllogtest.cpp
+++ b/libs/control/tests/controllogtest.cpp
@@ -177,6 +177,25 @@
     BOOST_TEST(nextOf(*instance) == 3U);
 }
 
+// A configuration of another log is folded behind this one's. The log is restored empty, and before the
+// next read, which is held, this instance's own appends fill it past the last offset folded.
+BOOST_AUTO_TEST_CASE(appendsToALogThatWentBackEndBeforeItIsRead)
+{
+    FakeLog log;
+    const auto instance = caughtUp(quickBuilder(log));
+    appendVerdict(*instance, fleetApply(0, "a"));
+    appendVerdict(*instance, fleetApply(1, "b"));
+    log.holdReads(true);
+    log.reset();
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        appendFailure(*instance, fleetApply(2, "c"), BootClock::now() + millis(20));
+    }
+    BOOST_TEST(log.next() == 2U); // One append found out, and none followed it.
+    log.holdReads(false);
+    BOOST_TEST(instance->fleet().revision_ == 2U);
+    BOOST_TEST(nextOf(*instance) == 3U);
+}
+
 // An instance would fold the records of one log behind those of another and differ from all.
 // While it is cut off, the log is restored empty and others fill it past the last offset folded.
 // Cause: offsets that go on without a gap, in another log.
--- a/libs/store/tests/fakelog.h
+++ b/libs/store/tests/fakelog.h
@@ -48,6 +48,13 @@
             push(body);
         }
     }
+    /** Reads are answered once it is switched off. */
+    void holdReads(bool on)
+    {
+        const std::lock_guard lock(mutex_);
+        readsHeld_ = on;
+        changed_.notify_all();
+    }
     /** Forgets the records before first. */
     void trim(LogOffset first)
     {
@@ -139,6 +146,7 @@
         ++reads_;
         changed_.wait_until(lock, waitUntil,
                             [&] { return outage_ || from < first_ + records_.size(); });
+        changed_.wait(lock, [&] { return !readsHeld_; });
         if (outage_) {
             return fail(ErrorKind::Unavailable, "outage", "wait");
         }
@@ -167,6 +175,7 @@
     std::vector<std::string> late_;
     LogOffset first_ = 1;
     bool outage_ = false;
+    bool readsHeld_ = false;
     int refusals_ = 0;
     int lostAcks_ = 0;
     int delayedAppends_ = 0;
