--- a/libs/control/src/logreader.h
+++ b/libs/control/src/logreader.h
@@ -59,8 +59,9 @@
     Backoff backoff_;
     std::mt19937_64 random_;
     std::atomic<bool> wentBack_ = false;
-    std::atomic<bool> unchecked_ = false; ///< Whether the log may be another one since the last good read.
-    LogOffset stuckAt_ = 0;  ///< Where trimmed records were last reported as missing.
+    std::atomic<bool> unchecked_ =
+        false;              ///< Whether the log may be another one since the last good read.
+    LogOffset stuckAt_ = 0; ///< Where trimmed records were last reported as missing.
 
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/libs/control/tests/controllogtest.cpp
+++ b/libs/control/tests/controllogtest.cpp
@@ -177,8 +177,8 @@
     BOOST_TEST(nextOf(*instance) == 3U);
 }
 
-// A configuration of another log is folded behind this one's. The log is restored empty, and before the
-// next read, which is held, this instance's own appends fill it past the last offset folded.
+// A configuration of another log is folded behind this one's. The log is restored empty, and before
+// the next read, which is held, this instance's own appends fill it past the last offset folded.
 BOOST_AUTO_TEST_CASE(appendsToALogThatWentBackEndBeforeItIsRead)
 {
     FakeLog log;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -298,8 +298,8 @@
 }
 
 /**
- * Whether a configuration could be in force elsewhere that this instance does not know. Then that it
- * has no such route says nothing of whether there is one.
+ * Whether a configuration could be in force elsewhere that this instance does not know. Then that
+ * it has no such route says nothing of whether there is one.
  */
 bool GatewayState::mayLackConfig(TimePoint now) const
 {
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -197,9 +197,9 @@
         if (one.engine_->listed_.stage_ != Stage::Prefill) {
             continue;
         }
-        const auto place =
-            std::find_if(homes.begin(), homes.end(),
-                         [&](const Candidate &home) { return home.weight_ < one.weight_; });
+        const auto place = std::find_if(homes.begin(), homes.end(), [&](const Candidate &home) {
+            return home.weight_ < one.weight_;
+        });
         if (place != homes.end() || homes.size() < HomesOfAPart) {
             homes.insert(place, one);
             homes.resize(std::min(homes.size(), HomesOfAPart));
@@ -251,8 +251,7 @@
     return best.engine_ == nullptr || best.millis_ <= left ? best : bestAt(LateUrgencies + inTime);
 }
 
-Placement::Offer Placement::bestGenerator(const Candidates &engines,
-                                          const PromptQuery &query) const
+Placement::Offer Placement::bestGenerator(const Candidates &engines, const PromptQuery &query) const
 {
     Offer best;
     std::uint64_t weightOfBest = 0;
--- a/libs/gateway/tests/endpointtest.cpp
+++ b/libs/gateway/tests/endpointtest.cpp
@@ -48,8 +48,8 @@
     BOOST_TEST(usable.front()->listed_.id_.value() == "engine-2");
 }
 
-// With 10,000 endpoints an instance of an eighth of a core spends a third of it on going through all
-// of them twenty times a second, though it has requests at two or three.
+// With 10,000 endpoints an instance of an eighth of a core spends a third of it on going through
+// all of them twenty times a second, though it has requests at two or three.
 BOOST_AUTO_TEST_CASE(onlyEndpointsWithSomethingToTellAreActive)
 {
     constexpr int Engines = 10'000;
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -180,18 +180,17 @@
         return none;
     }
     const bool isNew = question.position_.base_ == 0;
-    const auto missing = isNew ? board_.missingAt(question.ends_, MostChangesInAnswer)
-                               : std::optional<ChangeSet>();
+    const auto missing =
+        isNew ? board_.missingAt(question.ends_, MostChangesInAnswer) : std::optional<ChangeSet>();
     return missing ? *missing : board_.after(question.position_, MostChangesInAnswer);
 }
 
 void RelayServer::respond(const Question &question)
 {
-    server_->respond(question.id_,
-                     {200,
-                      {},
-                      encodeChanges(answerTo(question), lifetime_, lost_, BootClock::now(),
-                                    question.askedAt_)});
+    server_->respond(question.id_, {200,
+                                    {},
+                                    encodeChanges(answerTo(question), lifetime_, lost_,
+                                                  BootClock::now(), question.askedAt_)});
 }
 
 void RelayServer::answerLate()
--- a/libs/news/tests/boardorderstest.cpp
+++ b/libs/news/tests/boardorderstest.cpp
@@ -59,7 +59,7 @@
     LogOffset read_ = 0;       ///< Of a reader: where it goes on.
     std::vector<Change> held_; ///< Of a reader: removals that it holds back.
     Instance *source_ = nullptr;
-    Position position_;        ///< Of a follower, in what its source tells.
+    Position position_; ///< Of a follower, in what its source tells.
 
     void onChange(const Change &change)
     {
@@ -79,8 +79,7 @@
             } else {
                 Change change = record;
                 change.followsKnown_ =
-                    std::erase_if(held_,
-                                  [&](const Change &one) { return one.key_ == record.key_; })
+                    std::erase_if(held_, [&](const Change &one) { return one.key_ == record.key_; })
                     == 0;
                 board_.put(change);
             }
@@ -121,9 +120,8 @@
             source_ = &source;
             position_ = {};
         }
-        const auto missing = position_.base_ == 0
-                                 ? source.board_.missingAt(board_.ends(), most)
-                                 : std::optional<ChangeSet>();
+        const auto missing = position_.base_ == 0 ? source.board_.missingAt(board_.ends(), most)
+                                                  : std::optional<ChangeSet>();
         const ChangeSet set = missing ? *missing : source.board_.after(position_, most);
         for (const Change &change : set.changes_) {
             // A removal of what is not shown is known all the same.
