Tests of a store that is away are made more rarely in a large failure domain

Cause: each instance that has no news tests the store by itself, 200 of a domain 1,663 times in 30 s of outage, where 880 are the aim (80 a second for all). Pauses grow with the domain's instances from some 40 on. Found by the model of a domain at 200 instances; it is a test now, at 3, 9 and 30 s.

--- a/libs/news/include/almondridge/news/newssource.h
+++ b/libs/news/include/almondridge/news/newssource.h
@@ -75,6 +75,8 @@
 
 private:
     void onUnanswered(std::int64_t pauseMillis, TimePoint now);
+    /** A pause that keeps all instances of the failure domain together at the same rate. */
+    std::int64_t forAll(std::int64_t least, std::int64_t millisOfOne) const;
     bool isTrouble(TimePoint now) const;
     Source wanted(TimePoint now);
 
--- a/libs/news/include/almondridge/news/readers.h
+++ b/libs/news/include/almondridge/news/readers.h
@@ -54,6 +54,8 @@
     void setMembers(std::vector<Member> members);
     /** With so few instances all of them read: asking each other would save next to nothing. */
     bool allRead() const noexcept;
+    /** The instances of the failure domain. */
+    std::size_t size() const noexcept { return order_.size(); }
     /** Whether this instance reads when none is passed over, or would if one more were. */
     bool comesFirst() const;
     /** Asking that instance was of no use. */
@@ -78,7 +80,7 @@
 
 private:
     /** What is in use of the order, this instance too. */
-    std::vector<Member> inUse(TimePoint now) const;
+    std::vector<const Member *> inUse(TimePoint now) const;
 
     struct Pass
     {
--- a/libs/news/src/newssource.cpp
+++ b/libs/news/src/newssource.cpp
@@ -19,10 +19,17 @@
 constexpr std::int64_t FirstTestMillis = 500;
 /** Those that come first find out for all others when the store is back. */
 constexpr std::int64_t LongestTestMillisOfFirst = 1'000;
-/** The others ask them, and look for themselves in case that these alone are turned away. */
+/**
+ * The others ask them, and look for themselves in case that these alone are turned away: more
+ * rarely in a large failure domain, so that all of them together call as often.
+ */
 constexpr std::int64_t LongestTestMillis = 6'000;
+constexpr std::int64_t LongestTestMillisOfOne = 150;
 /** The first one of others, who have not called it themselves. */
 constexpr std::int64_t FirstTestMillisOfOthers = 2'000;
+constexpr std::int64_t FirstTestMillisOfOne = 50;
+/** After a test of theirs that failed. */
+constexpr std::int64_t SecondTestMillisOfOne = 20;
 constexpr int MostDoublings = 8;
 /**
  * Where so many peers are of no use, the store is taken to be away for all: with a third of the
@@ -106,12 +113,20 @@
         testing_ = false;
         return;
     }
+    const bool isFirst = readers_.comesFirst();
+    const std::int64_t shortest =
+        isFirst ? FirstTestMillis : forAll(FirstTestMillis, SecondTestMillisOfOne);
     const std::int64_t longest =
-        readers_.comesFirst() ? LongestTestMillisOfFirst : LongestTestMillis;
-    onUnanswered(std::min(longest, FirstTestMillis << std::min(failures_, MostDoublings)), now);
+        isFirst ? LongestTestMillisOfFirst : forAll(LongestTestMillis, LongestTestMillisOfOne);
+    onUnanswered(std::min(longest, shortest << std::min(failures_, MostDoublings)), now);
     ++failures_;
 }
 
+std::int64_t NewsSource::forAll(std::int64_t least, std::int64_t millisOfOne) const
+{
+    return std::max(least, static_cast<std::int64_t>(readers_.size()) * millisOfOne);
+}
+
 void NewsSource::onUnanswered(std::int64_t pauseMillis, TimePoint now)
 {
     if (store_ != StoreState::Fails) {
@@ -159,7 +174,7 @@
     const bool allUseless = readers_.countPassedOver(now) >= MostPassedOver;
     const bool reads = current_.kind_ == SourceKind::OwnReads;
     if (allUseless && store_ == StoreState::Unknown && !reads) {
-        onUnanswered(FirstTestMillisOfOthers, now);
+        onUnanswered(forAll(FirstTestMillisOfOthers, FirstTestMillisOfOne), now);
     }
     if (current_.kind_ == SourceKind::Nobody && now < waitsUntil_) {
         return current_;
--- a/libs/news/src/readers.cpp
+++ b/libs/news/src/readers.cpp
@@ -46,8 +46,9 @@
  * Each of them with a chance that follows how many followers it bears: weighted rendezvous hashing,
  * by which hardly any chooser changes when one of them comes or goes.
  */
-InstanceId chooseByWeight(std::vector<Member>::const_iterator from,
-                          std::vector<Member>::const_iterator until, const std::string &chooser)
+InstanceId chooseByWeight(std::vector<const Member *>::const_iterator from,
+                          std::vector<const Member *>::const_iterator until,
+                          const std::string &chooser)
 {
     constexpr double Range = 0x1p64;
     const std::uint64_t seed = gateway::rendezvousWeight(chooser, OrderSeed);
@@ -55,10 +56,10 @@
         const auto hash = static_cast<double>(gateway::rendezvousWeight(member.id_.value(), seed));
         return followersOf(member) / -std::log((hash + 1) / (Range + 2));
     };
-    const auto best = std::max_element(from, until, [&](const Member &one, const Member &other) {
-        return score(one) < score(other);
+    const auto best = std::max_element(from, until, [&](const Member *one, const Member *other) {
+        return score(*one) < score(*other);
     });
-    return best != until ? best->id_ : InstanceId {};
+    return best != until ? (*best)->id_ : InstanceId {};
 }
 
 } // namespace
@@ -135,21 +136,24 @@
     return others[gateway::rendezvousWeight(self_.value(), attempt / 2) % among];
 }
 
-std::vector<Member> Readers::inUse(TimePoint now) const
+std::vector<const Member *> Readers::inUse(TimePoint now) const
 {
-    std::vector<Member> members = order_;
-    std::erase_if(members, [&](const Member &member) {
-        return member.id_ != self_ && isPassedOver(member.id_, now);
-    });
+    std::vector<const Member *> members;
+    members.reserve(order_.size());
+    for (const Member &member : order_) {
+        if (member.id_ == self_ || !isPassedOver(member.id_, now)) {
+            members.push_back(&member);
+        }
+    }
     return members;
 }
 
 std::vector<InstanceId> Readers::atWork(bool canRead, TimePoint now) const
 {
     std::vector<InstanceId> readers;
-    for (const Member &member : inUse(now)) {
-        if ((member.id_ != self_ || canRead) && readers.size() < ReadersPerDomain) {
-            readers.push_back(member.id_);
+    for (const Member *member : inUse(now)) {
+        if ((member->id_ != self_ || canRead) && readers.size() < ReadersPerDomain) {
+            readers.push_back(member->id_);
         }
     }
     return readers;
@@ -157,8 +161,9 @@
 
 InstanceId Readers::parent(bool canRead, TimePoint now) const
 {
-    std::vector<Member> members = inUse(now);
-    const auto self = findMember(members, self_);
+    std::vector<const Member *> members = inUse(now);
+    const auto self = std::find_if(members.begin(), members.end(),
+                                   [&](const Member *member) { return member->id_ == self_; });
     const auto place = static_cast<std::size_t>(self - members.begin());
     if (!canRead && self != members.end()) {
         members.erase(self); // It asks those that read in its stead.
@@ -168,7 +173,7 @@
     for (;;) {
         double followers = 0;
         for (std::size_t index = from; index < until; ++index) {
-            followers += followersOf(members[index]);
+            followers += followersOf(*members[index]);
         }
         const std::size_t next = until + static_cast<std::size_t>(followers);
         if (place < next || next >= members.size()) {
--- a/libs/news/tests/newssourcetest.cpp
+++ b/libs/news/tests/newssourcetest.cpp
@@ -324,6 +324,31 @@
     }
 }
 
+// The same with five times as many instances in the domain: tests of the store, one by each of them
+// every few seconds, grow with the fleet.
+BOOST_AUTO_TEST_CASE(inALargeDomainNoMoreCallsAreMadeWhileTheStoreIsAway)
+{
+    constexpr int Many = 200;
+    for (const std::int64_t outageMillis : {3'000, 9'000, 30'000}) {
+        Domain domain(Many);
+        domain.run(millis(5'000));
+        domain.takeCallRate(millis(1));
+        bool away = true;
+        domain.storeAnswers_ = [&](const InstanceId &, TimePoint) { return !away; };
+        domain.run(millis(outageMillis));
+        const double calls = domain.takeCallRate(millis(1'000));
+        BOOST_TEST(calls <= 2 * Many + CallsOfADomainInTrouble * toSeconds(millis(outageMillis)),
+                   outageMillis << " ms: " << calls);
+        away = false;
+        domain.run(millis(2'000));
+        const double after = domain.takeCallRate(millis(2'000));
+        BOOST_TEST(after <= CallsOfADomainInTrouble, outageMillis << " ms: " << after);
+        domain.run(LeaveBound - millis(2'000));
+        BOOST_TEST(toMillis(domain.oldestNews()) <= toMillis(UselessAge + HoldTime),
+                   outageMillis << " ms");
+    }
+}
+
 // Requests reach an engine beyond the time within which a leaving one must get no more. Both
 // readers of the failure domain die, their followers wait for the one, then for the other.
 BOOST_AUTO_TEST_CASE(whereBothReadersDieNobodyIsWithoutNewsBeyondTheBound)
