An answer of news that trickles ends after five seconds

A part that arrives counts as a word, so a link that lets a byte through each second kept a follower for good. By reading; no test: it would wait for the five seconds.

--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -19,6 +19,8 @@
 inline constexpr Duration HoldTime = millis(800);
 /** An answer that is later than this comes from a dead peer or over a silent connection. */
 inline constexpr Duration LongestSilence = HoldTime + millis(400);
+/** An answer that trickles for longer comes over a link that cannot bear it. */
+inline constexpr Duration LongestAnswer = millis(5'000);
 /** Older news than this is no news: the peer has lost the store itself. */
 inline constexpr Duration UselessAge = millis(1'600);
 /** Changes in one answer: a whole list leaves in parts that a narrow link bears. */
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -1,5 +1,6 @@
 #include "almondridge/news/relay.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -300,7 +301,8 @@
 /** A list that keeps arriving over a narrow link is waited for. */
 void RelayClient::awaitWord()
 {
-    timer_.startAt(BootClock::now() + LongestSilence, [this] { giveUp(Uselessness::Silent); });
+    timer_.startAt(std::min(BootClock::now() + LongestSilence, askedAt_ + LongestAnswer),
+                   [this] { giveUp(Uselessness::Silent); });
 }
 
 void RelayClient::ask()
