--- a/libs/news/tests/newssourcetest.cpp
+++ b/libs/news/tests/newssourcetest.cpp
@@ -253,6 +253,32 @@
     return std::uniform_real_distribution<double>(0, 1)(random) < share;
 }
 
+/** What a domain does while the store is away for all of it, and after. */
+struct OutageFigures
+{
+    double calls_ = 0;      ///< In the outage.
+    double callsAfter_ = 0; ///< A second, in the first two seconds after it.
+    Duration oldestNews_ {};
+};
+
+OutageFigures playOutage(int count, std::int64_t outageMillis)
+{
+    Domain domain(count);
+    domain.run(millis(5'000));
+    domain.takeCallRate(millis(1));
+    bool away = true;
+    domain.storeAnswers_ = [&](const InstanceId &, TimePoint) { return !away; };
+    OutageFigures seen;
+    domain.run(millis(outageMillis));
+    seen.calls_ = domain.takeCallRate(millis(1'000));
+    away = false;
+    domain.run(millis(2'000));
+    seen.callsAfter_ = domain.takeCallRate(millis(2'000));
+    domain.run(LeaveBound - millis(2'000));
+    seen.oldestNews_ = domain.oldestNews();
+    return seen;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(NewsSources)
@@ -303,23 +329,14 @@
 BOOST_AUTO_TEST_CASE(noWaveOfCallsFollowsTheReturnOfTheStore)
 {
     for (const std::int64_t outageMillis : {1'500, 3'000, 5'000, 9'000, 30'000}) {
-        Domain domain;
-        domain.run(millis(5'000));
-        domain.takeCallRate(millis(1));
-        bool away = true;
-        domain.storeAnswers_ = [&](const InstanceId &, TimePoint) { return !away; };
-        domain.run(millis(outageMillis));
+        const OutageFigures seen = playOutage(Instances, outageMillis);
         // The first failure of each instance comes on top of what goes on.
-        const double calls = domain.takeCallRate(millis(1'000));
-        BOOST_TEST(calls
+        BOOST_TEST(seen.calls_
                        < 2 * Instances + CallsOfADomainInTrouble * toSeconds(millis(outageMillis)),
-                   outageMillis << " ms: " << calls);
-        away = false;
-        domain.run(millis(2'000));
-        const double after = domain.takeCallRate(millis(2'000));
-        BOOST_TEST(after < CallsOfADomainInTrouble, outageMillis << " ms: " << after);
-        domain.run(LeaveBound - millis(2'000));
-        BOOST_TEST(toMillis(domain.oldestNews()) <= toMillis(UselessAge + HoldTime),
+                   outageMillis << " ms: " << seen.calls_);
+        BOOST_TEST(seen.callsAfter_ < CallsOfADomainInTrouble,
+                   outageMillis << " ms: " << seen.callsAfter_);
+        BOOST_TEST(toMillis(seen.oldestNews_) <= toMillis(UselessAge + HoldTime),
                    outageMillis << " ms");
     }
 }
@@ -330,21 +347,13 @@
 {
     constexpr int Many = 200;
     for (const std::int64_t outageMillis : {3'000, 9'000, 30'000}) {
-        Domain domain(Many);
-        domain.run(millis(5'000));
-        domain.takeCallRate(millis(1));
-        bool away = true;
-        domain.storeAnswers_ = [&](const InstanceId &, TimePoint) { return !away; };
-        domain.run(millis(outageMillis));
-        const double calls = domain.takeCallRate(millis(1'000));
-        BOOST_TEST(calls <= 2 * Many + CallsOfADomainInTrouble * toSeconds(millis(outageMillis)),
-                   outageMillis << " ms: " << calls);
-        away = false;
-        domain.run(millis(2'000));
-        const double after = domain.takeCallRate(millis(2'000));
-        BOOST_TEST(after <= CallsOfADomainInTrouble, outageMillis << " ms: " << after);
-        domain.run(LeaveBound - millis(2'000));
-        BOOST_TEST(toMillis(domain.oldestNews()) <= toMillis(UselessAge + HoldTime),
+        const OutageFigures seen = playOutage(Many, outageMillis);
+        BOOST_TEST(seen.calls_
+                       <= 2 * Many + CallsOfADomainInTrouble * toSeconds(millis(outageMillis)),
+                   outageMillis << " ms: " << seen.calls_);
+        BOOST_TEST(seen.callsAfter_ <= CallsOfADomainInTrouble,
+                   outageMillis << " ms: " << seen.callsAfter_);
+        BOOST_TEST(toMillis(seen.oldestNews_) <= toMillis(UselessAge + HoldTime),
                    outageMillis << " ms");
     }
 }
