--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -98,6 +98,13 @@
     bool lost_ = false;
 };
 
+/** How far an answer has come. */
+struct AnswerProgress
+{
+    std::size_t bytes_ = 0; ///< Of its body.
+    TimePoint began_ {};    ///< Its first part came; in the past while bytes_ is 0.
+};
+
 /** Asks one peer for news, again and again. */
 class RelayClient
 {
@@ -117,6 +124,8 @@
     void follow(const net::Address &peer, bool patient);
     void stop();
     bool asks() const noexcept { return peer_.has_value(); }
+    /** How the last answer came, whole or not. */
+    const AnswerProgress &progress() const noexcept { return progress_; }
 
 private:
     void ask();
@@ -132,6 +141,7 @@
     std::uint64_t lifetime_ = 0;
     Position position_;
     TimePoint askedAt_ {}; ///< When the question that waits for its answer left.
+    AnswerProgress progress_;
     bool patient_ = false;
 };
 
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -309,6 +309,7 @@
 {
     const TimePoint now = BootClock::now();
     askedAt_ = now;
+    progress_ = {};
     awaitWord();
     async::ExchangeRequest request;
     request.peer_ = net::toString(*peer_);
@@ -323,6 +324,8 @@
         onAnswer(result.failure_ ? 0 : result.status_, result.body_);
     });
     answer.onBody_ = [this, gather = std::move(answer.onBody_)](std::string part) {
+        progress_.began_ = progress_.bytes_ == 0 ? BootClock::now() : progress_.began_;
+        progress_.bytes_ += part.size();
         gather(std::move(part));
         awaitWord();
     };
