--- /dev/null
+++ b/libs/news/tests/configurationtransfertest.cpp
@@ -0,0 +1,158 @@
+#include "almondridge/news/relay.h"
+
+#include "../../async/tests/loopsupport.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <map>
+#include <random>
+
+using namespace almondridge;
+using namespace almondridge::news;
+using async::testing::runUntil;
+
+namespace {
+
+/** Until an accepted configuration is in force everywhere. */
+constexpr Duration ConfigBound = millis(3'000);
+constexpr double NarrowMbps = 10;
+constexpr int LargeRoutes = 4'250;
+
+std::string randomName(std::mt19937_64 &random)
+{
+    std::string name;
+    for (int letter = 0; letter < 8; ++letter) {
+        name += static_cast<char>(std::uniform_int_distribution<int>('a', 'z')(random));
+    }
+    return name;
+}
+
+/** About 240 bytes a route, of which names are random. */
+std::string configurationOf(int routes)
+{
+    std::mt19937_64 random(4'711);
+    std::string text = R"({"version":19,"routes":[)";
+    for (int number = 0; number < routes; ++number) {
+        text += fmt::format(
+            R"({}{{"name":"r-{}","host":"{}.example","path-prefix":"/{}/","service":"{}",)"
+            R"("kind":"streaming","max-attempts":2,"timeout-ms":5000,"target-latency-ms":600,)"
+            R"("gap-aim-ms":250,"priority":1,"resumable":true,"sticky":true}})",
+            number > 0 ? "," : "", randomName(random), randomName(random), randomName(random),
+            number % 2 == 0 ? "desk" : "matching");
+    }
+    return text + "]}";
+}
+
+/** A reader that answers a follower over a connection of this machine. */
+struct ReaderAndFollower
+{
+    ReaderAndFollower() { BOOST_REQUIRE(server_.listen({"127.0.0.1", 0})); }
+
+    /** Bytes of the answer with which the follower takes the configuration. */
+    std::size_t sendConfiguration(const std::string &text)
+    {
+        const TimePoint now = BootClock::now();
+        source_.put({Topic::Config, "config", text, 4});
+        source_.onRead(Topic::Config, now, 5);
+        source_.onRead(Topic::Endpoints, now, 1);
+        client_.follow({"127.0.0.1", server_.port()}, false);
+        runUntil(loop_, [&] { return told_.has(Topic::Config, "config"); });
+        return answerBytes_;
+    }
+
+    async::EventLoop loop_;
+    Board source_ {[](const Change &) {}};
+    std::string received_;
+    Board told_ {[this](const Change &change) { received_ = change.value_; }};
+    RelayServer relay_ {loop_, source_, 1};
+    async::HttpServer server_ {
+        loop_,
+        {[this](const async::ServerCall &call) { relay_.answer(server_, call); },
+         [this](const async::CallId &id) { relay_.forget(id); },
+         {}}};
+    std::size_t answerBytes_ = 0;
+    RelayClient client_ {loop_,
+                         {[this](const ChangeSet &set) {
+                              answerBytes_ = client_.progress().bytes_;
+                              told_.apply(set);
+                          },
+                          [](Uselessness) {}}};
+};
+
+Duration timeToSend(std::size_t bytes, double linkMbps)
+{
+    constexpr double BitsOfByte = 8;
+    constexpr double BitsOfMegabit = 1e6;
+    const double seconds = static_cast<double>(bytes) * BitsOfByte / (linkMbps * BitsOfMegabit);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+std::vector<Member> narrowMembers(int count)
+{
+    std::vector<Member> members;
+    members.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number) {
+        members.push_back({InstanceId("instance-" + std::to_string(number)), NarrowMbps});
+    }
+    return members;
+}
+
+/** Whom each of them asks; readers ask nobody. */
+std::map<InstanceId, InstanceId> parentsOf(const std::vector<Member> &members, TimePoint now)
+{
+    std::map<InstanceId, InstanceId> parents;
+    for (const Member &member : members) {
+        Readers readers(member.id_);
+        readers.setMembers(members);
+        const std::vector<InstanceId> atWork = readers.atWork(true, now);
+        if (std::find(atWork.begin(), atWork.end(), member.id_) == atWork.end()) {
+            parents[member.id_] = readers.parent(true, now);
+        }
+    }
+    return parents;
+}
+
+/**
+ * Until the last instance of a failure domain has what its readers read: each sends to all of its
+ * followers at once, and only once it has everything itself.
+ */
+Duration timeToAll(const std::vector<Member> &members, std::size_t readBytes,
+                   std::size_t answerBytes)
+{
+    const auto parents = parentsOf(members, TimePoint {});
+    std::map<InstanceId, std::size_t> followers;
+    for (const auto &[id, parent] : parents) {
+        ++followers[parent];
+    }
+    Duration last {};
+    for (const Member &member : members) {
+        Duration way = timeToSend(readBytes, NarrowMbps);
+        for (auto at = parents.find(member.id_); at != parents.end();
+             at = parents.find(at->second)) {
+            way += timeToSend(answerBytes * followers[at->second], NarrowMbps);
+        }
+        last = std::max(last, way);
+    }
+    return last;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationTransfers)
+
+// Guards against a configuration of thousands of routes that is late in a failure domain whose wide
+// links are away: each of its readers sends it whole to many followers over 10 Mbit/s.
+BOOST_AUTO_TEST_CASE(aLargeConfigurationReachesAllOverNarrowLinksWithinItsBound)
+{
+    const std::string text = configurationOf(LargeRoutes);
+    ReaderAndFollower pair;
+    const std::size_t answerBytes = pair.sendConfiguration(text);
+    BOOST_TEST((pair.received_ == text));
+    for (const int count : {30, 200}) {
+        const Duration last = timeToAll(narrowMembers(count), text.size(), answerBytes);
+        BOOST_TEST((last <= ConfigBound), count << " instances: " << toMillis(last) << " ms, "
+                                                << answerBytes << " bytes an answer");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
