Large values go packed from instance to instance

What users saw: a configuration of 1 MB late by seconds in a failure domain without wide links, and callers served late meanwhile. Cause: a reader sends it whole to each follower, over links of 10 Mbit/s. A value of 4 KB or more is sent in its zlib form, worked out once for all followers; a question says whether its asker unpacks, so instances of two versions work side by side. Ruled out as too little: waiting longer for an answer, which moves the limit and keeps the links full.

--- /dev/null
+++ b/libs/news/include/almondridge/news/packing.h
@@ -0,0 +1,40 @@
+/**
+ * Large values in a short form for the way between instances: a configuration of thousands of
+ * routes repeats itself, and a narrow link bears it to many followers only when it is short.
+ */
+#pragma once
+
+#include "almondridge/news/board.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondridge::news {
+
+/** The zlib form of a value. */
+std::string pack(std::string_view value);
+
+/** The value of `size` bytes that was packed; nullopt: it is no such form, or of another size. */
+std::optional<std::string> unpack(std::string_view packed, std::size_t size);
+
+/** Packed forms of large values, each worked out once for all followers that are sent it. */
+class PackedValues
+{
+public:
+    /** nullptr: the value is sent as it is. Valid until the next call. */
+    const std::string *of(const Change &change);
+
+private:
+    struct Packed
+    {
+        LogOffset offset_ = 0;
+        std::size_t size_ = 0;
+        std::string bytes_;
+    };
+
+    std::map<std::pair<Topic, std::string>, Packed> values_;
+};
+
+} // namespace almondridge::news
--- a/libs/news/include/almondridge/news/relay.h
+++ b/libs/news/include/almondridge/news/relay.h
@@ -9,6 +9,7 @@
 
 #include "almondridge/async/httpclient.h"
 #include "almondridge/async/httpserver.h"
+#include "almondridge/news/packing.h"
 #include "almondridge/news/readers.h"
 
 #include <list>
@@ -29,9 +30,10 @@
 /**
  * A change set as an answer's body: ages instead of points in time, as clocks differ. Of when a
  * topic was known to be the newest it says how long before the question's arrival that was.
+ * packed: forms of large values for a peer that unpacks them; nullptr: it does not.
  */
 std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now,
-                          TimePoint askedAt);
+                          TimePoint askedAt, PackedValues *packed = nullptr);
 
 struct ReceivedChanges
 {
@@ -72,6 +74,7 @@
         Position position_;
         TopicEnds ends_ {};
         TimePoint askedAt_ {};
+        bool unpacks_ = false; ///< Instances of earlier versions do not.
     };
     struct Waiting
     {
@@ -90,6 +93,7 @@
     const Board &board_;
     std::uint64_t lifetime_;
     async::HttpServer *server_ = nullptr;
+    PackedValues packed_;
     std::list<Waiting> waiting_;
     async::Timer timer_;
     async::EventLoop &loop_;
--- a/libs/news/src/relay.cpp
+++ b/libs/news/src/relay.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::string_view NewsPath = "/news?";
 constexpr std::string_view PatientMark = "&patient";
+constexpr std::string_view UnpacksMark = "&unpacks";
+/** A change is topic, key, value, offset; and the value's size where it is packed. */
+constexpr std::size_t FieldsOfPacked = 5;
 constexpr std::int64_t ConnectMillis = 250;
 /** News this much newer than what those who wait were told are told to them. */
 constexpr Duration ConfirmStep = millis(300);
@@ -62,15 +65,48 @@
     return askedAt - millis(proofs->at(index).get<std::int64_t>());
 }
 
+Json encodeChange(const Change &change, PackedValues *packed)
+{
+    const auto topic = static_cast<int>(change.topic_);
+    const std::string *bytes = packed != nullptr ? packed->of(change) : nullptr;
+    if (bytes == nullptr) {
+        return {topic, change.key_, change.value_, change.offset_};
+    }
+    return {topic, change.key_, Json::binary({bytes->begin(), bytes->end()}), change.offset_,
+            change.value_.size()};
+}
+
+/** nullopt: it is of an unknown topic, or packed in another way. */
+std::optional<Change> decodeChange(const Json &json)
+{
+    const auto topic = json.at(0).get<std::size_t>();
+    if (topic >= TopicCount) {
+        return std::nullopt;
+    }
+    Change change {
+        static_cast<Topic>(topic), json.at(1).get<std::string>(), {}, json.at(3).get<LogOffset>()};
+    if (json.size() < FieldsOfPacked) {
+        change.value_ = json.at(2).get<std::string>();
+        return change;
+    }
+    const Json::binary_t &bytes = json.at(2).get_binary();
+    auto value = unpack({reinterpret_cast<const char *>(bytes.data()), bytes.size()},
+                        json.at(4).get<std::size_t>());
+    if (!value) {
+        return std::nullopt;
+    }
+    change.value_ = std::move(*value);
+    return change;
+}
+
 } // namespace
 
 std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool lost, TimePoint now,
-                          TimePoint askedAt)
+                          TimePoint askedAt, PackedValues *packed)
 {
     Json changes = Json::array();
     for (const Change &change : set.changes_) {
-        changes.push_back(
-            {static_cast<int>(change.topic_), change.key_, change.value_, change.offset_});
+        changes.push_back(encodeChange(change, packed));
     }
     Json ages = Json::array();
     Json ends = Json::array();
@@ -110,14 +146,12 @@
             received.set_.topics_[index].end_ = json.at("ends").at(index).get<LogOffset>();
             received.set_.topics_[index].asOf_ = readProof(json, index, askedAt);
         }
-        for (const Json &change : json.at("changes")) {
-            const auto topic = change.at(0).get<std::size_t>();
-            if (topic >= TopicCount) {
+        for (const Json &entry : json.at("changes")) {
+            auto change = decodeChange(entry);
+            if (!change) {
                 return std::nullopt;
             }
-            received.set_.changes_.push_back(
-                {static_cast<Topic>(topic), change.at(1).get<std::string>(),
-                 change.at(2).get<std::string>(), change.at(3).get<LogOffset>()});
+            received.set_.changes_.push_back(std::move(*change));
         }
         return received;
     } catch (const Json::exception &) {
@@ -140,7 +174,11 @@
 RelayServer::Question RelayServer::readQuestion(const async::ServerCall &call) const
 {
     const std::string &target = call.head_.target_;
-    Question question {call.id_, {}, endsIn(target, "ends="), call.startedAt_};
+    Question question {call.id_,
+                       {},
+                       endsIn(target, "ends="),
+                       call.startedAt_,
+                       target.find(UnpacksMark) != std::string::npos};
     if (numberIn(target, "lifetime=") == lifetime_) {
         question.position_ = {numberIn(target, "from="), numberIn(target, "base="),
                               numberIn(target, "listing=") != 0};
@@ -188,10 +226,11 @@
 
 void RelayServer::respond(const Question &question)
 {
+    PackedValues *const packed = question.unpacks_ ? &packed_ : nullptr;
     server_->respond(question.id_, {200,
                                     {},
                                     encodeChanges(answerTo(question), lifetime_, lost_,
-                                                  BootClock::now(), question.askedAt_)});
+                                                  BootClock::now(), question.askedAt_, packed)});
 }
 
 void RelayServer::answerLate()
@@ -316,10 +355,10 @@
     request.address_ = *peer_;
     request.connectBy_ = now + millis(ConnectMillis);
     request.text_ = fmt::format(
-        "GET /news?lifetime={}&from={}&base={}&listing={}&ends={}{} HTTP/1.1\r\nHost: {}\r\n\r\n",
+        "GET /news?lifetime={}&from={}&base={}&listing={}&ends={}{}{} HTTP/1.1\r\nHost: {}\r\n\r\n",
         lifetime_, position_.from_, position_.base_, position_.listing_ ? 1 : 0,
-        textOf(events_.ends_ ? events_.ends_() : TopicEnds {}), patient_ ? PatientMark : "",
-        net::toString(*peer_));
+        textOf(events_.ends_ ? events_.ends_() : TopicEnds {}), UnpacksMark,
+        patient_ ? PatientMark : "", net::toString(*peer_));
     async::ExchangeEvents answer = async::gatherAnswer([this](const async::ExchangeResult &result) {
         onAnswer(result.failure_ ? 0 : result.status_, result.body_);
     });
--- /dev/null
+++ b/libs/news/tests/packingtest.cpp
@@ -0,0 +1,81 @@
+#include "almondridge/news/packing.h"
+#include "almondridge/news/relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace almondridge;
+using namespace almondridge::news;
+
+namespace {
+
+constexpr TimePoint Now {millis(1'000'000)};
+constexpr std::size_t LargeBytes = 200'000;
+
+std::string largeValue(char letter)
+{
+    return std::string(LargeBytes, letter);
+}
+
+ChangeSet setOf(const Change &change)
+{
+    ChangeSet set;
+    set.changes_ = {change};
+    return set;
+}
+
+std::string encoded(const Change &change, PackedValues *packed)
+{
+    return encodeChanges(setOf(change), 1, false, Now, Now, packed);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PackedNews)
+
+BOOST_AUTO_TEST_CASE(aLargeValueSurvivesTheWayInAShortForm)
+{
+    PackedValues packed;
+    const Change change {Topic::Config, "config", largeValue('a'), 4};
+    const std::string body = encoded(change, &packed);
+    BOOST_TEST(body.size() < LargeBytes / 10);
+    const auto received = decodeChanges(body, Now, Now);
+    BOOST_REQUIRE(received.has_value());
+    BOOST_REQUIRE(received->set_.changes_.size() == 1U);
+    BOOST_TEST((received->set_.changes_[0].value_ == change.value_));
+    BOOST_TEST(received->set_.changes_[0].offset_ == 4U);
+}
+
+// Guards against followers that are sent the configuration before the one that is in force.
+BOOST_AUTO_TEST_CASE(aLaterValueOfAKeyIsPackedAnew)
+{
+    PackedValues packed;
+    encoded({Topic::Config, "config", largeValue('a'), 4}, &packed);
+    const std::string body = encoded({Topic::Config, "config", largeValue('b'), 5}, &packed);
+    const auto received = decodeChanges(body, Now, Now);
+    BOOST_REQUIRE(received.has_value());
+    BOOST_TEST((received->set_.changes_[0].value_ == largeValue('b')));
+}
+
+BOOST_AUTO_TEST_CASE(smallValuesAndPeersThatDoNotUnpackGetThemAsTheyAre)
+{
+    PackedValues packed;
+    BOOST_TEST((packed.of({Topic::Endpoints, "e", "1", 2}) == nullptr));
+    const std::string body = encoded({Topic::Config, "config", largeValue('a'), 4}, nullptr);
+    BOOST_TEST(body.size() > LargeBytes);
+    BOOST_TEST((decodeChanges(body, Now, Now)->set_.changes_[0].value_ == largeValue('a')));
+}
+
+// Guards against a process that ends, or takes all memory, for what a broken peer sent.
+BOOST_AUTO_TEST_CASE(aBrokenFormIsNoNews)
+{
+    const std::string value = largeValue('a');
+    const std::string packed = pack(value);
+    BOOST_TEST((unpack(packed, value.size()) == value));
+    BOOST_TEST(!unpack(packed, value.size() - 1).has_value());
+    BOOST_TEST(!unpack(packed, value.size() + 1).has_value());
+    BOOST_TEST(!unpack(packed, std::size_t {1} << 40U).has_value());
+    BOOST_TEST(!unpack(packed.substr(0, packed.size() / 2), value.size()).has_value());
+    BOOST_TEST(!unpack("", value.size()).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
