--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -91,6 +91,8 @@
     SlotUse usedByAll() const noexcept;
     /** Prompt tokens of all instances that it has still to read, up to an urgency. */
     std::int64_t queuedByAll(int urgency = Urgencies - 1) const noexcept;
+    /** Recent failures of all instances' requests, as far as is known. */
+    double failuresOfAll(TimePoint now) const { return recentFailures_.at(now) + toldFailures_; }
     /** Nothing is known of it that fades or ends, and nobody has a request there. */
     bool isIdle(TimePoint now) const noexcept;
     /** In a word, for metrics. */
--- a/libs/gateway/include/almondridge/gateway/loadmesh.h
+++ b/libs/gateway/include/almondridge/gateway/loadmesh.h
@@ -107,6 +107,7 @@
     void tellFollowers(const LoadNote &own, const EndpointTable &table, TimePoint now,
                        std::vector<MeshDatagram> &out);
     LoadDigest emptyDigest(DigestScope scope) const;
+    LoadDigest heardDigest(DigestScope scope, const LoadNote &own) const;
     void addLeaders(const LoadNote &note, LoadDigest &digest) const;
     void addLeaders(const LoadDigest &other, LoadDigest &digest) const;
     std::vector<LoadDigest> digestsOf(LoadDigest first, std::vector<LoadTable> loads,
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -228,7 +228,7 @@
 {
     std::set<ServiceId> services;
     for (const auto &[id, endpoint] : active_) {
-        if (endpoint->recentFailures_.at(now) + endpoint->toldFailures_ >= LeastFailures) {
+        if (endpoint->failuresOfAll(now) >= LeastFailures) {
             services.insert(endpoint->listed_.service_);
         }
     }
@@ -245,7 +245,7 @@
 {
     std::vector<const Endpoint *> found;
     const bool anyFails = std::any_of(active_.begin(), active_.end(), [&](const auto &entry) {
-        return entry.second->recentFailures_.at(now) + entry.second->toldFailures_ >= LeastFailures;
+        return entry.second->failuresOfAll(now) >= LeastFailures;
     });
     if (!anyFails) {
         return found;
@@ -257,7 +257,7 @@
         for (const Endpoint *endpoint : endpoints) {
             if (endpoint->listed_.stage_ == stage) {
                 group.push_back(endpoint);
-                failures.push_back(endpoint->recentFailures_.at(now) + endpoint->toldFailures_);
+                failures.push_back(endpoint->failuresOfAll(now));
                 sends += endpoint->recentSends_.at(now);
             }
         }
--- a/libs/gateway/src/loadmesh.cpp
+++ b/libs/gateway/src/loadmesh.cpp
@@ -1,5 +1,6 @@
 #include "almondridge/gateway/loadmesh.h"
 
+#include "loadmeshlimits.h"
 #include "noteworth.h"
 
 #include <algorithm>
@@ -10,52 +11,16 @@
 
 /** Load is told at most this often; an engine reads some 3,000 tokens in the time. */
 constexpr Duration TellInterval = millis(50);
-/** Relays are quicker: a word passes one of them within a domain, two between domains. */
-constexpr Duration RelayInterval = millis(45);
-/** Without any change, so that whoever listens knows that nothing is there. */
-constexpr Duration QuietInterval = millis(1'000);
 /** So many others are told directly: what each of them takes is then 240 notes a second at most. */
 constexpr std::size_t MostToldDirectly = 12;
-/** Relays of another domain that a sum is sent to: those known to work there may be others. */
-constexpr std::size_t MostRemoteRelays = 4;
 /** Without a word a domain's sum, a note or a part of a digest counts no more. */
 constexpr Duration SilentAfter = millis(3'000);
-/** Of its own link a relay uses this share for telling its followers. */
-constexpr double LinkShare = 0.1;
-constexpr Duration LongestRelayInterval = millis(500);
-constexpr double BitsPerMegabit = 1e6;
-constexpr int BitsPerByte = 8;
 /** Own notes that may be in the sums that relays tell. */
 constexpr std::size_t RememberedNotes = 64;
-/** Keys that one digest tells beside its loads, so that it fits into one packet. */
-constexpr std::size_t MostPartsInDigest = 24;
-/** Endpoints that change or were not reached; more of them have a digest of their own. */
-constexpr std::size_t MostListedBesideLoads = 4;
 constexpr std::size_t MostPartsInNote = 32;
-/** Parts that wait to be told: more than a fleet reads anew between two digests. */
-constexpr std::size_t MostPartsToTell = 1'024;
-/** Endpoints that a digest names as not reached: it stays small whatever is cut off. */
-constexpr std::size_t MostUnreachedTold = 32;
 /** No engine is away for longer, whatever a relay says. */
 constexpr std::int64_t LongestChangeMillis = 10'000;
 
-void addLoads(const LoadTable &loads, LoadTable &sums)
-{
-    for (const auto &[id, load] : loads) {
-        sums[id].add(load);
-    }
-}
-
-template <typename Value>
-void addAbsent(const std::vector<Value> &values, std::vector<Value> &to, std::size_t most)
-{
-    for (const Value &value : values) {
-        if (to.size() < most && std::find(to.begin(), to.end(), value) == to.end()) {
-            to.push_back(value);
-        }
-    }
-}
-
 } // namespace
 
 LoadMesh::LoadMesh(InstanceId self, DomainId domain, double linkMbps, std::uint64_t lifetime)
@@ -211,199 +176,6 @@
     lastSentAt_ = now;
 }
 
-LoadDigest LoadMesh::emptyDigest(DigestScope scope) const
-{
-    LoadDigest digest;
-    digest.sender_ = self_;
-    digest.domain_ = domain_;
-    digest.lifetime_ = lifetime_;
-    digest.scope_ = scope;
-    digest.members_ = static_cast<int>(heard_.peers().size());
-    return digest;
-}
-
-void LoadMesh::addLeaders(const LoadNote &note, LoadDigest &digest) const
-{
-    if (note.leads_) {
-        digest.leaders_.push_back(note.sender_);
-    }
-    if (note.mayLead_
-        && (digest.candidate_.empty()
-            || leaderRank(note.sender_) > leaderRank(digest.candidate_))) {
-        digest.candidate_ = note.sender_;
-    }
-}
-
-void LoadMesh::addLeaders(const LoadDigest &other, LoadDigest &digest) const
-{
-    addAbsent(other.leaders_, digest.leaders_, members_.size());
-    if (!other.candidate_.empty()
-        && (digest.candidate_.empty()
-            || leaderRank(other.candidate_) > leaderRank(digest.candidate_))) {
-        digest.candidate_ = other.candidate_;
-    }
-}
-
-/** Numbered digests: the lists in the first one, and more where one packet would not do. */
-std::vector<LoadDigest> LoadMesh::digestsOf(LoadDigest first, std::vector<LoadTable> loads,
-                                            const std::vector<PromptMemory::Key> &parts)
-{
-    std::vector<LoadDigest> digests;
-    if (first.unreached_.size() + first.changingMillis_.size() > MostListedBesideLoads) {
-        digests.push_back(first);
-        digests.back().number_ = ++digestNumber_;
-        first.unreached_.clear();
-        first.changingMillis_.clear();
-    }
-    const std::size_t partDigests = (parts.size() + MostPartsInDigest - 1) / MostPartsInDigest;
-    const std::size_t count = std::max<std::size_t>({1, loads.size(), partDigests});
-    for (std::size_t index = 0; index < count; ++index) {
-        LoadDigest digest = first;
-        digest.number_ = ++digestNumber_;
-        if (index < loads.size()) {
-            digest.loads_ = std::move(loads[index]);
-        }
-        const std::size_t from = std::min(parts.size(), index * MostPartsInDigest);
-        const std::size_t until = std::min(parts.size(), from + MostPartsInDigest);
-        digest.readParts_.assign(parts.begin() + static_cast<std::ptrdiff_t>(from),
-                                 parts.begin() + static_cast<std::ptrdiff_t>(until));
-        digests.push_back(std::move(digest));
-        first.unreached_.clear();
-        first.changingMillis_.clear();
-    }
-    return digests;
-}
-
-/** Of each other domain its first relays, and those that were heard of late. */
-std::vector<InstanceId> LoadMesh::relaysOfOthers(TimePoint now) const
-{
-    std::vector<InstanceId> found;
-    for (const DomainId &domain : choice_.domains()) {
-        if (domain == domain_) {
-            continue;
-        }
-        std::vector<InstanceId> relays = choice_.firstOf(domain);
-        bool anyHeard = false;
-        for (const auto &[relay, told] : domains_) {
-            if (told.newest().domain_ == domain && told.heardAt() + QuietInterval > now) {
-                anyHeard = true;
-                addAbsent({relay}, relays, MostRemoteRelays);
-            }
-        }
-        if (!anyHeard) {
-            // Others stand in for them, and may not hear of this one either: each group in turn.
-            const auto turn = static_cast<std::size_t>(now.time_since_epoch() / RelaySilentAfter);
-            addAbsent(choice_.standInsOf(domain, turn), relays, MostRemoteRelays);
-        }
-        found.insert(found.end(), relays.begin(), relays.end());
-    }
-    return found;
-}
-
-/** The sum of this domain, to the relays of the others. */
-void LoadMesh::tellDomains(const LoadNote &own, TimePoint now, std::vector<MeshDatagram> &out)
-{
-    LoadDigest digest = emptyDigest(DigestScope::Domain);
-    LoadTable sums = loadsOf(own);
-    digest.demand_ = own.demand_;
-    digest.changingMillis_ = own.changingMillis_;
-    digest.unreached_ = own.unreached_;
-    addLeaders(own, digest);
-    for (const auto &[id, peer] : heard_.peers()) {
-        addLoads(loadsOf(peer.note_), sums);
-        for (const auto &[service, demand] : peer.note_.demand_) {
-            digest.demand_[service] += demand;
-        }
-        for (const auto &[engine, left] : peer.note_.changingMillis_) {
-            const std::int64_t rest = left - toMillis(now - peer.heardAt_);
-            if (rest > 0) {
-                digest.changingMillis_[engine] = std::max(digest.changingMillis_[engine], rest);
-            }
-        }
-        addAbsent(peer.note_.unreached_, digest.unreached_, MostUnreachedTold);
-        addLeaders(peer.note_, digest);
-    }
-    const std::vector<InstanceId> receivers = relaysOfOthers(now);
-    const std::vector<LoadTable> loads = domainWriter_.select(sums, now);
-    for (const LoadDigest &one :
-         digestsOf(std::move(digest), loads, domainParts_.take(MostPartsToTell))) {
-        const std::string bytes = digestPrefix(0) + encodeDigest(one);
-        for (const InstanceId &relay : receivers) {
-            out.push_back({relay, bytes});
-        }
-    }
-}
-
-/** The sum of all, to those who follow this relay. */
-void LoadMesh::tellFollowers(const LoadNote &own, const EndpointTable &table, TimePoint now,
-                             std::vector<MeshDatagram> &out)
-{
-    LoadDigest digest = emptyDigest(DigestScope::All);
-    LoadTable sums = loadsOf(own);
-    digest.demand_ = own.demand_;
-    digest.unreached_ = own.unreached_;
-    addLeaders(own, digest);
-    for (const auto &[id, peer] : heard_.peers()) {
-        for (const auto &[service, demand] : peer.note_.demand_) {
-            digest.demand_[service] += demand;
-        }
-        addAbsent(peer.note_.unreached_, digest.unreached_, MostUnreachedTold);
-        addLeaders(peer.note_, digest);
-    }
-    for (const auto &[relay, told] : domains_) {
-        if (told.isInUse()) {
-            for (const auto &[service, demand] : told.newest().demand_) {
-                digest.demand_[service] += demand;
-            }
-            addLeaders(told.newest(), digest);
-        }
-    }
-    addAbsent(std::exchange(foreignUnreached_, {}), digest.unreached_, MostUnreachedTold);
-    for (const auto &[id, endpoint] : table.active()) {
-        EndpointLoad load {endpoint->foreignQueued_, endpoint->foreignSlotUse_,
-                           endpoint->toldFailures_};
-        if (!load.isNone()) {
-            sums[id].add(load);
-        }
-        if (endpoint->changingUntil_ > now) {
-            digest.changingMillis_[id] = toMillis(endpoint->changingUntil_ - now);
-        }
-    }
-    const std::vector<LoadTable> loads = allWriter_.select(sums, now);
-    std::size_t bytesSent = 0;
-    const auto tell = [&](const std::vector<LoadDigest> &digests, const auto &receivers) {
-        for (const LoadDigest &one : digests) {
-            const std::string body = encodeDigest(one);
-            for (const InstanceId &follower : receivers) {
-                const auto peer = heard_.peers().find(follower);
-                const std::uint64_t counted =
-                    peer != heard_.peers().end() ? peer->second.note_.number_ : 0;
-                out.push_back({follower, digestPrefix(counted) + body});
-                bytesSent += out.back().bytes_.size();
-            }
-        }
-    };
-    if (!newFollowers_.empty()) {
-        tell(digestsOf(digest, DigestWriter::split(sums), {}), newFollowers_);
-        newFollowers_.clear();
-    }
-    tell(digestsOf(std::move(digest), loads, allParts_.take(MostPartsToTell)), followers_);
-    const double seconds = static_cast<double>(bytesSent) * BitsPerByte
-                           / (LinkShare * std::max(1.0, linkMbps_) * BitsPerMegabit);
-    const auto pause = millis(static_cast<std::int64_t>(seconds * 1'000));
-    relayTellsAt_ = now + std::clamp(pause, RelayInterval, LongestRelayInterval);
-}
-
-void LoadMesh::tellAsRelay(const LoadNote &own, const EndpointTable &table, TimePoint now,
-                           std::vector<MeshDatagram> &out)
-{
-    if (!isRelay() || now < relayTellsAt_) {
-        return;
-    }
-    tellDomains(own, now, out);
-    tellFollowers(own, table, now, out);
-}
-
 std::vector<MeshDatagram> LoadMesh::tick(LoadNote own, EndpointTable &table, TimePoint now)
 {
     own.sender_ = self_;
--- a/libs/news/include/almondridge/news/board.h
+++ b/libs/news/include/almondridge/news/board.h
@@ -121,7 +121,7 @@
     }
     TopicEnds ends() const;
     /** All records of the topic before it are known; 0: none are. */
-    LogOffset end(Topic topic) const { return ends()[static_cast<std::size_t>(topic)]; }
+    LogOffset end(Topic topic) const { return topics_[static_cast<std::size_t>(topic)].end_; }
     std::uint64_t next() const noexcept { return next_; }
     /** Takes a peer's changes over. */
     void apply(const ChangeSet &set);
--- a/libs/news/src/readers.cpp
+++ b/libs/news/src/readers.cpp
@@ -35,13 +35,6 @@
     return std::clamp(member.linkMbps_ / MbpsPerFollower, FewestFollowers, MostFollowers);
 }
 
-std::vector<Member>::const_iterator findMember(const std::vector<Member> &members,
-                                               const InstanceId &id)
-{
-    return std::find_if(members.begin(), members.end(),
-                        [&](const Member &member) { return member.id_ == id; });
-}
-
 /**
  * Each of them with a chance that follows how many followers it bears: weighted rendezvous hashing,
  * by which hardly any chooser changes when one of them comes or goes.
@@ -78,7 +71,8 @@
               [&](const Member &one, const Member &other) { return rank(one) > rank(other); });
     order_ = std::move(members);
     std::erase_if(passes_, [&](const auto &entry) {
-        return findMember(order_, entry.first) == order_.end();
+        return std::none_of(order_.begin(), order_.end(),
+                            [&](const Member &member) { return member.id_ == entry.first; });
     });
 }
 
