Tests: the tree in which news pass a domain stands once

The test of a large configuration had written readerstest.cpp's parentsOf() again. Both call readertree.h now; cases and assertions are as they were.

--- a/libs/news/tests/configurationtransfertest.cpp
+++ b/libs/news/tests/configurationtransfertest.cpp
@@ -1,10 +1,11 @@
+#include "readertree.h"
+
 #include "almondridge/news/relay.h"
 
 #include "../../async/tests/loopsupport.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
-#include <map>
 #include <random>
 
 using namespace almondridge;
@@ -107,21 +108,6 @@
     return members;
 }
 
-/** Whom each of them asks; readers ask nobody. */
-std::map<InstanceId, InstanceId> parentsOf(const std::vector<Member> &members, TimePoint now)
-{
-    std::map<InstanceId, InstanceId> parents;
-    for (const Member &member : members) {
-        Readers readers(member.id_);
-        readers.setMembers(members);
-        const std::vector<InstanceId> atWork = readers.atWork(true, now);
-        if (std::find(atWork.begin(), atWork.end(), member.id_) == atWork.end()) {
-            parents[member.id_] = readers.parent(true, now);
-        }
-    }
-    return parents;
-}
-
 /**
  * Until the last instance of a failure domain has what its readers read: each sends to all of its
  * followers at once, and only once it has everything itself.
@@ -129,7 +115,7 @@
 Duration timeToAll(const std::vector<Member> &members, std::size_t readBytes,
                    std::size_t answerBytes)
 {
-    const auto parents = parentsOf(members, TimePoint {});
+    const auto parents = testing::parentsOf(members);
     std::map<InstanceId, std::size_t> followers;
     std::map<InstanceId, double> links;
     for (const Member &member : members) {
--- a/libs/news/tests/readerstest.cpp
+++ b/libs/news/tests/readerstest.cpp
@@ -1,15 +1,13 @@
-#include "almondridge/news/readers.h"
+#include "readertree.h"
 
 #include <boost/test/unit_test.hpp>
-#include <map>
-#include <set>
 
 using namespace almondridge;
 using namespace almondridge::news;
+using testing::parentsOf;
 
 namespace {
 
-constexpr TimePoint Now {millis(1'000'000)};
 constexpr double NarrowMbps = 20;
 constexpr double WideMbps = 1'000;
 
@@ -29,27 +27,6 @@
     return members;
 }
 
-/** Whom each of them asks; those that read ask nobody. */
-std::map<InstanceId, InstanceId> parentsOf(const std::vector<Member> &members,
-                                           const std::set<InstanceId> &passedOver = {})
-{
-    std::map<InstanceId, InstanceId> parents;
-    for (const Member &member : members) {
-        Readers readers(member.id_);
-        readers.setMembers(members);
-        for (const InstanceId &one : passedOver) {
-            if (one != member.id_) {
-                readers.onUseless(one, Uselessness::Silent, Now);
-            }
-        }
-        const std::vector<InstanceId> atWork = readers.atWork(true, Now);
-        if (std::find(atWork.begin(), atWork.end(), member.id_) == atWork.end()) {
-            parents[member.id_] = readers.parent(true, Now);
-        }
-    }
-    return parents;
-}
-
 int depthOf(const InstanceId &id, const std::map<InstanceId, InstanceId> &parents)
 {
     int depth = 0;
