Logs and counters of endpoints that name a limit of requests

Every request to an endpoint (prefill, decode, in place, resumed, service, release of a prompt, status query, order) is now reported to one place, endpointtraffic, as is the head of every answer. No decision changes.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -75,6 +75,8 @@
     bool signed_ = false; ///< The response carries the endpoint's signature.
     std::optional<LoadSample> load_;
     std::optional<std::int64_t> retryAfterMillis_;
+    /** Requests a second that the endpoint takes from all instances together. */
+    std::optional<double> limitPerSecond_;
 };
 
 /** An engine's answer to a status query. */
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -10,6 +10,8 @@
 #include "almondridge/base/time.h"
 #include "almondridge/gateway/failurerates.h"
 #include "almondridge/gateway/promptqueue.h"
+#include "almondridge/gateway/requestlimits.h"
+#include "almondridge/gateway/sendwindow.h"
 #include "almondridge/gateway/slotuse.h"
 #include "almondridge/net/http.h"
 
@@ -79,8 +81,10 @@
     LoadSample load_;
     TimePoint loadAt_ {};
 
-    int failureScore_ = 0;         ///< Weighted failures since the last success.
-    DecayingCount recentSends_;    ///< Requests of this instance.
+    int failureScore_ = 0;      ///< Weighted failures since the last success.
+    DecayingCount recentSends_; ///< Requests of this instance.
+    SendWindow sent_;           ///< Requests of callers and of this instance itself.
+    TimePoint limitLoggedAt_ {};
     DecayingCount recentFailures_; ///< Failures among recentSends_.
     double peerFailures_ = 0;      ///< Recent failures at other instances, as reported.
     /** Circuit breaker: no new work until then, and then one trial request; empty: closed. */
@@ -165,6 +169,9 @@
     std::vector<const Endpoint *> usable(const ServiceId &service, TimePoint now) const;
     /** Number of instances that share these endpoints, assumed to send about the same load. */
     void setInstances(int count) { instances_ = count; }
+    /** Limits that endpoints name in their answers. */
+    RequestLimits &limits() noexcept { return limits_; }
+    const RequestLimits &limits() const noexcept { return limits_; }
     /** Endpoints of a service that are listed and not draining, healthy or not. */
     std::vector<const Endpoint *> listed(const ServiceId &service) const;
     const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
@@ -229,6 +236,7 @@
     Active active_;
     /** Start times of erased endpoints, so that late entries don't bring them back. */
     std::map<EndpointId, std::int64_t> lastStarts_;
+    RequestLimits limits_;
     int instances_ = 1;
 };
 
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/promptcacheindex.h"
+#include "almondridge/gateway/requestpath.h"
 #include "almondridge/gateway/retrybudget.h"
 #include "almondridge/gateway/stageplan.h"
 #include "almondridge/observe/metrics.h"
@@ -71,6 +72,10 @@
     /** Number of instances that share the retry budget and the endpoints' connection limits. */
     void setInstances(int count);
     EndpointTable &endpoints() noexcept;
+    /** Counts a request that the owner of the gateway sends to an endpoint by itself. */
+    void onOwnRequest(const EndpointId &endpoint, RequestPath path);
+    /** Events of such a request, which also report the head of its answer to the gateway. */
+    async::ExchangeEvents observed(const EndpointId &endpoint, async::ExchangeEvents events);
     /** Shared prompt parts that engines cached for this instance's requests since the last call. */
     std::vector<PromptCacheIndex::Key> takeNewCachedParts();
     /** Shared prompt parts that another instance reported as cached by engines. */
--- /dev/null
+++ b/libs/gateway/include/almondridge/gateway/sendwindow.h
@@ -0,0 +1,31 @@
+/**
+ * Counts the requests that this instance sent to one endpoint during the last seconds. No clock:
+ * the current time is an input.
+ */
+#pragma once
+
+#include "almondridge/base/time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace almondridge::gateway {
+
+class SendWindow
+{
+public:
+    /** Time that the window covers; up to a step more is counted. */
+    static constexpr Duration Length = millis(4'000);
+
+    void add(TimePoint now);
+    int count(TimePoint now) const;
+
+private:
+    static constexpr Duration Step = millis(250);
+    static constexpr std::int64_t Steps = Length / Step + 1;
+
+    std::array<std::uint16_t, Steps> counts_ {}; ///< By step modulo Steps.
+    std::int64_t newestStep_ = 0;
+};
+
+} // namespace almondridge::gateway
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -30,6 +30,20 @@
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
 
+RequestPath pathOf(const DispatchOptions &options)
+{
+    if (options.prefillOnly_) {
+        return RequestPath::Prefill;
+    }
+    if (options.prompt_) {
+        return RequestPath::Decode;
+    }
+    if (!options.resumeAfter_.empty()) {
+        return RequestPath::Resume;
+    }
+    return options.urgency_ ? RequestPath::InPlace : RequestPath::Service;
+}
+
 } // namespace
 
 Call::Call(GatewayState &gateway, CallContext context)
@@ -206,15 +220,15 @@
     request.bodyless_ = context_.request_.head_.method_ == "HEAD";
     request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectTimeoutMillis_);
     gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens, attempt_.sentAt_);
+    gateway_.traffic_.onSent(endpoint, pathOf(options), attempt_.sentAt_);
     endpointTrace_ += (endpointTrace_.empty() ? "" : ",") + endpoint.value();
 
     async::ExchangeEvents events;
     events.onHead_ = [this](async::ResponseHead &head) {
         attempt_.head_ = head;
         attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
-        if (attempt_.responseInfo_.load_ && !endpointRestarted()) {
-            gateway_.table_.onLoad(attempt_.endpoint_, *attempt_.responseInfo_.load_,
-                                   BootClock::now());
+        if (!endpointRestarted()) {
+            onAnswerOfEndpoint();
         }
         onAttemptHead();
     };
@@ -231,6 +245,15 @@
     attempt_.exchange_ = gateway_.client_.start(std::move(request), std::move(events));
 }
 
+void Call::onAnswerOfEndpoint()
+{
+    const TimePoint now = BootClock::now();
+    if (attempt_.responseInfo_.load_) {
+        gateway_.table_.onLoad(attempt_.endpoint_, *attempt_.responseInfo_.load_, now);
+    }
+    gateway_.traffic_.onAnswer(attempt_.endpoint_, attempt_.responseInfo_, now);
+}
+
 HealthSignal Call::refusalSignal() const
 {
     if (attempt_.responseInfo_.misdirected_) {
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -169,6 +169,8 @@
     void scheduleLeaseRenewal();
     bool isEqualRequestRunning() const;
     void refuseQuarantined(const Assessment &assessment);
+    /** Records what the head of the attempt's answer says about its endpoint. */
+    void onAnswerOfEndpoint();
     void countOutcome(Outcome outcome, std::string_view cause, TimePoint now);
 
     TimePoint deadline_;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -125,6 +125,7 @@
     const bool changed = added || !endpoint.isListed_ || endpoint.listed_ != listed;
     if (restarted) {
         restart(endpoint, now);
+        limits_.forget(listed.id_);
     } else if (!added && endpoint.listed_.stage_ != listed.stage_) {
         endpoint.changingUntil_ = {}; // The stage change is complete.
     }
@@ -353,6 +354,7 @@
         lastStarts_[id] = found->second.listed_.startedAtMillis_;
     }
     active_.erase(id);
+    limits_.forget(id);
     endpoints_.erase(found);
 }
 
--- /dev/null
+++ b/libs/gateway/src/endpointtraffic.h
@@ -0,0 +1,35 @@
+/**
+ * Every request that leaves for an endpoint and every answer of one, whether for a caller or for
+ * the gateway itself, is reported here.
+ */
+#pragma once
+
+#include "almondridge/async/httpclient.h"
+#include "almondridge/base/logratelimiter.h"
+#include "almondridge/gateway/dialect.h"
+#include "almondridge/gateway/endpoints.h"
+#include "almondridge/gateway/requestpath.h"
+#include "almondridge/observe/metrics.h"
+
+namespace almondridge::gateway {
+
+class EndpointTraffic
+{
+public:
+    EndpointTraffic(const Dialect &dialect, EndpointTable &table, observe::Metrics &metrics);
+
+    void onSent(const EndpointId &id, RequestPath path, TimePoint now);
+    void onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now);
+    /** Events that also report the head of the answer here. */
+    async::ExchangeEvents observed(const EndpointId &id, async::ExchangeEvents events);
+
+private:
+    void onLimit(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
+
+    const Dialect &dialect_;
+    EndpointTable &table_;
+    observe::Metrics &metrics_;
+    LogRateLimiter limitLines_;
+};
+
+} // namespace almondridge::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -36,6 +36,7 @@
     , unknownKeysTimer_(loop)
     , denialLines_(MaxDenialLines, DenialLogWindow)
     , endpointLines_(MaxEndpointLines, EndpointLogWindow)
+    , traffic_(dialect, table_, metrics_)
     , random_(std::random_device {}())
     , probeTimer_(loop)
     , outlierTimer_(loop)
@@ -68,6 +69,16 @@
     return state_->table_;
 }
 
+void Gateway::onOwnRequest(const EndpointId &endpoint, RequestPath path)
+{
+    state_->traffic_.onSent(endpoint, path, BootClock::now());
+}
+
+async::ExchangeEvents Gateway::observed(const EndpointId &endpoint, async::ExchangeEvents events)
+{
+    return state_->traffic_.observed(endpoint, std::move(events));
+}
+
 std::vector<PromptCacheIndex::Key> Gateway::takeNewCachedParts()
 {
     return state_->placement_.takeNewCachedParts();
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -10,6 +10,7 @@
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
 #include "crashguard.h"
+#include "endpointtraffic.h"
 #include "unknownkeyqueue.h"
 
 #include <map>
@@ -72,6 +73,7 @@
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
     observe::Metrics metrics_;
+    EndpointTraffic traffic_;
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
     async::Timer outlierTimer_;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -372,8 +372,11 @@
     request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectTimeoutMillis_);
     handle_.reset();
     // The result doesn't matter, since the handle expires by itself.
-    gateway_.client_.start(std::move(request),
-                           async::gatherAnswer([](const async::ExchangeResult &) {}));
+    gateway_.traffic_.onSent(prefillEngine_, RequestPath::Release, BootClock::now());
+    gateway_.client_.start(
+        std::move(request),
+        gateway_.traffic_.observed(prefillEngine_,
+                                   async::gatherAnswer([](const async::ExchangeResult &) {})));
 }
 
 std::unique_ptr<Call> makeModelCall(GatewayState &gateway, CallContext context)
--- /dev/null
+++ b/libs/gateway/src/sendwindow.cpp
@@ -0,0 +1,31 @@
+#include "almondridge/gateway/sendwindow.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace almondridge::gateway {
+
+void SendWindow::add(TimePoint now)
+{
+    const std::int64_t step = now.time_since_epoch() / Step;
+    const std::int64_t firstStale = std::max(newestStep_ + 1, step - Steps + 1);
+    for (std::int64_t stale = firstStale; stale <= step; ++stale) {
+        counts_.at(static_cast<std::size_t>(stale % Steps)) = 0;
+    }
+    newestStep_ = std::max(newestStep_, step);
+    std::uint16_t &count = counts_.at(static_cast<std::size_t>(step % Steps));
+    count += count < std::numeric_limits<std::uint16_t>::max() ? 1 : 0;
+}
+
+int SendWindow::count(TimePoint now) const
+{
+    const std::int64_t step = now.time_since_epoch() / Step;
+    int sum = 0;
+    for (std::int64_t one = std::max<std::int64_t>(0, step - Steps + 1); one <= newestStep_;
+         ++one) {
+        sum += counts_.at(static_cast<std::size_t>(one % Steps));
+    }
+    return sum;
+}
+
+} // namespace almondridge::gateway
--- a/libs/gateway/src/stagecontroller.cpp
+++ b/libs/gateway/src/stagecontroller.cpp
@@ -77,7 +77,7 @@
 }
 
 /** Sends one request to an engine. done gets status 0 if no complete answer came. */
-void StageController::sendRequest(const EndpointId &engine, std::string text,
+void StageController::sendRequest(const EndpointId &engine, RequestPath path, std::string text,
                                   const std::function<void(int, const std::string &)> &done)
 {
     async::ExchangeRequest request;
@@ -85,10 +85,11 @@
     request.address_ = gateway_.endpoints().find(engine)->listed_.address_;
     request.text_ = std::move(text);
     request.connectBy_ = BootClock::now() + millis(OrderConnectMillis);
-    client_.start(std::move(request),
-                  async::gatherAnswer([done](const async::ExchangeResult &result) {
-                      done(result.failure_ ? 0 : result.status_, result.body_);
-                  }));
+    gateway_.onOwnRequest(engine, path);
+    const auto onResult = [done](const async::ExchangeResult &result) {
+        done(result.failure_ ? 0 : result.status_, result.body_);
+    };
+    client_.start(std::move(request), gateway_.observed(engine, async::gatherAnswer(onResult)));
 }
 
 /**
@@ -98,7 +99,8 @@
 void StageController::fetchReport(const ServiceId &service, const StageChange &change)
 {
     const Endpoint *engine = gateway_.endpoints().find(change.engine_);
-    sendRequest(change.engine_, dialect_.serializeStatusQuery(engine->listed_.address_),
+    sendRequest(change.engine_, RequestPath::StatusQuery,
+                dialect_.serializeStatusQuery(engine->listed_.address_),
                 [this, service, change](int, const std::string &body) {
                     const auto report = dialect_.parseEngineStatus(body);
                     if (report) {
@@ -148,7 +150,7 @@
                             settings_.instance_.value(), lease->fence_,  report.orders_};
     // An order without an answer may still be carried out later. The expected number of orders in
     // it makes a late or repeated execution harmless.
-    sendRequest(change.engine_, dialect_.serializeOrder(order),
+    sendRequest(change.engine_, RequestPath::Order, dialect_.serializeOrder(order),
                 [this, service, id = change.engine_](int status, const std::string &) {
                     onOrderAnswer(service, id, status);
                 });
