Keep the limit that an endpoint names, all instances together

Callers saw nothing; an endpoint in need that named Server-Limit got as many requests as before (78 in 4 s for a limit of 6.4 a second, allowed 43).

Cause: answers say what an endpoint takes, and nothing read it.

Now EndpointTable::usable() leaves out endpoints that admit no request, so prefill, decode, in place, resumed streams, repeats and plain services keep it alike, and what the gateway sends by itself asks the same admits(). A limit's requests in 4 s are divided among the instances in whole requests; the remainder goes one each to those that rank first by rendezvous hashing. What was sent before the limit was known counts, and in the first window the part grows from nothing. When no endpoint admits a request the caller is refused at once, with Retry-After until one does (at most 1 s, another instance may send sooner).

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -165,10 +165,20 @@
     /** Null if unknown. The non-const overload adds the endpoint to the active ones. */
     Endpoint *find(const EndpointId &id);
     const Endpoint *find(const EndpointId &id) const;
-    /** Endpoints of a service that may get new work, ordered by id. */
+    /** Endpoints of a service that may get a new request, ordered by id. */
     std::vector<const Endpoint *> usable(const ServiceId &service, TimePoint now) const;
+    /** Whether the endpoint's own answers allow this instance to send it a request. */
+    bool admits(const Endpoint &endpoint, TimePoint now) const;
+    /**
+     * When an available endpoint of the service next admits a request; nullopt: none is available.
+     */
+    std::optional<TimePoint> admitsAt(const ServiceId &service, TimePoint now) const;
     /** Number of instances that share these endpoints, assumed to send about the same load. */
-    void setInstances(int count) { instances_ = count; }
+    void setInstances(int count)
+    {
+        instances_ = count;
+        limits_.setInstances(count);
+    }
     /** Limits that endpoints name in their answers. */
     RequestLimits &limits() noexcept { return limits_; }
     const RequestLimits &limits() const noexcept { return limits_; }
@@ -225,7 +235,7 @@
     std::int64_t lastKnownStart(const EndpointId &id) const;
     static void restart(Endpoint &endpoint, TimePoint now);
     static void scheduleProbe(Endpoint &endpoint, TimePoint probeAt);
-    /** Endpoints that may get new work, each judged by its own state alone. */
+    /** Endpoints that may get new work, each judged by its own health alone. */
     std::vector<const Endpoint *> available(const ServiceId &service, TimePoint now) const;
     static void cancelProbe(Endpoint &endpoint);
     /** The given endpoints that fail far more often than the others of their stage. */
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -71,9 +71,14 @@
     void unlistEndpoint(const EndpointId &id);
     /** Number of instances that share the retry budget and the endpoints' connection limits. */
     void setInstances(int count);
+    /** The known instances, this one included; they divide limits of endpoints among them. */
+    void setMembers(const InstanceId &self, const std::vector<InstanceId> &members);
     EndpointTable &endpoints() noexcept;
-    /** Counts a request that the owner of the gateway sends to an endpoint by itself. */
-    void onOwnRequest(const EndpointId &endpoint, RequestPath path);
+    /**
+     * Whether an endpoint admits a request that the owner of the gateway sends by itself. If so,
+     * the request counts as sent.
+     */
+    bool admitOwnRequest(const EndpointId &endpoint, RequestPath path);
     /** Events of such a request, which also report the head of its answer to the gateway. */
     async::ExchangeEvents observed(const EndpointId &endpoint, async::ExchangeEvents events);
     /** Shared prompt parts that engines cached for this instance's requests since the last call. */
--- a/libs/gateway/include/almondridge/gateway/requestlimits.h
+++ b/libs/gateway/include/almondridge/gateway/requestlimits.h
@@ -1,37 +1,67 @@
 /**
  * Limits that endpoints name in their answers: the requests a second that they take from all
  * instances together. No I/O and no clock: events and the current time are inputs.
+ *
+ * The requests that a limit allows in a window are divided among the instances: each gets the same
+ * number, and what remains goes one each to the instances that rank first for the endpoint. So the
+ * parts add up to the limit in a fleet of any size, without any message. What an instance sent
+ * before it knew the limit counts against its part, and in the first window the part grows from
+ * nothing: the other instances may have sent more than this one.
  */
 #pragma once
 
 #include "almondridge/base/ids.h"
 #include "almondridge/base/time.h"
+#include "almondridge/gateway/sendwindow.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace almondridge::gateway {
 
 class RequestLimits
 {
 public:
+    /** Upper bound of the number of instances; their ids may not all be known. */
+    void setInstances(int count) { instances_ = count; }
+    /** Sets the ids of the known instances, this one included. */
+    void setMembers(const InstanceId &self, const std::vector<InstanceId> &members);
+
     /**
      * Records an answer of an endpoint and the limit that it names, if any, in requests a second.
      * True if the limit begins, ends or changes considerably.
      */
     bool onAnswer(const EndpointId &id, std::optional<double> perSecond, TimePoint now);
-    /** Requests a second; nullopt: the endpoint names no limit. */
-    std::optional<double> limitOf(const EndpointId &id) const;
+    /** Requests a second; nullopt: the endpoint names no limit, or has named none for long. */
+    std::optional<double> limitOf(const EndpointId &id, TimePoint now) const;
+    /** Requests that this instance may send to the endpoint in a window; nullopt: no limit. */
+    std::optional<int> partOf(const EndpointId &id, TimePoint now) const;
+    /** When the limit allows the next request; now if it allows one at once. */
+    TimePoint allowedAt(const EndpointId &id, const SendWindow &sent, TimePoint now) const;
     void forget(const EndpointId &id) { limits_.erase(id); }
 
 private:
     struct Limit
     {
         double perSecond_ = 0;
-        TimePoint namedAt_ {};
+        TimePoint beganAt_ {};
+        TimePoint namedAt_ {}; ///< Last.
+        /** Instances that rank before this one; nullopt: this one isn't a known member. */
+        std::optional<int> rank_;
     };
 
+    const Limit *find(const EndpointId &id, TimePoint now) const;
+    std::optional<int> rankFor(const EndpointId &id) const;
+    int partOf(const Limit &limit) const;
+    static int grownPart(const Limit &limit, int part, TimePoint now);
+    Duration pauseOf(const Limit &limit) const;
+
     std::map<EndpointId, Limit> limits_;
+    int instances_ = 1;
+    std::uint64_t selfHash_ = 0;
+    std::vector<std::uint64_t> memberHashes_; ///< Of all members, or empty if none are known.
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/sendwindow.h
+++ b/libs/gateway/include/almondridge/gateway/sendwindow.h
@@ -19,6 +19,10 @@
 
     void add(TimePoint now);
     int count(TimePoint now) const;
+    /** When count() falls below max, which is at least 1, if nothing is sent until then. */
+    TimePoint fallsBelow(int max, TimePoint now) const;
+    /** When the last request was sent; the epoch of the clock if none was. */
+    TimePoint lastAt() const noexcept { return lastAt_; }
 
 private:
     static constexpr Duration Step = millis(250);
@@ -26,6 +30,7 @@
 
     std::array<std::uint16_t, Steps> counts_ {}; ///< By step modulo Steps.
     std::int64_t newestStep_ = 0;
+    TimePoint lastAt_ {};
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/stagecontroller.h
+++ b/libs/gateway/include/almondridge/gateway/stagecontroller.h
@@ -46,8 +46,9 @@
     void fetchReport(const ServiceId &service, const StageChange &change);
     void updateStartTime(const EndpointId &id, const EngineStatus &report);
     void sendOrder(const ServiceId &service, const StageChange &change, const EngineStatus &report);
-    void sendRequest(const EndpointId &engine, RequestPath path, std::string text,
+    bool sendRequest(const EndpointId &engine, RequestPath path, std::string text,
                      const std::function<void(int status, const std::string &body)> &done);
+    void onNotGiven(const ServiceId &service, const EndpointId &engine, std::string_view why);
     void onOrderAnswer(const ServiceId &service, const EndpointId &engine, int status);
     void onAccepted(const ServiceId &service, const EndpointId &engine, TimePoint now);
     StagePlan &planOf(const ServiceId &service);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -397,15 +397,23 @@
 void Call::refuse(std::string_view cause)
 {
     // No Retry-After for quarantined requests: every instance would refuse them.
-    const auto retryAfter =
-        cause == QuarantinedCause || isQuarantined()
-            ? std::nullopt
-            : std::optional(retryAfterMillis_.value_or(DefaultRetryAfterMillis));
+    const auto retryAfter = cause == QuarantinedCause || isQuarantined()
+                                ? std::nullopt
+                                : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
     gateway_.server_.respond(context_.request_.id_,
                              gateway_.dialect_.refusal(503, retryAfter, cause));
     finish(Outcome::Refused, 503, cause);
 }
 
+/** Until an endpoint admits a request of this instance; another instance may send one sooner. */
+std::int64_t Call::millisUntilAdmitted() const
+{
+    constexpr std::int64_t MaxRetryAfterMillis = 1'000;
+    const TimePoint now = BootClock::now();
+    const TimePoint at = gateway_.table_.admitsAt(context_.service_, now).value_or(now);
+    return std::clamp(millisUntil(at, now), DefaultRetryAfterMillis, MaxRetryAfterMillis);
+}
+
 void Call::failCall(int status, std::string_view cause)
 {
     releaseEndpointState();
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -171,6 +171,7 @@
     void refuseQuarantined(const Assessment &assessment);
     /** Records what the head of the attempt's answer says about its endpoint. */
     void onAnswerOfEndpoint();
+    std::int64_t millisUntilAdmitted() const;
     void countOutcome(Outcome outcome, std::string_view cause, TimePoint now);
 
     TimePoint deadline_;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -225,9 +225,25 @@
     for (const Endpoint *endpoint : outliersAmong(found, now)) {
         std::erase(found, endpoint);
     }
+    std::erase_if(found, [&](const Endpoint *endpoint) { return !admits(*endpoint, now); });
     return found;
 }
 
+bool EndpointTable::admits(const Endpoint &endpoint, TimePoint now) const
+{
+    return limits_.allowedAt(endpoint.listed_.id_, endpoint.sent_, now) <= now;
+}
+
+std::optional<TimePoint> EndpointTable::admitsAt(const ServiceId &service, TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const Endpoint *endpoint : available(service, now)) {
+        const TimePoint at = limits_.allowedAt(endpoint->listed_.id_, endpoint->sent_, now);
+        earliest = earliest ? std::min(*earliest, at) : at;
+    }
+    return earliest;
+}
+
 std::vector<const Endpoint *> EndpointTable::outliers(TimePoint now) const
 {
     std::set<ServiceId> services;
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -23,6 +23,17 @@
     , limitLines_(MaxLimitLines, LimitLineWindow)
 { }
 
+bool EndpointTraffic::admits(const EndpointId &id, RequestPath path, TimePoint now)
+{
+    const Endpoint *endpoint = std::as_const(table_).find(id);
+    const bool admitted = endpoint == nullptr || table_.admits(*endpoint, now);
+    if (!admitted) {
+        metrics_.count("requests_held_back_total",
+                       observe::metricLabel("path", nameOf(RequestPathNames, path)));
+    }
+    return admitted;
+}
+
 void EndpointTraffic::onSent(const EndpointId &id, RequestPath path, TimePoint now)
 {
     Endpoint *endpoint = table_.find(id);
@@ -30,7 +41,7 @@
         return;
     }
     endpoint->sent_.add(now);
-    if (table_.limits().limitOf(id)) {
+    if (table_.limits().limitOf(id, now)) {
         metrics_.count("requests_to_limited_total",
                        observe::metricLabel("path", nameOf(RequestPathNames, path)));
     }
@@ -58,6 +69,7 @@
              {{"endpoint", id.value()},
               {"limit_per_s", response.limitPerSecond_.value_or(-1)},
               {"own_sends", endpoint.sent_.count(now)},
+              {"own_part", table_.limits().partOf(id, now).value_or(-1)},
               {"window_ms", toMillis(SendWindow::Length)}});
     endpoint.limitLoggedAt_ = now;
 }
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -18,6 +18,8 @@
 public:
     EndpointTraffic(const Dialect &dialect, EndpointTable &table, observe::Metrics &metrics);
 
+    /** Whether the endpoint admits a request now; refusals are counted by path. */
+    bool admits(const EndpointId &id, RequestPath path, TimePoint now);
     void onSent(const EndpointId &id, RequestPath path, TimePoint now);
     void onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now);
     /** Events that also report the head of the answer here. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -69,9 +69,14 @@
     return state_->table_;
 }
 
-void Gateway::onOwnRequest(const EndpointId &endpoint, RequestPath path)
+bool Gateway::admitOwnRequest(const EndpointId &endpoint, RequestPath path)
 {
-    state_->traffic_.onSent(endpoint, path, BootClock::now());
+    const TimePoint now = BootClock::now();
+    const bool admitted = state_->traffic_.admits(endpoint, path, now);
+    if (admitted) {
+        state_->traffic_.onSent(endpoint, path, now);
+    }
+    return admitted;
 }
 
 async::ExchangeEvents Gateway::observed(const EndpointId &endpoint, async::ExchangeEvents events)
@@ -234,6 +239,11 @@
     }
 }
 
+void Gateway::setMembers(const InstanceId &self, const std::vector<InstanceId> &members)
+{
+    state_->table_.limits().setMembers(self, members);
+}
+
 RetryBudget &GatewayState::budget(const ServiceId &service)
 {
     const auto [place, added] = budgets_.try_emplace(service, settings_.retryBudget_);
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -364,15 +364,19 @@
     if (!handle_) {
         return;
     }
+    const TimePoint now = BootClock::now();
+    const PromptHandle handle = *std::exchange(handle_, std::nullopt);
+    if (!gateway_.traffic_.admits(prefillEngine_, RequestPath::Release, now)) {
+        return; // The handle expires by itself.
+    }
     // No engine will fetch the prompt; until it expires it would occupy KV cache.
     async::ExchangeRequest request;
     request.peer_ = prefillEngine_.value();
-    request.address_ = handle_->source_;
-    request.text_ = gateway_.dialect_.serializeHandleRelease(handle_->source_, handle_->handle_);
-    request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectTimeoutMillis_);
-    handle_.reset();
+    request.address_ = handle.source_;
+    request.text_ = gateway_.dialect_.serializeHandleRelease(handle.source_, handle.handle_);
+    request.connectBy_ = now + millis(gateway_.settings_.connectTimeoutMillis_);
     // The result doesn't matter, since the handle expires by itself.
-    gateway_.traffic_.onSent(prefillEngine_, RequestPath::Release, BootClock::now());
+    gateway_.traffic_.onSent(prefillEngine_, RequestPath::Release, now);
     gateway_.client_.start(
         std::move(request),
         gateway_.traffic_.observed(prefillEngine_,
--- a/libs/gateway/src/stagecontroller.cpp
+++ b/libs/gateway/src/stagecontroller.cpp
@@ -15,6 +15,8 @@
 constexpr int Accepted = 202;
 constexpr int StaleFence = 412;
 constexpr int Conflict = 409;
+/** Why an order was not given: the engine admits no request of this instance now. */
+constexpr std::string_view HeldBack = "held-back";
 
 } // namespace
 
@@ -76,20 +78,26 @@
     }
 }
 
-/** Sends one request to an engine. done gets status 0 if no complete answer came. */
-void StageController::sendRequest(const EndpointId &engine, RequestPath path, std::string text,
+/**
+ * Sends one request to an engine; false if the engine doesn't admit it now. done gets status 0 if
+ * no complete answer came.
+ */
+bool StageController::sendRequest(const EndpointId &engine, RequestPath path, std::string text,
                                   const std::function<void(int, const std::string &)> &done)
 {
+    if (!gateway_.admitOwnRequest(engine, path)) {
+        return false;
+    }
     async::ExchangeRequest request;
     request.peer_ = engine.value();
     request.address_ = gateway_.endpoints().find(engine)->listed_.address_;
     request.text_ = std::move(text);
     request.connectBy_ = BootClock::now() + millis(OrderConnectMillis);
-    gateway_.onOwnRequest(engine, path);
     const auto onResult = [done](const async::ExchangeResult &result) {
         done(result.failure_ ? 0 : result.status_, result.body_);
     };
     client_.start(std::move(request), gateway_.observed(engine, async::gatherAnswer(onResult)));
+    return true;
 }
 
 /**
@@ -99,24 +107,28 @@
 void StageController::fetchReport(const ServiceId &service, const StageChange &change)
 {
     const Endpoint *engine = gateway_.endpoints().find(change.engine_);
-    sendRequest(change.engine_, RequestPath::StatusQuery,
-                dialect_.serializeStatusQuery(engine->listed_.address_),
-                [this, service, change](int, const std::string &body) {
-                    const auto report = dialect_.parseEngineStatus(body);
-                    if (report) {
-                        updateStartTime(change.engine_, *report);
-                    }
-                    const bool fits =
-                        report && !report->changing_ && report->stage_ != change.stage_;
-                    if (!fits) {
-                        logEvent(LogLevel::Info, "order_not_given",
-                                 {{"engine", change.engine_.value()},
-                                  {"why", report ? "changing-or-changed" : "unreadable"}});
-                        planOf(service).onRefused(change.engine_, BootClock::now());
-                        return;
-                    }
-                    sendOrder(service, change, *report);
-                });
+    const auto onStatus = [this, service, change](int, const std::string &body) {
+        const auto report = dialect_.parseEngineStatus(body);
+        if (report) {
+            updateStartTime(change.engine_, *report);
+        }
+        if (!report || report->changing_ || report->stage_ == change.stage_) {
+            onNotGiven(service, change.engine_, report ? "changing-or-changed" : "unreadable");
+            return;
+        }
+        sendOrder(service, change, *report);
+    };
+    if (!sendRequest(change.engine_, RequestPath::StatusQuery,
+                     dialect_.serializeStatusQuery(engine->listed_.address_), onStatus)) {
+        onNotGiven(service, change.engine_, HeldBack);
+    }
+}
+
+void StageController::onNotGiven(const ServiceId &service, const EndpointId &engine,
+                                 std::string_view why)
+{
+    logEvent(LogLevel::Info, "order_not_given", {{"engine", engine.value()}, {"why", why}});
+    planOf(service).onRefused(engine, BootClock::now());
 }
 
 /** The engine's report may show a restart before its list entry does. */
@@ -140,20 +152,24 @@
     if (!lease || engine == nullptr || !running_) {
         return;
     }
+    const StageOrder order {engine->listed_.address_,    change.engine_, change.stage_,
+                            settings_.instance_.value(), lease->fence_,  report.orders_};
+    // An order without an answer may still be carried out later. The expected number of orders in
+    // it makes a late or repeated execution harmless.
+    const auto onAnswer = [this, service, id = change.engine_](int status, const std::string &) {
+        onOrderAnswer(service, id, status);
+    };
+    if (!sendRequest(change.engine_, RequestPath::Order, dialect_.serializeOrder(order),
+                     onAnswer)) {
+        onNotGiven(service, change.engine_, HeldBack);
+        return;
+    }
     ++orders_;
     logEvent(LogLevel::Info, "order",
              {{"engine", change.engine_.value()},
               {"stage", nameOf(StageNames, change.stage_)},
               {"fence", lease->fence_},
               {"expect", report.orders_}});
-    const StageOrder order {engine->listed_.address_,    change.engine_, change.stage_,
-                            settings_.instance_.value(), lease->fence_,  report.orders_};
-    // An order without an answer may still be carried out later. The expected number of orders in
-    // it makes a late or repeated execution harmless.
-    sendRequest(change.engine_, RequestPath::Order, dialect_.serializeOrder(order),
-                [this, service, id = change.engine_](int status, const std::string &) {
-                    onOrderAnswer(service, id, status);
-                });
 }
 
 void StageController::onOrderAnswer(const ServiceId &service, const EndpointId &engine, int status)
