--- a/libs/gateway/include/almondridge/gateway/crashgossip.h
+++ b/libs/gateway/include/almondridge/gateway/crashgossip.h
@@ -9,9 +9,7 @@
 #pragma once
 
 #include "almondridge/gateway/crashevidence.h"
-#include "almondridge/gateway/loadmesh.h"
-
-#include <random>
+#include "almondridge/gateway/gossippeers.h"
 
 namespace almondridge::gateway {
 
@@ -44,14 +42,9 @@
                              std::vector<MeshDatagram> &out);
 
 private:
-    std::vector<InstanceId> samplePeers(std::size_t max);
-    void send(const CrashMessage &message, const std::vector<InstanceId> &peers,
-              std::vector<MeshDatagram> &out) const;
-
     CrashEvidence &evidence_;
     InstanceId self_;
-    std::mt19937_64 random_;
-    std::vector<InstanceId> peers_;
+    GossipPeers peers_;
     TimePoint updateAt_ {};
     TimePoint repeatAt_ {};
     TimePoint requestSnapshotUntil_ {}; ///< Set when the first peers are known.
--- a/libs/gateway/src/crashgossip.cpp
+++ b/libs/gateway/src/crashgossip.cpp
@@ -19,8 +19,6 @@
 constexpr Duration RepeatInterval = millis(1'000);
 constexpr Duration SnapshotRequestInterval = millis(300);
 constexpr Duration SnapshotRequestPeriod = millis(5'000);
-/** With up to this many peers, updates go to all of them. */
-constexpr std::size_t MaxBroadcastPeers = 12;
 constexpr std::size_t UpdateFanout = 3;
 constexpr std::size_t RepeatFanout = 2;
 
@@ -169,29 +167,12 @@
 CrashGossip::CrashGossip(CrashEvidence &evidence, InstanceId self, std::uint64_t seed)
     : evidence_(evidence)
     , self_(std::move(self))
-    , random_(seed)
+    , peers_(self_, seed)
 { }
 
 void CrashGossip::setPeers(std::vector<InstanceId> peers)
 {
-    peers_ = std::move(peers);
-    std::erase(peers_, self_);
-}
-
-std::vector<InstanceId> CrashGossip::samplePeers(std::size_t max)
-{
-    std::vector<InstanceId> sampled;
-    std::sample(peers_.begin(), peers_.end(), std::back_inserter(sampled), max, random_);
-    return sampled;
-}
-
-void CrashGossip::send(const CrashMessage &message, const std::vector<InstanceId> &peers,
-                       std::vector<MeshDatagram> &out) const
-{
-    const std::string bytes = encodeCrashMessage(message);
-    for (const InstanceId &peer : peers) {
-        out.push_back({peer, bytes});
-    }
+    peers_.set(std::move(peers));
 }
 
 std::vector<MeshDatagram> CrashGossip::tick(TimePoint now)
@@ -205,14 +186,14 @@
     }
     if (!receivedUpdate_ && now < requestSnapshotUntil_ && now >= requestSnapshotAt_) {
         requestSnapshotAt_ = now + SnapshotRequestInterval;
-        send({self_, true, {}}, samplePeers(RepeatFanout), out);
+        appendDatagrams(encodeCrashMessage({self_, true, {}}), peers_.sample(RepeatFanout), out);
     }
     if (now >= updateAt_) {
         updateAt_ = now + UpdateInterval;
         const CrashUpdate update = evidence_.takeUpdate(now);
         if (!update.empty()) {
-            send({self_, false, update},
-                 peers_.size() <= MaxBroadcastPeers ? peers_ : samplePeers(UpdateFanout), out);
+            appendDatagrams(encodeCrashMessage({self_, false, update}),
+                            peers_.receivers(UpdateFanout), out);
         }
     }
     if (now >= repeatAt_) {
@@ -220,7 +201,8 @@
         evidence_.removeExpired(now);
         const CrashUpdate update = evidence_.mostSuspicious(now);
         if (!update.empty()) {
-            send({self_, false, update}, samplePeers(RepeatFanout), out);
+            appendDatagrams(encodeCrashMessage({self_, false, update}), peers_.sample(RepeatFanout),
+                            out);
         }
     }
     return out;
@@ -233,12 +215,13 @@
     if (!message) {
         return ReceiveResult::Malformed;
     }
-    if (std::find(peers_.begin(), peers_.end(), message->sender_) == peers_.end()) {
+    if (!peers_.contains(message->sender_)) {
         return ReceiveResult::UnknownSender;
     }
     if (message->requestsSnapshot_) {
         // Responds even if there is nothing to report, so that the peer stops requesting.
-        send({self_, false, evidence_.mostSuspicious(now)}, {message->sender_}, out);
+        appendDatagrams(encodeCrashMessage({self_, false, evidence_.mostSuspicious(now)}),
+                        {message->sender_}, out);
         return ReceiveResult::Accepted;
     }
     receivedUpdate_ = true;
