Tell other instances the limits that endpoints name

Knowledge carries its age: what is older never replaces what is newer. A limit that nobody has heard of for 10 s has ended.

--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -7,6 +7,7 @@
 #include "almondridge/async/eventloop.h"
 #include "almondridge/gateway/crashgossip.h"
 #include "almondridge/gateway/gateway.h"
+#include "almondridge/gateway/limitgossip.h"
 #include "almondridge/gateway/loadmesh.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -74,6 +75,7 @@
     std::map<char, Handler> handlers_;
     LoadMesh mesh_;
     CrashGossip crashGossip_;
+    LimitGossip limitGossip_;
     std::map<EndpointId, TimePoint> changing_;
     TimePoint nextDropLogAt_ {}; ///< Earliest time of the next log line about dropped datagrams.
 };
--- a/libs/gateway/include/almondridge/gateway/requestlimits.h
+++ b/libs/gateway/include/almondridge/gateway/requestlimits.h
@@ -21,6 +21,14 @@
 
 namespace almondridge::gateway {
 
+/** What an instance knows of an endpoint's limit, to be told to other instances. */
+struct LimitReport
+{
+    EndpointId endpoint_;
+    std::optional<double> perSecond_; ///< Requests a second; nullopt: the limit has ended.
+    std::int64_t ageMillis_ = 0;      ///< Since the endpoint's answer.
+};
+
 class RequestLimits
 {
 public:
@@ -42,16 +50,26 @@
     TimePoint allowedAt(const EndpointId &id, const SendWindow &sent, TimePoint now) const;
     void forget(const EndpointId &id) { limits_.erase(id); }
 
+    /** What other instances should be told now, at most that many endpoints. */
+    std::vector<LimitReport> takeReports(std::size_t max, TimePoint now);
+    /** Knowledge of another instance; it is ignored unless it is newer. True as for onAnswer(). */
+    bool onReport(const LimitReport &report, TimePoint now);
+
 private:
     struct Limit
     {
-        double perSecond_ = 0;
+        std::optional<double> perSecond_; ///< nullopt: the limit has ended.
         TimePoint beganAt_ {};
-        TimePoint namedAt_ {}; ///< Last.
+        TimePoint answeredAt_ {}; ///< Time of the answer that this is known from.
+        TimePoint reportedAt_ {}; ///< When this was last reported, by this instance or to it.
+        int reportsLeft_ = 0;
         /** Instances that rank before this one; nullopt: this one isn't a known member. */
         std::optional<int> rank_;
     };
 
+    /** Applies an answer, of which this instance or another one knows. */
+    bool apply(const EndpointId &id, std::optional<double> perSecond, TimePoint answeredAt,
+               TimePoint now);
     const Limit *find(const EndpointId &id, TimePoint now) const;
     std::optional<int> rankFor(const EndpointId &id) const;
     int partOf(const Limit &limit) const;
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -30,7 +30,12 @@
     , timer_(loop)
     , mesh_(self.id_, self.domain_, self.linkMbps_, static_cast<std::uint64_t>(wallMillis()))
     , crashGossip_(gateway.crashEvidence(), self.id_, std::random_device {}())
-{ }
+    , limitGossip_(gateway.endpoints().limits(), self.id_, std::random_device {}())
+{
+    setHandler(LimitDatagramMark, [this](std::string_view datagram, TimePoint now) {
+        return limitGossip_.onDatagram(datagram, now);
+    });
+}
 
 Result<void> LoadExchange::listen(const net::Address &address)
 {
@@ -70,6 +75,7 @@
     for (const MeshMember &member : members) {
         ids.push_back(member.id_);
     }
+    limitGossip_.setPeers(ids);
     crashGossip_.setPeers(std::move(ids));
 }
 
@@ -196,6 +202,7 @@
     mesh_.addReadParts(gateway_.takeNewCachedParts());
     send(mesh_.tick(currentReport(now), gateway_.endpoints(), now));
     send(crashGossip_.tick(now));
+    send(limitGossip_.tick(now));
 }
 
 void LoadExchange::send(const std::vector<MeshDatagram> &datagrams)
--- a/libs/gateway/src/requestlimits.cpp
+++ b/libs/gateway/src/requestlimits.cpp
@@ -13,6 +13,11 @@
 constexpr double MinReportedChange = 0.1;
 /** A limit that no answer has named for this long has ended: nobody may have asked since. */
 constexpr Duration MaxLimitAge = millis(10'000);
+/** A limit that goes on is reported again after this time, so that others don't forget it. */
+constexpr Duration RefreshInterval = millis(3'000);
+/** How often a change is reported, to make up for lost datagrams and to reach all of a fleet. */
+constexpr int ReportsOfChange = 4;
+constexpr int ReportsOfRefresh = 2;
 /** Answers on different connections may overtake each other by less than this. */
 constexpr Duration MaxAnswerReordering = millis(200);
 /** Between two requests to an endpoint that takes hardly any, to learn when its limit ends. */
@@ -46,35 +51,85 @@
 
 bool RequestLimits::onAnswer(const EndpointId &id, std::optional<double> perSecond, TimePoint now)
 {
-    if (!perSecond) {
-        const auto found = limits_.find(id);
-        const bool ends =
-            found != limits_.end() && found->second.namedAt_ + MaxAnswerReordering <= now;
-        return ends && limits_.erase(id) > 0;
+    return apply(id, perSecond, now, now);
+}
+
+bool RequestLimits::onReport(const LimitReport &report, TimePoint now)
+{
+    const TimePoint answeredAt = now - millis(report.ageMillis_);
+    const auto known = limits_.find(report.endpoint_);
+    const bool isNewer = known == limits_.end() || known->second.answeredAt_ < answeredAt;
+    if (!isNewer || answeredAt + MaxLimitAge <= now) {
+        return false;
+    }
+    const bool isRefresh =
+        known != limits_.end() && known->second.reportedAt_ + RefreshInterval / 2 <= now;
+    const bool changed = apply(report.endpoint_, report.perSecond_, answeredAt, now);
+    const auto applied = limits_.find(report.endpoint_);
+    if (applied != limits_.end() && !changed && isRefresh) {
+        applied->second.reportedAt_ = now;
+        applied->second.reportsLeft_ = std::max(ReportsOfRefresh, applied->second.reportsLeft_);
     }
-    const auto [place, added] = limits_.try_emplace(id);
-    Limit &limit = place->second;
-    const double before = limit.perSecond_;
-    limit.perSecond_ = *perSecond;
-    limit.namedAt_ = now;
-    if (added) {
+    return changed;
+}
+
+bool RequestLimits::apply(const EndpointId &id, std::optional<double> perSecond,
+                          TimePoint answeredAt, TimePoint now)
+{
+    const auto found = limits_.find(id);
+    const bool wasLimited = found != limits_.end() && found->second.perSecond_
+                            && found->second.answeredAt_ + MaxLimitAge > now;
+    const bool overtaken =
+        wasLimited && found->second.answeredAt_ + MaxAnswerReordering > answeredAt;
+    if (!perSecond && (!wasLimited || overtaken)) {
+        return false;
+    }
+    Limit &limit = limits_[id];
+    const double before = limit.perSecond_.value_or(0);
+    const bool changed =
+        !perSecond || !wasLimited || std::abs(*perSecond - before) > MinReportedChange * before;
+    if (!wasLimited) {
         limit.beganAt_ = now;
         limit.rank_ = rankFor(id);
     }
-    return added || std::abs(*perSecond - before) > MinReportedChange * before;
+    limit.perSecond_ = perSecond;
+    limit.answeredAt_ = answeredAt;
+    if (changed) {
+        limit.reportsLeft_ = ReportsOfChange;
+        limit.reportedAt_ = now;
+    } else if (limit.reportedAt_ + RefreshInterval <= now) {
+        limit.reportsLeft_ = std::max(ReportsOfRefresh, limit.reportsLeft_);
+        limit.reportedAt_ = now;
+    }
+    return changed;
+}
+
+std::vector<LimitReport> RequestLimits::takeReports(std::size_t max, TimePoint now)
+{
+    std::erase_if(limits_,
+                  [&](const auto &entry) { return entry.second.answeredAt_ + MaxLimitAge <= now; });
+    std::vector<LimitReport> reports;
+    for (auto &[id, limit] : limits_) {
+        if (limit.reportsLeft_ > 0 && reports.size() < max) {
+            --limit.reportsLeft_;
+            reports.push_back({id, limit.perSecond_, toMillis(now - limit.answeredAt_)});
+        }
+    }
+    return reports;
 }
 
 const RequestLimits::Limit *RequestLimits::find(const EndpointId &id, TimePoint now) const
 {
     const auto found = limits_.find(id);
-    return found != limits_.end() && found->second.namedAt_ + MaxLimitAge > now ? &found->second
-                                                                                : nullptr;
+    const bool holds = found != limits_.end() && found->second.perSecond_
+                       && found->second.answeredAt_ + MaxLimitAge > now;
+    return holds ? &found->second : nullptr;
 }
 
 std::optional<double> RequestLimits::limitOf(const EndpointId &id, TimePoint now) const
 {
     const Limit *limit = find(id, now);
-    return limit != nullptr ? std::optional(limit->perSecond_) : std::nullopt;
+    return limit != nullptr ? limit->perSecond_ : std::nullopt;
 }
 
 std::optional<int> RequestLimits::partOf(const EndpointId &id, TimePoint now) const
@@ -86,7 +141,8 @@
 int RequestLimits::partOf(const Limit &limit) const
 {
     const int divisor = std::max({1, instances_, static_cast<int>(memberHashes_.size())});
-    const int all = std::max(1, static_cast<int>(limit.perSecond_ * toSeconds(SendWindow::Length)));
+    const int all =
+        std::max(1, static_cast<int>(*limit.perSecond_ * toSeconds(SendWindow::Length)));
     const bool hasOneMore = divisor == 1 || (limit.rank_ && *limit.rank_ < all % divisor);
     return all / divisor + (hasOneMore && all % divisor > 0 ? 1 : 0);
 }
@@ -100,7 +156,7 @@
 /** Between two requests of an instance whose part is one: a limit may allow less in a window. */
 Duration RequestLimits::pauseOf(const Limit &limit) const
 {
-    const double seconds = 1 / std::max(limit.perSecond_, 1 / toSeconds(MaxPause));
+    const double seconds = 1 / std::max(*limit.perSecond_, 1 / toSeconds(MaxPause));
     return std::max(SendWindow::Length, millis(std::llround(1'000 * seconds)));
 }
 
@@ -113,7 +169,7 @@
     }
     const int part = partOf(*limit);
     if (part == 0) {
-        return limit->namedAt_ + MaxLimitAge;
+        return limit->answeredAt_ + MaxLimitAge;
     }
     const int count = sent.count(now);
     if (count >= part) {
