Logs and counters of endpoints that ask for rest

not_run did not say that an endpoint asked for rest (503 or 429 with Retry-After), nor what its refusal was taken as, and nothing said what was sent during a rest. No decision changes.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -85,6 +85,8 @@
     DecayingCount recentSends_; ///< Requests of this instance.
     SendWindow sent_;           ///< Requests of callers and of this instance itself.
     TimePoint limitLoggedAt_ {};
+    TimePoint restsUntil_ {};      ///< It asked this instance to send nothing until then.
+    int sentInRest_ = 0;           ///< Requests of this instance during the last rest.
     DecayingCount recentFailures_; ///< Failures among recentSends_.
     double peerFailures_ = 0;      ///< Recent failures at other instances, as reported.
     /** Circuit breaker: no new work until then, and then one trial request; empty: closed. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -278,6 +278,8 @@
               {"waiting", load.waiting_},
               {"slots", load.slots_},
               {"after_ms", toMillis(BootClock::now() - attempt_.sentAt_)},
+              {"rest_ms", attempt_.responseInfo_.restMillis_.value_or(-1)},
+              {"taken_as", nameOf(HealthSignalNames, refusalSignal())},
               {"body", attempt_.body_.substr(0, 80)}});
 }
 
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -2,6 +2,7 @@
 
 #include "almondridge/base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondridge::gateway {
@@ -9,9 +10,9 @@
 
 /** A limited endpoint is logged when its limit changes, and once in this time besides. */
 constexpr Duration LimitLogInterval = SendWindow::Length;
-/** Limits log lines on limits; the metric counts all requests. */
-constexpr int MaxLimitLines = 200;
-constexpr Duration LimitLineWindow = millis(10'000);
+/** Limits log lines on what endpoints ask for; the metrics count all requests. */
+constexpr int MaxLines = 200;
+constexpr Duration LineWindow = millis(10'000);
 
 } // namespace
 
@@ -20,7 +21,7 @@
     : dialect_(dialect)
     , table_(table)
     , metrics_(metrics)
-    , limitLines_(MaxLimitLines, LimitLineWindow)
+    , lines_(MaxLines, LineWindow)
 { }
 
 bool EndpointTraffic::admits(const EndpointId &id, RequestPath path, TimePoint now)
@@ -41,6 +42,11 @@
         return;
     }
     endpoint->sent_.add(now);
+    if (endpoint->restsUntil_ > now) {
+        ++endpoint->sentInRest_;
+        metrics_.count("requests_to_resting_total",
+                       observe::metricLabel("path", nameOf(RequestPathNames, path)));
+    }
     if (table_.limits().limitOf(id, now)) {
         metrics_.count("requests_to_limited_total",
                        observe::metricLabel("path", nameOf(RequestPathNames, path)));
@@ -52,7 +58,27 @@
     Endpoint *endpoint = table_.find(id);
     if (endpoint != nullptr) {
         onLimit(*endpoint, response, now);
+        onRest(*endpoint, response, now);
+    }
+}
+
+/** sent_in_rest is of the rest before, which may not be over yet. */
+void EndpointTraffic::onRest(Endpoint &endpoint, const ResponseInfo &response, TimePoint now)
+{
+    if (!response.restMillis_) {
+        return;
+    }
+    const bool begins = endpoint.restsUntil_ <= now;
+    if (begins && lines_.take(now)) {
+        logEvent(LogLevel::Info, "endpoint_rest",
+                 {{"endpoint", endpoint.listed_.id_.value()},
+                  {"rest_ms", *response.restMillis_},
+                  {"sent_in_rest", endpoint.sentInRest_},
+                  {"own_sends", endpoint.sent_.count(now)},
+                  {"window_ms", toMillis(SendWindow::Length)}});
     }
+    endpoint.sentInRest_ = begins ? 0 : endpoint.sentInRest_;
+    endpoint.restsUntil_ = std::max(endpoint.restsUntil_, now + millis(*response.restMillis_));
 }
 
 /** Of all instances, the sum of own_sends is what an endpoint got in the window. */
@@ -62,7 +88,7 @@
     const bool changed = table_.limits().onAnswer(id, response.limitPerSecond_, now);
     const bool isDue =
         response.limitPerSecond_ && endpoint.limitLoggedAt_ + LimitLogInterval <= now;
-    if ((!changed && !isDue) || !limitLines_.take(now)) {
+    if ((!changed && !isDue) || !lines_.take(now)) {
         return;
     }
     logEvent(LogLevel::Info, "endpoint_limit",
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -26,12 +26,13 @@
     async::ExchangeEvents observed(const EndpointId &id, async::ExchangeEvents events);
 
 private:
+    void onRest(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
     void onLimit(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
 
     const Dialect &dialect_;
     EndpointTable &table_;
     observe::Metrics &metrics_;
-    LogRateLimiter limitLines_;
+    LogRateLimiter lines_;
 };
 
 } // namespace almondridge::gateway
