Keep the rest that an endpoint asks for

Callers saw a third and fourth send, and more time until their first event; the endpoint got 12 requests in the 3 s of rest that it had asked one instance for (allowed: two from half a second on).

Cause: Retry-After of a refusal was kept with the request that was refused, as a value for its caller, and forgotten with it.

Now the rest is a state of the endpoint at this instance, and EndpointTable::admits() asks it beside the limit, so all paths keep it.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -74,7 +74,6 @@
     bool misdirected_ = false;
     bool signed_ = false; ///< The response carries the endpoint's signature.
     std::optional<LoadSample> load_;
-    std::optional<std::int64_t> retryAfterMillis_;
     /** How long the endpoint, which refused the request, wants no other of this instance. */
     std::optional<std::int64_t> restMillis_;
     /** Requests a second that the endpoint takes from all instances together. */
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -239,6 +239,7 @@
     static void scheduleProbe(Endpoint &endpoint, TimePoint probeAt);
     /** Endpoints that may get new work, each judged by its own health alone. */
     std::vector<const Endpoint *> available(const ServiceId &service, TimePoint now) const;
+    TimePoint admitsAt(const Endpoint &endpoint, TimePoint now) const;
     static void cancelProbe(Endpoint &endpoint);
     /** The given endpoints that fail far more often than the others of their stage. */
     std::vector<const Endpoint *> outliersAmong(const std::vector<const Endpoint *> &endpoints,
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -15,6 +15,8 @@
  * prompts in this time.
  */
 constexpr std::int64_t DefaultRetryAfterMillis = 300;
+/** Longest Retry-After for what endpoints ask of this instance. */
+constexpr std::int64_t MaxRetryAfterMillis = 1'000;
 /** Between two checks whether a suspected request may start. */
 constexpr Duration StartRetryInterval = millis(100);
 /** Longer than most executions that crash an endpoint, and a short delay for harmless requests. */
@@ -407,10 +409,17 @@
     finish(Outcome::Refused, 503, cause);
 }
 
+/** The endpoint's rest concerns this instance: a caller that comes back may reach another one. */
+void Call::takeRetryAfter()
+{
+    if (attempt_.responseInfo_.restMillis_) {
+        retryAfterMillis_ = std::min(*attempt_.responseInfo_.restMillis_, MaxRetryAfterMillis);
+    }
+}
+
 /** Until an endpoint admits a request of this instance; another instance may send one sooner. */
 std::int64_t Call::millisUntilAdmitted() const
 {
-    constexpr std::int64_t MaxRetryAfterMillis = 1'000;
     const TimePoint now = BootClock::now();
     const TimePoint at = gateway_.table_.admitsAt(context_.service_, now).value_or(now);
     return std::clamp(millisUntil(at, now), DefaultRetryAfterMillis, MaxRetryAfterMillis);
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -96,6 +96,8 @@
     HealthSignal refusalSignal() const;
     /** Logs the response of an endpoint that didn't execute the request. */
     void logNotRun() const;
+    /** Sets the caller's Retry-After from the response of an endpoint that asks for rest. */
+    void takeRetryAfter();
     /** Cancels the attempt and excludes its endpoint from further attempts of this request. */
     void excludeEndpoint(std::optional<HealthSignal> evidence);
     /** The endpoint has prefilled the prompt: it no longer counts as queued there. */
@@ -155,7 +157,7 @@
     int maxSends_ = MaxSends;
     bool mayHaveRun_ = false;                      ///< An attempt may have been executed.
     Suspicion suspicion_ = Suspicion::None;        ///< When the request was started.
-    std::optional<std::int64_t> retryAfterMillis_; ///< From the last refusal.
+    std::optional<std::int64_t> retryAfterMillis_; ///< For the caller, if it is refused.
     TimePoint firstByteAt_ {};                     ///< Start of the response stream to the caller.
     std::int64_t prefillTokens_ = 0;   ///< Estimate of the prompt tokens that weren't cached.
     double prefillEstimateMillis_ = 0; ///< Including the queue ahead of the prompt.
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -231,14 +231,20 @@
 
 bool EndpointTable::admits(const Endpoint &endpoint, TimePoint now) const
 {
-    return limits_.allowedAt(endpoint.listed_.id_, endpoint.sent_, now) <= now;
+    return admitsAt(endpoint, now) <= now;
+}
+
+TimePoint EndpointTable::admitsAt(const Endpoint &endpoint, TimePoint now) const
+{
+    return std::max(endpoint.restsUntil_,
+                    limits_.allowedAt(endpoint.listed_.id_, endpoint.sent_, now));
 }
 
 std::optional<TimePoint> EndpointTable::admitsAt(const ServiceId &service, TimePoint now) const
 {
     std::optional<TimePoint> earliest;
     for (const Endpoint *endpoint : available(service, now)) {
-        const TimePoint at = limits_.allowedAt(endpoint->listed_.id_, endpoint->sent_, now);
+        const TimePoint at = admitsAt(*endpoint, now);
         earliest = earliest ? std::min(*earliest, at) : at;
     }
     return earliest;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -229,7 +229,7 @@
                                    ? gateway_.dialect_.parsePromptHandle(attempt_.body_)
                                    : std::string();
     if (handle.empty()) {
-        retryAfterMillis_ = attempt_.responseInfo_.retryAfterMillis_;
+        takeRetryAfter();
         attempt_.responseInfo_.notRun_ ? onPrefillRefused()
                                        : onPrefillFailed(HealthSignal::ServerError);
         return;
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -149,7 +149,7 @@
 /** The engine asserts that it didn't execute the request: the handle has expired, or it is full. */
 void ModelCall::onNotRun()
 {
-    retryAfterMillis_ = attempt_.responseInfo_.retryAfterMillis_;
+    takeRetryAfter();
     logNotRun();
     const HealthSignal evidence = refusalSignal();
     if (fetchesPrompt_ && !attempt_.responseInfo_.misdirected_
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -73,7 +73,7 @@
     const ResponseInfo &response = attempt_.responseInfo_;
     if (response.notRun_) {
         --runs_;
-        retryAfterMillis_ = response.retryAfterMillis_;
+        takeRetryAfter();
         excludeEndpoint(refusalSignal());
         acquireRetry() ? sendNext() : giveUp();
         return;
