Send nothing more to an endpoint that says in its answers that it leaves

The list's entry tells a leaving endpoint late or never (some never report it), while its answers say so at once.

The endpoint now counts as draining from that answer on, final for its process; the entry may still say ready. Beside placement this concerns the planner's counts, the state in the metrics, and whether a broken connection may be a crash.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -76,6 +76,7 @@
     std::optional<LoadSample> load_;
     /** How long the endpoint, which refused the request, wants no other of this instance. */
     std::optional<std::int64_t> restMillis_;
+    bool leaving_ = false; ///< The endpoint is shutting down.
     /** Requests a second that the endpoint takes from all instances together. */
     std::optional<double> limitPerSecond_;
 };
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -69,6 +69,7 @@
 {
     ListedEndpoint listed_;
     std::uint64_t idHash_ = 0;   ///< nameHash() of the id, for rendezvousWeight().
+    bool saidItLeaves_ = false;  ///< In an answer; its entry may show that later.
     bool isListed_ = true;       ///< False: its entry was removed and it gets no new work.
     std::uint64_t lifetime_ = 0; ///< Number of restarts that this instance has seen.
 
@@ -100,6 +101,8 @@
     std::int64_t fleetQueuedTokens(int urgency = UrgencyLevels - 1) const noexcept;
     /** Recent failures of all instances' requests, as far as reported. */
     double fleetFailures(TimePoint now) const { return recentFailures_.at(now) + peerFailures_; }
+    /** It is about to shut down, by its entry or by its own answer. */
+    bool isDraining() const noexcept { return listed_.draining_ || saidItLeaves_; }
     /** No requests, recent failures, pending probe or order: needs no periodic work. */
     bool isIdle(TimePoint now) const noexcept;
     /** State for metrics: leaving, draining, changing, unreachable, distrusted or usable. */
--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -26,7 +26,7 @@
 /** An endpoint that is draining or unlisted may close its connections without a crash. */
 bool isExpectedToServe(const Endpoint *endpoint)
 {
-    return endpoint != nullptr && endpoint->isListed_ && !endpoint->listed_.draining_;
+    return endpoint != nullptr && endpoint->isListed_ && !endpoint->isDraining();
 }
 
 } // namespace
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -100,7 +100,7 @@
     if (!isListed_) {
         return "leaving";
     }
-    if (listed_.draining_) {
+    if (isDraining()) {
         return "draining";
     }
     if (changingUntil_ > now) {
@@ -199,8 +199,7 @@
 {
     std::vector<const Endpoint *> found;
     for (const auto &[id, endpoint] : endpoints_) {
-        if (endpoint.isListed_ && !endpoint.listed_.draining_
-            && endpoint.listed_.service_ == service) {
+        if (endpoint.isListed_ && !endpoint.isDraining() && endpoint.listed_.service_ == service) {
             found.push_back(&endpoint);
         }
     }
@@ -231,7 +230,7 @@
 
 bool EndpointTable::admits(const Endpoint &endpoint, TimePoint now) const
 {
-    return admitsAt(endpoint, now) <= now;
+    return !endpoint.saidItLeaves_ && admitsAt(endpoint, now) <= now;
 }
 
 TimePoint EndpointTable::admitsAt(const Endpoint &endpoint, TimePoint now) const
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -57,11 +57,29 @@
 {
     Endpoint *endpoint = table_.find(id);
     if (endpoint != nullptr) {
+        onLeaving(*endpoint, response, now);
         onLimit(*endpoint, response, now);
         onRest(*endpoint, response, now);
     }
 }
 
+/** Final for the endpoint's process, even if its entry still shows it as ready. */
+void EndpointTraffic::onLeaving(Endpoint &endpoint, const ResponseInfo &response, TimePoint now)
+{
+    if (!response.leaving_ || endpoint.saidItLeaves_) {
+        return;
+    }
+    endpoint.saidItLeaves_ = true;
+    metrics_.count("endpoints_said_they_leave_total");
+    if (lines_.take(now)) {
+        logEvent(LogLevel::Info, "endpoint_leaving",
+                 {{"endpoint", endpoint.listed_.id_.value()},
+                  {"listed", endpoint.listed_.draining_ ? "draining" : "ready"},
+                  {"own_sends", endpoint.sent_.count(now)},
+                  {"window_ms", toMillis(SendWindow::Length)}});
+    }
+}
+
 /** sent_in_rest is of the rest before, which may not be over yet. */
 void EndpointTraffic::onRest(Endpoint &endpoint, const ResponseInfo &response, TimePoint now)
 {
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -26,6 +26,7 @@
     async::ExchangeEvents observed(const EndpointId &id, async::ExchangeEvents events);
 
 private:
+    void onLeaving(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
     void onRest(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
     void onLimit(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
 
