--- a/libs/gateway/include/almondridge/gateway/limitgossip.h
+++ b/libs/gateway/include/almondridge/gateway/limitgossip.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace almondridge::gateway {
@@ -39,12 +40,15 @@
     /** Returns the datagrams that are due; the calling interval bounds the latency. */
     std::vector<MeshDatagram> tick(TimePoint now);
     ReceiveResult onDatagram(std::string_view datagram, TimePoint now);
+    /** Limits that have begun, ended or changed considerably by datagrams since the last call. */
+    std::vector<LimitReport> takeLearned() { return std::exchange(learned_, {}); }
 
 private:
     RequestLimits &limits_;
     InstanceId self_;
     GossipPeers peers_;
     TimePoint sendAt_ {};
+    std::vector<LimitReport> learned_;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "almondridge/async/eventloop.h"
+#include "almondridge/base/logratelimiter.h"
 #include "almondridge/gateway/crashgossip.h"
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/limitgossip.h"
@@ -65,6 +66,7 @@
     ReceiveResult onDatagram(std::string_view datagram, TimePoint now);
     void onDropped(ReceiveResult result);
     void tick();
+    void logLearnedLimits(TimePoint now);
     LoadReport currentReport(TimePoint now) const;
 
     Gateway &gateway_;
@@ -76,6 +78,7 @@
     LoadMesh mesh_;
     CrashGossip crashGossip_;
     LimitGossip limitGossip_;
+    LogRateLimiter limitLines_;
     std::map<EndpointId, TimePoint> changing_;
     TimePoint nextDropLogAt_ {}; ///< Earliest time of the next log line about dropped datagrams.
 };
--- a/libs/gateway/src/limitgossip.cpp
+++ b/libs/gateway/src/limitgossip.cpp
@@ -105,7 +105,9 @@
         return ReceiveResult::UnknownSender;
     }
     for (const LimitReport &report : message->reports_) {
-        limits_.onReport(report, now);
+        if (limits_.onReport(report, now)) {
+            learned_.push_back(report);
+        }
     }
     return ReceiveResult::Accepted;
 }
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -17,6 +17,9 @@
 constexpr double MinReportedFailures = 0.5;
 /** Minimum interval between log lines about dropped datagrams; the metric counts all of them. */
 constexpr Duration DropLogInterval = millis(10'000);
+/** Limits log lines on limits that peers tell. */
+constexpr int MaxLimitLines = 200;
+constexpr Duration LimitLineWindow = millis(10'000);
 /** More than any report needs, with several hundred engines. */
 constexpr std::size_t MaxDatagramBytes = 16'384;
 
@@ -31,12 +34,29 @@
     , mesh_(self.id_, self.domain_, self.linkMbps_, static_cast<std::uint64_t>(wallMillis()))
     , crashGossip_(gateway.crashEvidence(), self.id_, std::random_device {}())
     , limitGossip_(gateway.endpoints().limits(), self.id_, std::random_device {}())
+    , limitLines_(MaxLimitLines, LimitLineWindow)
 {
     setHandler(LimitDatagramMark, [this](std::string_view datagram, TimePoint now) {
-        return limitGossip_.onDatagram(datagram, now);
+        const ReceiveResult result = limitGossip_.onDatagram(datagram, now);
+        logLearnedLimits(now);
+        return result;
     });
 }
 
+void LoadExchange::logLearnedLimits(TimePoint now)
+{
+    for (const LimitReport &report : limitGossip_.takeLearned()) {
+        if (limitLines_.take(now)) {
+            logEvent(LogLevel::Info, "endpoint_limit_told",
+                     {{"endpoint", report.endpoint_.value()},
+                      {"limit_per_s", report.perSecond_.value_or(-1)},
+                      {"age_ms", report.ageMillis_},
+                      {"own_part",
+                       gateway_.endpoints().limits().partOf(report.endpoint_, now).value_or(-1)}});
+        }
+    }
+}
+
 Result<void> LoadExchange::listen(const net::Address &address)
 {
     boost::system::error_code failure;
