--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -2,6 +2,8 @@
 
 #include "later.h"
 
+#include <algorithm>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace almondridge::soak {
@@ -17,6 +19,14 @@
 constexpr Duration SwitchTime = millis(1'000);
 /** What the settings of the soak's instances promise, and a little for the proxies. */
 constexpr Duration DrainBound = millis(2'300);
+/** Of the rule on limits: the window, when it binds, and how much more than the limit is allowed.
+ */
+constexpr Duration LimitWindow = millis(4'000);
+constexpr Duration LimitBindsAfter = millis(3'000);
+constexpr double LimitTolerance = 1.5;
+constexpr int LimitSlack = 5;
+/** Requests of an instance in a rest: the one that is refused, and two more. */
+constexpr int AllowedInRest = 3;
 /** The share of requests that a fault strikes. */
 constexpr double FaultShare = 0.4;
 
@@ -89,6 +99,73 @@
     }
 }
 
+void EndpointStandIn::nameLimit(double perSecond, TimePoint until)
+{
+    if (!isLimited()) {
+        limitFrom_ = BootClock::now();
+        limitPerSecond_ = perSecond;
+        limitUntil_ = until;
+    }
+}
+
+void EndpointStandIn::askRest(TimePoint until, int instances)
+{
+    restUntil_ = until;
+    instances_ = instances;
+    inRest_ = 0;
+}
+
+void EndpointStandIn::excuseInstances()
+{
+    judgedFrom_ = BootClock::now();
+    inRest_ = 0;
+}
+
+void EndpointStandIn::checkLimit()
+{
+    const TimePoint now = BootClock::now();
+    arrivals_.push_back(now);
+    while (arrivals_.front() <= now - LimitWindow) {
+        arrivals_.pop_front();
+    }
+    const TimePoint from = std::max(judgedFrom_, calmFrom_) + LimitWindow;
+    const bool binds = isLimited() && calm_ && limitFrom_ + LimitBindsAfter <= now && from <= now;
+    const double allowed = LimitTolerance * limitPerSecond_ * toSeconds(LimitWindow) + LimitSlack;
+    if (binds && static_cast<double>(arrivals_.size()) > allowed) {
+        ledger_.violate(Promise::LimitKept,
+                        fmt::format("{} takes {} a second and got {} in {} ms", id_,
+                                    limitPerSecond_, arrivals_.size(), toMillis(LimitWindow)));
+    }
+}
+
+void EndpointStandIn::checkRest()
+{
+    if (restUntil_ <= BootClock::now()) {
+        return;
+    }
+    ++inRest_;
+    const bool judged = calm_ && std::max(judgedFrom_, calmFrom_) + LimitWindow <= BootClock::now();
+    if (judged && inRest_ > AllowedInRest * instances_) {
+        ledger_.violate(Promise::RestKept, fmt::format("{} asked for rest and got {} requests of "
+                                                       "{} instances",
+                                                       id_, inRest_, instances_));
+    }
+}
+
+net::Headers EndpointStandIn::withAsked(net::Headers headers) const
+{
+    if (isLimited()) {
+        headers.push_back({"Server-Limit", fmt::format("{}", limitPerSecond_)});
+    }
+    return headers;
+}
+
+void EndpointStandIn::respond(const async::CallId &call, net::Response response)
+{
+    response.headers_ = withAsked(std::move(response.headers_));
+    server_.respond(call, std::move(response));
+}
+
 bool EndpointStandIn::strikes()
 {
     return std::uniform_real_distribution<double>(0, 1)(random_) < FaultShare;
@@ -101,14 +178,16 @@
 
 void EndpointStandIn::refuse(const async::CallId &call, int status)
 {
-    server_.respond(call, {status, {{"X-Not-Executed", "1"}}, ""});
+    respond(call, {status, {{"X-Not-Executed", "1"}}, ""});
 }
 
 void EndpointStandIn::onCall(const async::ServerCall &call)
 {
+    checkLimit();
+    checkRest();
     const std::string &target = call.head_.target_;
     if (target == "/almondridge/report") {
-        server_.respond(
+        respond(
             call.id_,
             {200,
              {},
@@ -118,7 +197,7 @@
         onOrder(call);
     } else if (call.head_.method_ == "DELETE") {
         handles_.erase(target.substr(target.rfind('/') + 1));
-        server_.respond(call.id_, {200, {}, ""});
+        respond(call.id_, {200, {}, ""});
     } else {
         onWork(call);
     }
@@ -130,20 +209,20 @@
     const std::uint64_t fence = order.at("fence");
     ledger_.onOrder(id_, order.at("holder"), fence);
     if (fence < fence_) {
-        server_.respond(call.id_, {412, {}, ""});
+        respond(call.id_, {412, {}, ""});
         return;
     }
     fence_ = fence;
     const bool busy = changingUntil_ > BootClock::now();
     if (busy || order.at("expect") != orders_) {
-        server_.respond(call.id_, {409, {}, ""});
+        respond(call.id_, {409, {}, ""});
         return;
     }
     ++orders_;
     stage_ = order.at("stage");
     changingUntil_ = BootClock::now() + SwitchTime;
     beat();
-    server_.respond(call.id_, {202, {}, ""});
+    respond(call.id_, {202, {}, ""});
 }
 
 void EndpointStandIn::setCalm(bool calm)
@@ -173,6 +252,13 @@
         return;
     }
     checkDrain(requestId);
+    if (restUntil_ > BootClock::now()) {
+        const double seconds = toSeconds(restUntil_ - BootClock::now());
+        respond(
+            call.id_,
+            {503, {{"X-Not-Executed", "1"}, {"Retry-After", fmt::format("{:.3f}", seconds)}}, ""});
+        return;
+    }
     const bool wrongStage = !stage_.empty() && prefillOnly != (stage_ == "prefill");
     if (wrongStage) {
         refuse(call.id_, 421);
@@ -205,7 +291,7 @@
         return;
     }
     if (fault_ == EndpointFault::Errors && strikes()) {
-        server_.respond(call.id_, {500, signedHeaders(requestId), "failed\n"});
+        respond(call.id_, {500, signedHeaders(requestId), "failed\n"});
         return;
     }
     stage_.empty() ? runService(call, requestId) : beginStream(call, requestId);
@@ -216,12 +302,12 @@
     const bool garbled = fault_ == EndpointFault::Garble && strikes();
     later(loop_, WorkTime, [this, call, requestId, garbled] {
         if (!garbled) {
-            server_.respond(call.id_, {200, signedHeaders(requestId), serviceBody(requestId)});
+            respond(call.id_, {200, signedHeaders(requestId), serviceBody(requestId)});
             return;
         }
         net::Headers headers = signedHeaders(requestId);
         headers.push_back({"Content-Length", "1000"});
-        server_.beginStream(call.id_, {200, "OK", headers});
+        server_.beginStream(call.id_, {200, "OK", withAsked(headers)});
         server_.streamBytes(call.id_, "half an answer");
         server_.abort(call.id_);
     });
@@ -232,8 +318,8 @@
     const std::string handle = id_ + "-" + std::to_string(nextHandle_++);
     handles_.insert(handle);
     later(loop_, WorkTime, [this, call, handle] {
-        server_.respond(
-            call.id_, {200, {}, Json {{"handle", handle}, {"tokens", 10}, {"version", 1}}.dump()});
+        respond(call.id_,
+                {200, {}, Json {{"handle", handle}, {"tokens", 10}, {"version", 1}}.dump()});
     });
 }
 
@@ -242,7 +328,7 @@
     const std::string after(net::headerValue(call.head_.headers_, "Last-Event-Id"));
     net::Headers headers = signedHeaders(requestId);
     headers.push_back({"Content-Type", "text/event-stream"});
-    server_.beginStream(call.id_, {200, "OK", headers});
+    server_.beginStream(call.id_, {200, "OK", withAsked(headers)});
     streams_[call.id_.call_] = {call.id_, requestId, after.empty() ? 1 : std::stoi(after) + 1};
     streamNext(call.id_.call_);
 }
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -8,6 +8,7 @@
 #include "proxy.h"
 #include "storestandin.h"
 
+#include <deque>
 #include <memory>
 #include <random>
 #include <set>
@@ -47,6 +48,12 @@
     void setCalm(bool calm);
     /** Announces that it leaves; it serves on for a while. */
     void drain();
+    /** Names a limit of requests a second in all answers until then. */
+    void nameLimit(double perSecond, TimePoint until);
+    /** Refuses all work until then, and asks each instance to send nothing for as long. */
+    void askRest(TimePoint until, int instances);
+    /** What instances sent before isn't held against them: one of them starts anew. */
+    void excuseInstances();
     bool draining() const noexcept { return drainedAt_ != TimePoint {}; }
     /** It is gone without a word; its entry lapses later. */
     bool crashed() const noexcept { return crashed_; }
@@ -74,6 +81,11 @@
     void streamNext(std::uint64_t number);
     void refuse(const async::CallId &call, int status);
     void checkDrain(const std::string &requestId);
+    void checkLimit();
+    void checkRest();
+    bool isLimited() const { return limitUntil_ > BootClock::now(); }
+    void respond(const async::CallId &call, net::Response response);
+    net::Headers withAsked(net::Headers headers) const;
     bool strikes();
     net::Headers signedHeaders(const std::string &requestId) const;
 
@@ -91,6 +103,14 @@
     TimePoint calmFrom_ {};
     TimePoint drainedAt_ {};
     TimePoint changingUntil_ {};
+    double limitPerSecond_ = 0;
+    TimePoint limitFrom_ {};
+    TimePoint limitUntil_ {};
+    TimePoint restUntil_ {};
+    int instances_ = 0; ///< That may each send a few requests in a rest.
+    int inRest_ = 0;
+    TimePoint judgedFrom_ {};
+    std::deque<TimePoint> arrivals_; ///< In the last window of a limit.
     std::uint64_t orders_ = 0;
     std::uint64_t fence_ = 0;
     std::uint64_t nextHandle_ = 1;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -36,9 +36,11 @@
     StaysUp,         ///< No instance ends by itself.
     FewCrashes,      ///< A request that has crashed three endpoints reaches few more.
     InnocentsServed, ///< Nobody else is refused for these crashes.
+    LimitKept,       ///< An endpoint that names a limit gets little more, all instances together.
+    RestKept,        ///< An endpoint that asks for rest gets two requests of an instance at most.
 };
 
-inline constexpr std::array<EnumName<Promise>, 12> PromiseNames {{
+inline constexpr std::array<EnumName<Promise>, 14> PromiseNames {{
     {Promise::OwnAnswer, "own-answer"},
     {Promise::AtMostOnce, "at-most-once"},
     {Promise::TruthfulNotRun, "truthful-not-run"},
@@ -51,6 +53,8 @@
     {Promise::StaysUp, "stays-up"},
     {Promise::FewCrashes, "few-crashes"},
     {Promise::InnocentsServed, "innocents-served"},
+    {Promise::LimitKept, "limit-kept"},
+    {Promise::RestKept, "rest-kept"},
 }};
 
 struct Violation
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -59,7 +59,7 @@
         void (Soak::*strike_)();
         bool planned_; ///< Operators do it: every promise holds meanwhile, with its bound.
     };
-    static const std::array<FaultKind, 13> FaultKinds;
+    static const std::array<FaultKind, 15> FaultKinds;
 
     void startEndpoints();
     void writeConfig();
@@ -82,6 +82,8 @@
     void breakEndpoint();
     void cutEndpointLink();
     void replaceEndpoint();
+    void limitEndpoint();
+    void restEndpoint();
     void dropHistory();
     void changeConfig();
     void stopAndKill();
@@ -128,7 +130,7 @@
     std::uint64_t servedBeforeEnd_ = 0;
 };
 
-const std::array<Soak::FaultKind, 13> Soak::FaultKinds {{
+const std::array<Soak::FaultKind, 15> Soak::FaultKinds {{
     {"kill one", &Soak::killOne, false},
     {"kill most", &Soak::killMost, false},
     {"planned stop", &Soak::stopOne, true},
@@ -142,6 +144,8 @@
     {"history dropped", &Soak::dropHistory, true},
     {"configuration", &Soak::changeConfig, true},
     {"stop, then kill another", &Soak::stopAndKill, false},
+    {"endpoint limit", &Soak::limitEndpoint, true},
+    {"endpoint rest", &Soak::restEndpoint, true},
 }};
 
 Soak::Soak(Options options)
@@ -419,6 +423,9 @@
     if (instance.running() && !instance.paused() && !instance.stopping()) {
         instance.terminate();
         restartLater(instance, millis(500));
+        for (EndpointStandIn &endpoint : endpoints_) {
+            endpoint.excuseInstances();
+        }
     }
 }
 
@@ -485,6 +492,18 @@
     anyEndpoint().drain();
 }
 
+void Soak::limitEndpoint()
+{
+    constexpr std::array<double, 3> Limits {0.5, 1.0, 2.0};
+    anyEndpoint().nameLimit(Limits[random_() % Limits.size()],
+                            BootClock::now() + span(5'000, 9'000));
+}
+
+void Soak::restEndpoint()
+{
+    anyEndpoint().askRest(BootClock::now() + span(1'500, 3'000), options_.instances_);
+}
+
 void Soak::dropHistory()
 {
     store_.dropHistory();
