--- a/libs/gateway/include/almondridge/gateway/requestlimits.h
+++ b/libs/gateway/include/almondridge/gateway/requestlimits.h
@@ -4,8 +4,8 @@
  *
  * The requests that a limit allows in a window are divided among the instances: each gets the same
  * number, and what remains goes one each to the instances that rank first for the endpoint. So the
- * parts add up to the limit in a fleet of any size, without any message. What an instance sent
- * before it knew the limit counts against its part, and in the first window the part grows from
+ * quotas add up to the limit in a fleet of any size, without any message. What an instance sent
+ * before it knew the limit counts against its quota, and in the first window the quota grows from
  * nothing: the other instances may have sent more than this one.
  */
 #pragma once
@@ -45,7 +45,7 @@
     /** Requests a second; nullopt: the endpoint names no limit, or has named none for long. */
     std::optional<double> limitOf(const EndpointId &id, TimePoint now) const;
     /** Requests that this instance may send to the endpoint in a window; nullopt: no limit. */
-    std::optional<int> partOf(const EndpointId &id, TimePoint now) const;
+    std::optional<int> quotaOf(const EndpointId &id, TimePoint now) const;
     /** When the limit allows the next request; now if it allows one at once. */
     TimePoint allowedAt(const EndpointId &id, const SendWindow &sent, TimePoint now) const;
     void forget(const EndpointId &id) { limits_.erase(id); }
@@ -72,8 +72,8 @@
                TimePoint now);
     const Limit *find(const EndpointId &id, TimePoint now) const;
     std::optional<int> rankFor(const EndpointId &id) const;
-    int partOf(const Limit &limit) const;
-    static int grownPart(const Limit &limit, int part, TimePoint now);
+    int quotaOf(const Limit &limit) const;
+    static int grownQuota(const Limit &limit, int quota, TimePoint now);
     Duration pauseOf(const Limit &limit) const;
 
     std::map<EndpointId, Limit> limits_;
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -113,7 +113,7 @@
              {{"endpoint", id.value()},
               {"limit_per_s", response.limitPerSecond_.value_or(-1)},
               {"own_sends", endpoint.sent_.count(now)},
-              {"own_part", table_.limits().partOf(id, now).value_or(-1)},
+              {"own_quota", table_.limits().quotaOf(id, now).value_or(-1)},
               {"window_ms", toMillis(SendWindow::Length)}});
     endpoint.limitLoggedAt_ = now;
 }
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -51,8 +51,8 @@
                      {{"endpoint", report.endpoint_.value()},
                       {"limit_per_s", report.perSecond_.value_or(-1)},
                       {"age_ms", report.ageMillis_},
-                      {"own_part",
-                       gateway_.endpoints().limits().partOf(report.endpoint_, now).value_or(-1)}});
+                      {"own_quota",
+                       gateway_.endpoints().limits().quotaOf(report.endpoint_, now).value_or(-1)}});
         }
     }
 }
--- a/libs/gateway/src/requestlimits.cpp
+++ b/libs/gateway/src/requestlimits.cpp
@@ -132,13 +132,13 @@
     return limit != nullptr ? limit->perSecond_ : std::nullopt;
 }
 
-std::optional<int> RequestLimits::partOf(const EndpointId &id, TimePoint now) const
+std::optional<int> RequestLimits::quotaOf(const EndpointId &id, TimePoint now) const
 {
     const Limit *limit = find(id, now);
-    return limit != nullptr ? std::optional(partOf(*limit)) : std::nullopt;
+    return limit != nullptr ? std::optional(quotaOf(*limit)) : std::nullopt;
 }
 
-int RequestLimits::partOf(const Limit &limit) const
+int RequestLimits::quotaOf(const Limit &limit) const
 {
     const int divisor = std::max({1, instances_, static_cast<int>(memberHashes_.size())});
     const int all =
@@ -147,13 +147,13 @@
     return all / divisor + (hasOneMore && all % divisor > 0 ? 1 : 0);
 }
 
-int RequestLimits::grownPart(const Limit &limit, int part, TimePoint now)
+int RequestLimits::grownQuota(const Limit &limit, int quota, TimePoint now)
 {
     const Duration age = std::min(now - limit.beganAt_, SendWindow::Length);
-    return static_cast<int>(part * age / SendWindow::Length);
+    return static_cast<int>(quota * age / SendWindow::Length);
 }
 
-/** Between two requests of an instance whose part is one: a limit may allow less in a window. */
+/** Between two requests of an instance whose quota is one: a limit may allow less in a window. */
 Duration RequestLimits::pauseOf(const Limit &limit) const
 {
     const double seconds = 1 / std::max(*limit.perSecond_, 1 / toSeconds(MaxPause));
@@ -167,18 +167,18 @@
     if (limit == nullptr) {
         return now;
     }
-    const int part = partOf(*limit);
-    if (part == 0) {
+    const int quota = quotaOf(*limit);
+    if (quota == 0) {
         return limit->answeredAt_ + MaxLimitAge;
     }
     const int count = sent.count(now);
-    if (count >= part) {
-        return sent.fallsBelow(part, now);
+    if (count >= quota) {
+        return sent.fallsBelow(quota, now);
     }
-    if (count >= grownPart(*limit, part, now)) {
-        return limit->beganAt_ + SendWindow::Length * (count + 1) / part;
+    if (count >= grownQuota(*limit, quota, now)) {
+        return limit->beganAt_ + SendWindow::Length * (count + 1) / quota;
     }
-    return part > 1 ? now : std::max(now, sent.lastAt() + pauseOf(*limit));
+    return quota > 1 ? now : std::max(now, sent.lastAt() + pauseOf(*limit));
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/tests/limitgossiptest.cpp
+++ b/libs/gateway/tests/limitgossiptest.cpp
@@ -196,7 +196,7 @@
     }
 }
 
-// Load: most instances have no part in a limit that goes on for long, so they get no answer of the
+// Load: most instances have no quota of a limit that goes on for long, so they get no answer of the
 // endpoint. Guards against instances that forget the limit meanwhile.
 BOOST_AUTO_TEST_CASE(allInstancesRememberALimitThatGoesOn)
 {
--- a/libs/gateway/tests/requestlimitstest.cpp
+++ b/libs/gateway/tests/requestlimitstest.cpp
@@ -109,7 +109,7 @@
 
 namespace {
 
-/** Instances that all know an endpoint's limit and send to it whenever their part allows that. */
+/** Instances that all know an endpoint's limit and send to it whenever their quota allows that. */
 class LimitedFleet
 {
 public:
@@ -194,9 +194,9 @@
 
 } // namespace
 
-// Load: every instance has more requests than its part, from the first moment on. Guards against
-// parts whose sum exceeds the limit, or leaves much of it unused, in a fleet of some size.
-BOOST_AUTO_TEST_CASE(partsAddUpToTheLimitInFleetsOfAnySize)
+// Load: every instance has more requests than its quota, from the first moment on. Guards against
+// quotas whose sum exceeds the limit, or leaves much of it unused, in a fleet of some size.
+BOOST_AUTO_TEST_CASE(quotasAddUpToTheLimitInFleetsOfAnySize)
 {
     constexpr std::int64_t Until = 16'000;
     constexpr double MinUse = 0.8;
@@ -227,15 +227,15 @@
     }
 }
 
-// Guards against an instance that takes a part of others because it does not know them.
+// Guards against an instance that takes the quota of others because it does not know them.
 BOOST_AUTO_TEST_CASE(anInstanceThatKnowsNobodySendsLess)
 {
     RequestLimits limits;
     limits.setInstances(8);
     limits.onAnswer(Engine, 5, at(0));
-    BOOST_TEST(*limits.partOf(Engine, at(0)) == 2);
+    BOOST_TEST(*limits.quotaOf(Engine, at(0)) == 2);
     limits.setMembers(InstanceId("i1"), {InstanceId("i1")});
-    BOOST_TEST(*limits.partOf(Engine, at(0)) <= 3);
+    BOOST_TEST(*limits.quotaOf(Engine, at(0)) <= 3);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
