--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -75,7 +75,7 @@
     bool signed_ = false; ///< The response carries the endpoint's signature.
     std::optional<LoadSample> load_;
     /** How long the endpoint, which refused the request, wants no other of this instance. */
-    std::optional<std::int64_t> restMillis_;
+    std::optional<std::int64_t> backoffMillis_;
     bool leaving_ = false; ///< The endpoint is shutting down.
     /** Requests a second that the endpoint takes from all instances together. */
     std::optional<double> limitPerSecond_;
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -68,10 +68,10 @@
 struct Endpoint
 {
     ListedEndpoint listed_;
-    std::uint64_t idHash_ = 0;   ///< nameHash() of the id, for rendezvousWeight().
-    bool saidItLeaves_ = false;  ///< In an answer; its entry may show that later.
-    bool isListed_ = true;       ///< False: its entry was removed and it gets no new work.
-    std::uint64_t lifetime_ = 0; ///< Number of restarts that this instance has seen.
+    std::uint64_t idHash_ = 0;       ///< nameHash() of the id, for rendezvousWeight().
+    bool announcedShutdown_ = false; ///< In an answer; its entry may show that later.
+    bool isListed_ = true;           ///< False: its entry was removed and it gets no new work.
+    std::uint64_t lifetime_ = 0;     ///< Number of restarts that this instance has seen.
 
     SlotUse slotUse_;         ///< By this instance's unanswered requests to the current lifetime.
     SlotUse peerSlotUse_;     ///< By other instances' requests, as reported for decode engines.
@@ -86,8 +86,8 @@
     DecayingCount recentSends_; ///< Requests of this instance.
     SendWindow sent_;           ///< Requests of callers and of this instance itself.
     TimePoint limitLoggedAt_ {};
-    TimePoint restsUntil_ {};      ///< It asked this instance to send nothing until then.
-    int sentInRest_ = 0;           ///< Requests of this instance during the last rest.
+    TimePoint backoffUntil_ {};    ///< It asked this instance to send nothing until then.
+    int sentInBackoff_ = 0;        ///< Requests of this instance during the last backoff.
     DecayingCount recentFailures_; ///< Failures among recentSends_.
     double peerFailures_ = 0;      ///< Recent failures at other instances, as reported.
     /** Circuit breaker: no new work until then, and then one trial request; empty: closed. */
@@ -102,7 +102,7 @@
     /** Recent failures of all instances' requests, as far as reported. */
     double fleetFailures(TimePoint now) const { return recentFailures_.at(now) + peerFailures_; }
     /** It is about to shut down, by its entry or by its own answer. */
-    bool isDraining() const noexcept { return listed_.draining_ || saidItLeaves_; }
+    bool isDraining() const noexcept { return listed_.draining_ || announcedShutdown_; }
     /** No requests, recent failures, pending probe or order: needs no periodic work. */
     bool isIdle(TimePoint now) const noexcept;
     /** State for metrics: leaving, draining, changing, unreachable, distrusted or usable. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -280,7 +280,7 @@
               {"waiting", load.waiting_},
               {"slots", load.slots_},
               {"after_ms", toMillis(BootClock::now() - attempt_.sentAt_)},
-              {"rest_ms", attempt_.responseInfo_.restMillis_.value_or(-1)},
+              {"backoff_ms", attempt_.responseInfo_.backoffMillis_.value_or(-1)},
               {"taken_as", nameOf(HealthSignalNames, refusalSignal())},
               {"body", attempt_.body_.substr(0, 80)}});
 }
@@ -409,11 +409,11 @@
     finish(Outcome::Refused, 503, cause);
 }
 
-/** The endpoint's rest concerns this instance: a caller that comes back may reach another one. */
+/** The backoff concerns this instance: a caller that comes back may reach another one. */
 void Call::takeRetryAfter()
 {
-    if (attempt_.responseInfo_.restMillis_) {
-        retryAfterMillis_ = std::min(*attempt_.responseInfo_.restMillis_, MaxRetryAfterMillis);
+    if (attempt_.responseInfo_.backoffMillis_) {
+        retryAfterMillis_ = std::min(*attempt_.responseInfo_.backoffMillis_, MaxRetryAfterMillis);
     }
 }
 
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -96,7 +96,7 @@
     HealthSignal refusalSignal() const;
     /** Logs the response of an endpoint that didn't execute the request. */
     void logNotRun() const;
-    /** Sets the caller's Retry-After from the response of an endpoint that asks for rest. */
+    /** Sets the caller's Retry-After from the response of an endpoint that asks for a backoff. */
     void takeRetryAfter();
     /** Cancels the attempt and excludes its endpoint from further attempts of this request. */
     void excludeEndpoint(std::optional<HealthSignal> evidence);
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -230,12 +230,12 @@
 
 bool EndpointTable::admits(const Endpoint &endpoint, TimePoint now) const
 {
-    return !endpoint.saidItLeaves_ && admitsAt(endpoint, now) <= now;
+    return !endpoint.announcedShutdown_ && admitsAt(endpoint, now) <= now;
 }
 
 TimePoint EndpointTable::admitsAt(const Endpoint &endpoint, TimePoint now) const
 {
-    return std::max(endpoint.restsUntil_,
+    return std::max(endpoint.backoffUntil_,
                     limits_.allowedAt(endpoint.listed_.id_, endpoint.sent_, now));
 }
 
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -42,9 +42,9 @@
         return;
     }
     endpoint->sent_.add(now);
-    if (endpoint->restsUntil_ > now) {
-        ++endpoint->sentInRest_;
-        metrics_.count("requests_to_resting_total",
+    if (endpoint->backoffUntil_ > now) {
+        ++endpoint->sentInBackoff_;
+        metrics_.count("requests_in_backoff_total",
                        observe::metricLabel("path", nameOf(RequestPathNames, path)));
     }
     if (table_.limits().limitOf(id, now)) {
@@ -59,18 +59,18 @@
     if (endpoint != nullptr) {
         onLeaving(*endpoint, response, now);
         onLimit(*endpoint, response, now);
-        onRest(*endpoint, response, now);
+        onBackoff(*endpoint, response, now);
     }
 }
 
 /** Final for the endpoint's process, even if its entry still shows it as ready. */
 void EndpointTraffic::onLeaving(Endpoint &endpoint, const ResponseInfo &response, TimePoint now)
 {
-    if (!response.leaving_ || endpoint.saidItLeaves_) {
+    if (!response.leaving_ || endpoint.announcedShutdown_) {
         return;
     }
-    endpoint.saidItLeaves_ = true;
-    metrics_.count("endpoints_said_they_leave_total");
+    endpoint.announcedShutdown_ = true;
+    metrics_.count("endpoints_announced_shutdown_total");
     if (lines_.take(now)) {
         logEvent(LogLevel::Info, "endpoint_leaving",
                  {{"endpoint", endpoint.listed_.id_.value()},
@@ -80,23 +80,24 @@
     }
 }
 
-/** sent_in_rest is of the rest before, which may not be over yet. */
-void EndpointTraffic::onRest(Endpoint &endpoint, const ResponseInfo &response, TimePoint now)
+/** sent_in_backoff is of the backoff before this one. */
+void EndpointTraffic::onBackoff(Endpoint &endpoint, const ResponseInfo &response, TimePoint now)
 {
-    if (!response.restMillis_) {
+    if (!response.backoffMillis_) {
         return;
     }
-    const bool begins = endpoint.restsUntil_ <= now;
+    const bool begins = endpoint.backoffUntil_ <= now;
     if (begins && lines_.take(now)) {
-        logEvent(LogLevel::Info, "endpoint_rest",
+        logEvent(LogLevel::Info, "endpoint_backoff",
                  {{"endpoint", endpoint.listed_.id_.value()},
-                  {"rest_ms", *response.restMillis_},
-                  {"sent_in_rest", endpoint.sentInRest_},
+                  {"backoff_ms", *response.backoffMillis_},
+                  {"sent_in_backoff", endpoint.sentInBackoff_},
                   {"own_sends", endpoint.sent_.count(now)},
                   {"window_ms", toMillis(SendWindow::Length)}});
     }
-    endpoint.sentInRest_ = begins ? 0 : endpoint.sentInRest_;
-    endpoint.restsUntil_ = std::max(endpoint.restsUntil_, now + millis(*response.restMillis_));
+    endpoint.sentInBackoff_ = begins ? 0 : endpoint.sentInBackoff_;
+    endpoint.backoffUntil_ =
+        std::max(endpoint.backoffUntil_, now + millis(*response.backoffMillis_));
 }
 
 /** Of all instances, the sum of own_sends is what an endpoint got in the window. */
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -27,7 +27,7 @@
 
 private:
     void onLeaving(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
-    void onRest(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
+    void onBackoff(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
     void onLimit(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
 
     const Dialect &dialect_;
--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -25,8 +25,8 @@
 constexpr Duration LimitBindsAfter = millis(3'000);
 constexpr double LimitTolerance = 1.5;
 constexpr int LimitSlack = 5;
-/** Requests of an instance in a rest: the one that is refused, and two more. */
-constexpr int AllowedInRest = 3;
+/** Requests of an instance in a backoff: the one that is refused, and two more. */
+constexpr int AllowedInBackoff = 3;
 /** The share of requests that a fault strikes. */
 constexpr double FaultShare = 0.4;
 
@@ -108,17 +108,17 @@
     }
 }
 
-void EndpointStandIn::askRest(TimePoint until, int instances)
+void EndpointStandIn::askBackoff(TimePoint until, int instances)
 {
-    restUntil_ = until;
+    backoffUntil_ = until;
     instances_ = instances;
-    inRest_ = 0;
+    inBackoff_ = 0;
 }
 
 void EndpointStandIn::excuseInstances()
 {
     judgedFrom_ = BootClock::now();
-    inRest_ = 0;
+    inBackoff_ = 0;
 }
 
 void EndpointStandIn::checkLimit()
@@ -138,17 +138,18 @@
     }
 }
 
-void EndpointStandIn::checkRest()
+void EndpointStandIn::checkBackoff()
 {
-    if (restUntil_ <= BootClock::now()) {
+    if (backoffUntil_ <= BootClock::now()) {
         return;
     }
-    ++inRest_;
+    ++inBackoff_;
     const bool judged = calm_ && std::max(judgedFrom_, calmFrom_) + LimitWindow <= BootClock::now();
-    if (judged && inRest_ > AllowedInRest * instances_) {
-        ledger_.violate(Promise::RestKept, fmt::format("{} asked for rest and got {} requests of "
-                                                       "{} instances",
-                                                       id_, inRest_, instances_));
+    if (judged && inBackoff_ > AllowedInBackoff * instances_) {
+        ledger_.violate(Promise::BackoffKept,
+                        fmt::format("{} asked for a backoff and got {} requests of "
+                                    "{} instances",
+                                    id_, inBackoff_, instances_));
     }
 }
 
@@ -184,7 +185,7 @@
 void EndpointStandIn::onCall(const async::ServerCall &call)
 {
     checkLimit();
-    checkRest();
+    checkBackoff();
     const std::string &target = call.head_.target_;
     if (target == "/almondridge/report") {
         respond(
@@ -252,8 +253,8 @@
         return;
     }
     checkDrain(requestId);
-    if (restUntil_ > BootClock::now()) {
-        const double seconds = toSeconds(restUntil_ - BootClock::now());
+    if (backoffUntil_ > BootClock::now()) {
+        const double seconds = toSeconds(backoffUntil_ - BootClock::now());
         respond(
             call.id_,
             {503, {{"X-Not-Executed", "1"}, {"Retry-After", fmt::format("{:.3f}", seconds)}}, ""});
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -51,7 +51,7 @@
     /** Names a limit of requests a second in all answers until then. */
     void nameLimit(double perSecond, TimePoint until);
     /** Refuses all work until then, and asks each instance to send nothing for as long. */
-    void askRest(TimePoint until, int instances);
+    void askBackoff(TimePoint until, int instances);
     /** What instances sent before isn't held against them: one of them starts anew. */
     void excuseInstances();
     bool draining() const noexcept { return drainedAt_ != TimePoint {}; }
@@ -82,7 +82,7 @@
     void refuse(const async::CallId &call, int status);
     void checkDrain(const std::string &requestId);
     void checkLimit();
-    void checkRest();
+    void checkBackoff();
     bool isLimited() const { return limitUntil_ > BootClock::now(); }
     void respond(const async::CallId &call, net::Response response);
     net::Headers withAsked(net::Headers headers) const;
@@ -106,9 +106,9 @@
     double limitPerSecond_ = 0;
     TimePoint limitFrom_ {};
     TimePoint limitUntil_ {};
-    TimePoint restUntil_ {};
-    int instances_ = 0; ///< That may each send a few requests in a rest.
-    int inRest_ = 0;
+    TimePoint backoffUntil_ {};
+    int instances_ = 0; ///< That may each send a few requests in a backoff.
+    int inBackoff_ = 0;
     TimePoint judgedFrom_ {};
     std::deque<TimePoint> arrivals_; ///< In the last window of a limit.
     std::uint64_t orders_ = 0;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -37,7 +37,7 @@
     FewCrashes,      ///< A request that has crashed three endpoints reaches few more.
     InnocentsServed, ///< Nobody else is refused for these crashes.
     LimitKept,       ///< An endpoint that names a limit gets little more, all instances together.
-    RestKept,        ///< An endpoint that asks for rest gets two requests of an instance at most.
+    BackoffKept,     ///< An endpoint that asks for a backoff gets few requests of each instance.
 };
 
 inline constexpr std::array<EnumName<Promise>, 14> PromiseNames {{
@@ -54,7 +54,7 @@
     {Promise::FewCrashes, "few-crashes"},
     {Promise::InnocentsServed, "innocents-served"},
     {Promise::LimitKept, "limit-kept"},
-    {Promise::RestKept, "rest-kept"},
+    {Promise::BackoffKept, "backoff-kept"},
 }};
 
 struct Violation
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -83,7 +83,7 @@
     void cutEndpointLink();
     void replaceEndpoint();
     void limitEndpoint();
-    void restEndpoint();
+    void makeEndpointBackOff();
     void dropHistory();
     void changeConfig();
     void stopAndKill();
@@ -145,7 +145,7 @@
     {"configuration", &Soak::changeConfig, true},
     {"stop, then kill another", &Soak::stopAndKill, false},
     {"endpoint limit", &Soak::limitEndpoint, true},
-    {"endpoint rest", &Soak::restEndpoint, true},
+    {"endpoint backoff", &Soak::makeEndpointBackOff, true},
 }};
 
 Soak::Soak(Options options)
@@ -499,9 +499,9 @@
                             BootClock::now() + span(5'000, 9'000));
 }
 
-void Soak::restEndpoint()
+void Soak::makeEndpointBackOff()
 {
-    anyEndpoint().askRest(BootClock::now() + span(1'500, 3'000), options_.instances_);
+    anyEndpoint().askBackoff(BootClock::now() + span(1'500, 3'000), options_.instances_);
 }
 
 void Soak::dropHistory()
