Ignore what a misdirected answer asks for

Found by reading the diff: an address is given to another endpoint a while after the first one has ended. Its 421 was taken as the word of the endpoint that was addressed, so a limit or an announced shutdown of the one would have been held against the other. aMisdirectedAnswerSaysNothingAboutTheEndpoint failed before (both checks) and passes.

--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -55,7 +55,8 @@
 
 void EndpointTraffic::onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now)
 {
-    Endpoint *endpoint = table_.find(id);
+    // A misdirected request was answered by another endpoint, which has the address by now.
+    Endpoint *endpoint = response.misdirected_ ? nullptr : table_.find(id);
     if (endpoint != nullptr) {
         onLeaving(*endpoint, response, now);
         onLimit(*endpoint, response, now);
