Ignore what an ended process asks for in a late answer to the gateway's own request

An announced shutdown is final, so the next process under the same id would have got nothing for good. aLateAnswerOfAnEarlierProcessSaysNothingAboutTheNext failed before and passes.

--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -122,8 +122,13 @@
 
 async::ExchangeEvents EndpointTraffic::observed(const EndpointId &id, async::ExchangeEvents events)
 {
-    events.onHead_ = [this, id, onHead = std::move(events.onHead_)](async::ResponseHead &head) {
-        onAnswer(id, dialect_.parseResponse(head), BootClock::now());
+    const Endpoint *asked = std::as_const(table_).find(id);
+    events.onHead_ = [this, id, lifetime = asked != nullptr ? asked->lifetime_ : 0,
+                      onHead = std::move(events.onHead_)](async::ResponseHead &head) {
+        const Endpoint *endpoint = std::as_const(table_).find(id);
+        if (endpoint != nullptr && endpoint->lifetime_ == lifetime) {
+            onAnswer(id, dialect_.parseResponse(head), BootClock::now());
+        }
         onHead(head);
     };
     return events;
