--- a/libs/gateway/include/almondridge/gateway/requestlimits.h
+++ b/libs/gateway/include/almondridge/gateway/requestlimits.h
@@ -74,7 +74,7 @@
     std::optional<int> rankFor(const EndpointId &id) const;
     int quotaOf(const Limit &limit) const;
     static int grownQuota(const Limit &limit, int quota, TimePoint now);
-    Duration pauseOf(const Limit &limit) const;
+    static Duration pauseOf(const Limit &limit);
 
     std::map<EndpointId, Limit> limits_;
     int instances_ = 1;
--- a/libs/gateway/src/requestlimits.cpp
+++ b/libs/gateway/src/requestlimits.cpp
@@ -154,7 +154,7 @@
 }
 
 /** Between two requests of an instance whose quota is one: a limit may allow less in a window. */
-Duration RequestLimits::pauseOf(const Limit &limit) const
+Duration RequestLimits::pauseOf(const Limit &limit)
 {
     const double seconds = 1 / std::max(*limit.perSecond_, 1 / toSeconds(MaxPause));
     return std::max(SendWindow::Length, millis(std::llround(1'000 * seconds)));
