--- a/libs/gateway/tests/requestlimitstest.cpp
+++ b/libs/gateway/tests/requestlimitstest.cpp
@@ -28,7 +28,7 @@
 {
     SendWindow window;
     for (int index = 0; index < 100; ++index) {
-        window.add(at(index * 10));
+        window.add(at(std::int64_t {10} * index));
     }
     BOOST_TEST(window.count(at(1'000)) == 100);
     BOOST_TEST(window.count(at(4'000)) == 100);
@@ -117,6 +117,7 @@
         : perSecond_(perSecond)
     {
         std::vector<InstanceId> ids;
+        ids.reserve(static_cast<std::size_t>(size));
         for (int index = 0; index < size; ++index) {
             ids.emplace_back("i" + std::to_string(index));
         }
