--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -164,7 +164,7 @@
 void EndpointStandIn::respond(const async::CallId &call, net::Response response)
 {
     response.headers_ = withAsked(std::move(response.headers_));
-    server_.respond(call, std::move(response));
+    server_.respond(call, response);
 }
 
 bool EndpointStandIn::strikes()
