One admit() for requests that the gateway or its owner sends by itself

To ask and then to count as sent stood twice, for releases of prompts and for status queries and orders; who forgets the second would send past a limit. Behaviour as before.

--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -24,11 +24,13 @@
     , lines_(MaxLines, LineWindow)
 { }
 
-bool EndpointTraffic::admits(const EndpointId &id, RequestPath path, TimePoint now)
+bool EndpointTraffic::admit(const EndpointId &id, RequestPath path, TimePoint now)
 {
     const Endpoint *endpoint = std::as_const(table_).find(id);
     const bool admitted = endpoint == nullptr || table_.admits(*endpoint, now);
-    if (!admitted) {
+    if (admitted) {
+        onSent(id, path, now);
+    } else {
         metrics_.count("requests_held_back_total",
                        observe::metricLabel("path", nameOf(RequestPathNames, path)));
     }
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -18,8 +18,11 @@
 public:
     EndpointTraffic(const Dialect &dialect, EndpointTable &table, observe::Metrics &metrics);
 
-    /** Whether the endpoint admits a request now; refusals are counted by path. */
-    bool admits(const EndpointId &id, RequestPath path, TimePoint now);
+    /**
+     * Whether the endpoint admits a request that isn't placed by EndpointTable::usable(). If so, it
+     * counts as sent; if not, it is counted as held back.
+     */
+    bool admit(const EndpointId &id, RequestPath path, TimePoint now);
     void onSent(const EndpointId &id, RequestPath path, TimePoint now);
     void onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now);
     /** Events that also report the head of the answer here. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -71,12 +71,7 @@
 
 bool Gateway::admitOwnRequest(const EndpointId &endpoint, RequestPath path)
 {
-    const TimePoint now = BootClock::now();
-    const bool admitted = state_->traffic_.admits(endpoint, path, now);
-    if (admitted) {
-        state_->traffic_.onSent(endpoint, path, now);
-    }
-    return admitted;
+    return state_->traffic_.admit(endpoint, path, BootClock::now());
 }
 
 async::ExchangeEvents Gateway::observed(const EndpointId &endpoint, async::ExchangeEvents events)
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -366,7 +366,7 @@
     }
     const TimePoint now = BootClock::now();
     const PromptHandle handle = *std::exchange(handle_, std::nullopt);
-    if (!gateway_.traffic_.admits(prefillEngine_, RequestPath::Release, now)) {
+    if (!gateway_.traffic_.admit(prefillEngine_, RequestPath::Release, now)) {
         return; // The handle expires by itself.
     }
     // No engine will fetch the prompt; until it expires it would occupy KV cache.
@@ -376,7 +376,6 @@
     request.text_ = gateway_.dialect_.serializeHandleRelease(handle.source_, handle.handle_);
     request.connectBy_ = now + millis(gateway_.settings_.connectTimeoutMillis_);
     // The result doesn't matter, since the handle expires by itself.
-    gateway_.traffic_.onSent(prefillEngine_, RequestPath::Release, now);
     gateway_.client_.start(
         std::move(request),
         gateway_.traffic_.observed(prefillEngine_,
