--- a/libs/gateway/include/almondridge/gateway/requestlimits.h
+++ b/libs/gateway/include/almondridge/gateway/requestlimits.h
@@ -21,6 +21,9 @@
 
 namespace almondridge::gateway {
 
+/** Requests a second; a larger limit is invalid. */
+inline constexpr double MaxRequestLimit = 1'000'000;
+
 /** What an instance knows of an endpoint's limit, to be told to other instances. */
 struct LimitReport
 {
--- a/libs/gateway/src/limitgossip.cpp
+++ b/libs/gateway/src/limitgossip.cpp
@@ -14,7 +14,6 @@
 /** Keeps a datagram within one packet. */
 constexpr std::size_t MaxReportsPerDatagram = 32;
 constexpr std::int64_t MaxAgeMillis = 60'000;
-constexpr double MaxPerSecond = 1'000'000;
 /** Stands for the end of a limit. */
 constexpr double NoLimit = -1;
 
@@ -27,9 +26,10 @@
     }
     const auto perSecond = json[1].get<double>();
     const auto age = json[2].get<std::uint64_t>();
-    const bool inRange = std::isfinite(perSecond)
-                         && (perSecond == NoLimit || (perSecond >= 0 && perSecond <= MaxPerSecond))
-                         && age <= static_cast<std::uint64_t>(MaxAgeMillis);
+    const bool inRange =
+        std::isfinite(perSecond)
+        && (perSecond == NoLimit || (perSecond >= 0 && perSecond <= MaxRequestLimit))
+        && age <= static_cast<std::uint64_t>(MaxAgeMillis);
     if (!inRange) {
         return std::nullopt;
     }
