Limits: apply() asks find(), and conditions that are never decisive go

A remainder by one is zero and a rank is never negative, so two of three conditions of the extra request decided nothing. Whether a limit holds was written out again beside find(). Behaviour as before.

--- a/libs/gateway/src/requestlimits.cpp
+++ b/libs/gateway/src/requestlimits.cpp
@@ -76,11 +76,9 @@
 bool RequestLimits::apply(const EndpointId &id, std::optional<double> perSecond,
                           TimePoint answeredAt, TimePoint now)
 {
-    const auto found = limits_.find(id);
-    const bool wasLimited = found != limits_.end() && found->second.perSecond_
-                            && found->second.answeredAt_ + MaxLimitAge > now;
-    const bool overtaken =
-        wasLimited && found->second.answeredAt_ + MaxAnswerReordering > answeredAt;
+    const Limit *known = find(id, now);
+    const bool wasLimited = known != nullptr;
+    const bool overtaken = wasLimited && known->answeredAt_ + MaxAnswerReordering > answeredAt;
     if (!perSecond && (!wasLimited || overtaken)) {
         return false;
     }
@@ -143,8 +141,8 @@
     const int divisor = std::max({1, instances_, static_cast<int>(memberHashes_.size())});
     const int all =
         std::max(1, static_cast<int>(*limit.perSecond_ * toSeconds(SendWindow::Length)));
-    const bool hasOneMore = divisor == 1 || (limit.rank_ && *limit.rank_ < all % divisor);
-    return all / divisor + (hasOneMore && all % divisor > 0 ? 1 : 0);
+    const bool hasOneMore = limit.rank_ && *limit.rank_ < all % divisor;
+    return all / divisor + (hasOneMore ? 1 : 0);
 }
 
 int RequestLimits::grownQuota(const Limit &limit, int quota, TimePoint now)
