--- a/libs/gateway/tests/limitgossiptest.cpp
+++ b/libs/gateway/tests/limitgossiptest.cpp
@@ -1,6 +1,8 @@
 #include "almondridge/gateway/limitgossip.h"
 
 #include "almondridge/gateway/sendwindow.h"
+#include "enginefleet.h"
+#include "limitrule.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -12,16 +14,13 @@
 
 using namespace almondridge;
 using namespace almondridge::gateway;
+using gateway::testing::allowedByLimit;
+using gateway::testing::at;
 
 namespace {
 
 const EndpointId Engine("e1");
 
-TimePoint at(std::int64_t milliseconds)
-{
-    return TimePoint {} + millis(1'000'000 + milliseconds);
-}
-
 /** Instances that send random callers' requests to one endpoint and gossip about its limit. */
 class GossipingFleet
 {
@@ -76,13 +75,6 @@
         return most;
     }
 
-    int sentBetween(std::int64_t from, std::int64_t until) const
-    {
-        return static_cast<int>(
-            std::count_if(requests_.begin(), requests_.end(),
-                          [&](const Request &one) { return one.at_ >= from && one.at_ < until; }));
-    }
-
     int countLimited() const
     {
         return static_cast<int>(
@@ -159,14 +151,6 @@
     std::multimap<std::int64_t, MeshDatagram> inTransit_;
 };
 
-/** Requests in a window that the users' rule allows. */
-int allowed(double perSecond)
-{
-    constexpr double Tolerance = 1.5;
-    constexpr int Slack = 5;
-    return static_cast<int>(Tolerance * perSecond * toSeconds(SendWindow::Length)) + Slack;
-}
-
 /** From then on after the first naming, a limit binds. */
 constexpr std::int64_t BindsAfter = 3'000;
 
@@ -190,7 +174,7 @@
             {
                 BOOST_TEST(fleet.countLimited() == size);
                 fleet.runUntil(30'000, Load);
-                BOOST_TEST(fleet.mostInAWindow(10'000 + BindsAfter) <= allowed(Limit));
+                BOOST_TEST(fleet.mostInAWindow(10'000 + BindsAfter) <= allowedByLimit(Limit));
             }
         }
     }
--- a/libs/gateway/tests/requestlimitstest.cpp
+++ b/libs/gateway/tests/requestlimitstest.cpp
@@ -1,6 +1,8 @@
 #include "almondridge/gateway/requestlimits.h"
 
 #include "almondridge/gateway/sendwindow.h"
+#include "enginefleet.h"
+#include "limitrule.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -10,16 +12,13 @@
 
 using namespace almondridge;
 using namespace almondridge::gateway;
+using gateway::testing::allowedByLimit;
+using gateway::testing::at;
 
 namespace {
 
 const EndpointId Engine("e1");
 
-TimePoint at(std::int64_t milliseconds)
-{
-    return TimePoint {} + millis(1'000'000 + milliseconds);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RequestsInAWindow)
@@ -185,14 +184,6 @@
     std::mt19937_64 random_ {20261203};
 };
 
-/** Requests in a window that the users' rule allows. */
-int allowed(double perSecond)
-{
-    constexpr double Tolerance = 1.5;
-    constexpr int Slack = 5;
-    return static_cast<int>(Tolerance * perSecond * toSeconds(SendWindow::Length)) + Slack;
-}
-
 } // namespace
 
 // Load: every instance has more requests than its quota, from the first moment on. Guards against
@@ -208,7 +199,7 @@
             const int sent = fleet.sentBetween(4'000, Until);
             BOOST_TEST_CONTEXT(size << " instances, limit " << perSecond)
             {
-                BOOST_TEST(fleet.mostInAWindow(0) <= allowed(perSecond));
+                BOOST_TEST(fleet.mostInAWindow(0) <= allowedByLimit(perSecond));
                 BOOST_TEST(sent >= MinUse * perSecond * (Until - 4'000) / 1'000);
             }
         }
@@ -224,7 +215,7 @@
         LimitedFleet fleet(size, 5.2);
         fleet.runUnlimited(-10'000, 0, 25);
         fleet.runLimited(0, 12'000);
-        BOOST_TEST(fleet.mostInAWindow(BindsFrom) <= allowed(5.2));
+        BOOST_TEST(fleet.mostInAWindow(BindsFrom) <= allowedByLimit(5.2));
     }
 }
 
