--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -121,6 +121,12 @@
     inBackoff_ = 0;
 }
 
+/** Nothing has excused an instance for as long as a limit's window. */
+bool EndpointStandIn::isJudged() const
+{
+    return calm_ && std::max(judgedFrom_, calmFrom_) + LimitWindow <= BootClock::now();
+}
+
 void EndpointStandIn::checkLimit()
 {
     const TimePoint now = BootClock::now();
@@ -128,8 +134,7 @@
     while (arrivals_.front() <= now - LimitWindow) {
         arrivals_.pop_front();
     }
-    const TimePoint from = std::max(judgedFrom_, calmFrom_) + LimitWindow;
-    const bool binds = isLimited() && calm_ && limitFrom_ + LimitBindsAfter <= now && from <= now;
+    const bool binds = isLimited() && limitFrom_ + LimitBindsAfter <= now && isJudged();
     const double allowed = LimitTolerance * limitPerSecond_ * toSeconds(LimitWindow) + LimitSlack;
     if (binds && static_cast<double>(arrivals_.size()) > allowed) {
         ledger_.violate(Promise::LimitKept,
@@ -144,8 +149,7 @@
         return;
     }
     ++inBackoff_;
-    const bool judged = calm_ && std::max(judgedFrom_, calmFrom_) + LimitWindow <= BootClock::now();
-    if (judged && inBackoff_ > AllowedInBackoff * instances_) {
+    if (isJudged() && inBackoff_ > AllowedInBackoff * instances_) {
         ledger_.violate(Promise::BackoffKept,
                         fmt::format("{} asked for a backoff and got {} requests of "
                                     "{} instances",
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -81,6 +81,7 @@
     void streamNext(std::uint64_t number);
     void refuse(const async::CallId &call, int status);
     void checkDrain(const std::string &requestId);
+    bool isJudged() const;
     void checkLimit();
     void checkBackoff();
     bool isLimited() const { return limitUntil_ > BootClock::now(); }
