--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -5,8 +5,10 @@
 #pragma once
 
 #include "almondridge/async/eventloop.h"
+#include "almondridge/base/enumnames.h"
 #include "almondridge/net/http.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -21,6 +23,12 @@
     ConnectFailed, ///< Never established; nothing was sent.
 };
 
+inline constexpr std::array<EnumName<CloseCause>, 3> CloseCauseNames {{
+    {CloseCause::EndOfStream, "end-of-stream"},
+    {CloseCause::Reset, "reset"},
+    {CloseCause::ConnectFailed, "connect-failed"},
+}};
+
 /** TCP timeouts after which the kernel closes the connection to an unresponsive peer. */
 struct TcpTimeouts
 {
--- a/libs/async/include/almondridge/async/parser.h
+++ b/libs/async/include/almondridge/async/parser.h
@@ -4,8 +4,10 @@
  */
 #pragma once
 
+#include "almondridge/base/enumnames.h"
 #include "almondridge/net/http.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -21,6 +23,19 @@
     bool http10_ = false;
 };
 
+/** What marks the end of a response's body. */
+enum class BodyFraming {
+    Length,     ///< A Content-Length, or a status that has no body.
+    Chunks,     ///< The last chunk.
+    UntilClose, ///< The end of the connection.
+};
+
+inline constexpr std::array<EnumName<BodyFraming>, 3> BodyFramingNames {{
+    {BodyFraming::Length, "length"},
+    {BodyFraming::Chunks, "chunks"},
+    {BodyFraming::UntilClose, "until-close"},
+}};
+
 struct ResponseHead
 {
     int status_ = 0;
@@ -79,6 +94,8 @@
     ParseStatus feedEnd();
     bool headDone() const noexcept;
     bool keepAlive() const;
+    /** Valid once headDone(). */
+    BodyFraming framing() const;
     ResponseHead &head() noexcept;
     /** Returns the body bytes received since the previous call. */
     std::string takeBody();
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "almondridge/async/httpclient.h"
 
+#include "almondridge/base/log.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -302,7 +304,15 @@
         failExchange(id, ExchangeFailure::Unanswered);
         return;
     }
-    if (cause == CloseCause::EndOfStream && exchange->parser_.feedEnd() == ParseStatus::Done) {
+    const bool complete =
+        cause == CloseCause::EndOfStream && exchange->parser_.feedEnd() == ParseStatus::Done;
+    logEvent(LogLevel::Info, "answer_closed",
+             {{"peer", exchange->request_.peer_},
+              {"id", exchange->request_.requestId_},
+              {"framing", nameOf(BodyFramingNames, exchange->parser_.framing())},
+              {"cause", nameOf(CloseCauseNames, cause)},
+              {"complete", complete ? "yes" : "no"}});
+    if (complete) {
         finish(id);
         return;
     }
--- a/libs/async/src/parser.cpp
+++ b/libs/async/src/parser.cpp
@@ -192,6 +192,14 @@
     return state_->collector_.keep_alive();
 }
 
+BodyFraming ResponseParser::framing() const
+{
+    if (state_->collector_.chunked()) {
+        return BodyFraming::Chunks;
+    }
+    return state_->collector_.need_eof() ? BodyFraming::UntilClose : BodyFraming::Length;
+}
+
 ResponseHead &ResponseParser::head() noexcept
 {
     return state_->collector_.responseHead_;
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -1,3 +1,4 @@
+#include "almondridge/base/log.h"
 #include "modelcall.h"
 
 #include <algorithm>
@@ -187,6 +188,7 @@
         return;
     }
     const std::string partialEvent = events_.partialEvent();
+    logPartialEvent("ended");
     if (!headSent_ || !partialEvent.empty()) {
         forwardEvents(partialEvent);
     }
@@ -199,8 +201,21 @@
     finish(Outcome::Answered, 200, "");
 }
 
+void ModelCall::logPartialEvent(std::string_view stream) const
+{
+    if (!events_.partialEvent().empty()) {
+        logEvent(LogLevel::Info, "partial_event",
+                 {{"id", requestInfo().requestId_},
+                  {"endpoint", attempt_.endpoint_.value()},
+                  {"stream", stream},
+                  {"bytes", events_.partialEvent().size()},
+                  {"content_type", net::headerValue(attempt_.head_.headers_, "Content-Type")}});
+    }
+}
+
 void ModelCall::onStreamBroken(async::ExchangeFailure failure, HealthSignal evidence)
 {
+    logPartialEvent("broken");
     mayHaveRun_ = true;
     reportExecutionStart(BootClock::now());
     excludeEndpoint(evidence);
