--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -76,6 +76,8 @@
      */
     void closeAfterWriting();
     void close();
+    /** Closes with a reset, which the peer can't take for the end of an answer. */
+    void reset();
 
 private:
     void onConnected();
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -250,6 +250,13 @@
     // The handlers are kept, as close() may have been called from one of them.
 }
 
+void Connection::reset()
+{
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void Connection::fail(CloseCause cause)
 {
     if (!open_) {
--- a/libs/async/tests/httpclienttest.cpp
+++ b/libs/async/tests/httpclienttest.cpp
@@ -1,10 +1,13 @@
 #include "almondridge/async/httpclient.h"
 
+#include "../../net/tests/brokenanswers.h"
 #include "loopsupport.h"
 
 using namespace almondridge;
 using namespace almondridge::async;
 using namespace almondridge::async::testing;
+using almondridge::net::testing::BrokenAnswer;
+using almondridge::net::testing::brokenAnswers;
 
 namespace {
 
@@ -184,6 +187,30 @@
     }
 }
 
+/** Guards against taking an answer that was broken off for a complete one. */
+BOOST_AUTO_TEST_CASE(onlyWholeAnswersAreComplete)
+{
+    for (const BrokenAnswer &answer : brokenAnswers()) {
+        RawServer::Peer peer;
+        RawServer server(loop_, [&](const RawServer::Peer &asked, const std::string &) {
+            peer = asked;
+            peer->write(answer.bytes_);
+            if (!answer.reset_) {
+                peer->closeAfterWriting();
+            }
+        });
+        const Outcome &result = start(server.address());
+        runUntil(loop_, [&] {
+            return result.over() || (result.head_.status_ == 200 && result.body_ == answer.body_);
+        });
+        if (answer.reset_) {
+            peer->reset();
+        }
+        runUntil(loop_, [&] { return result.over(); });
+        BOOST_TEST(result.ended_ == answer.complete_, answer.name_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledExchangeClosesItsConnection)
 {
     RawServer server(loop_, [](const RawServer::Peer &, const std::string &) {});
