A stream that ends inside an event was broken off, whatever its framing says

Class of fault: the end of the framing taken for the end of the content.

net::BodyEnd decides by content type whether a body may end where it does; HttpClient asks it for both kinds of end, so it holds for streams, plain answers, prefills, the store's and peers' answers alike. An event stream that only its connection ends has to end with an event. ModelCall judges answers without content type by its own splitter, which now knows all three line ends: with CRLF no event was ever complete.

A reset was taken rightly before.

--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -25,7 +25,7 @@
     NotSent,    ///< No connection was established; no byte of the request was sent.
     Unanswered, ///< The connection broke or timed out before the response head was complete.
     Garbled,    ///< The received bytes are not a valid HTTP response.
-    Truncated,  ///< The connection broke within the response.
+    Truncated,  ///< The response was broken off: by its connection or inside an event.
 };
 
 inline constexpr std::array<EnumName<ExchangeFailure>, 4> ExchangeFailureNames {{
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/async/httpclient.h"
 
 #include "almondridge/base/log.h"
+#include "almondridge/net/bodyend.h"
 
 #include <algorithm>
 #include <charconv>
@@ -66,6 +67,7 @@
     ExchangeEvents events_;
     ResponseParser parser_;
     std::shared_ptr<Connection> connection_ {};
+    std::optional<net::BodyEnd> bodyEnd_ {}; ///< Once the head is reported.
     TimePoint keepUntil_ {};
     bool headReported_ = false;
     bool skipping_ = false;
@@ -242,6 +244,7 @@
             exchange->skipping_ = mustSkipResponse(*exchange);
             if (!exchange->skipping_) {
                 exchange->headReported_ = true;
+                exchange->bodyEnd_.emplace(exchange->parser_.head().headers_);
                 exchange->keepUntil_ =
                     keepUntil(exchange->parser_.head().headers_, BootClock::now());
                 exchange->events_.onHead_(exchange->parser_.head());
@@ -261,10 +264,12 @@
         }
         std::string body = exchange->parser_.takeBody();
         if (!body.empty()) {
+            exchange->bodyEnd_->onBytes(body);
             exchange->events_.onBody_(std::move(body));
         }
         if (status == ParseStatus::Done && exchanges_.contains(id)) {
-            finish(id);
+            exchange->bodyEnd_->isPossible(true) ? finish(id)
+                                                 : failExchange(id, ExchangeFailure::Truncated);
         }
         return;
     }
@@ -304,8 +309,9 @@
         failExchange(id, ExchangeFailure::Unanswered);
         return;
     }
-    const bool complete =
-        cause == CloseCause::EndOfStream && exchange->parser_.feedEnd() == ParseStatus::Done;
+    const bool complete = cause == CloseCause::EndOfStream
+                          && exchange->parser_.feedEnd() == ParseStatus::Done
+                          && exchange->bodyEnd_->isPossible(false);
     logEvent(LogLevel::Info, "answer_closed",
              {{"peer", exchange->request_.peer_},
               {"id", exchange->request_.requestId_},
--- a/libs/gateway/src/eventsplitter.cpp
+++ b/libs/gateway/src/eventsplitter.cpp
@@ -3,7 +3,6 @@
 namespace almondridge::gateway {
 namespace {
 
-constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view IdField = "id:";
 
 /** The value of the last id field in complete events; empty if there is none. */
@@ -11,7 +10,7 @@
 {
     std::string_view id;
     while (!events.empty()) {
-        const std::size_t end = events.find('\n');
+        const std::size_t end = events.find_first_of("\r\n");
         std::string_view line = events.substr(0, end);
         events.remove_prefix(end == std::string_view::npos ? events.size() : end + 1);
         if (!line.starts_with(IdField)) {
@@ -30,13 +29,14 @@
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
+    const std::size_t before = partialEvent_.size();
+    const std::size_t end = scanner_.feed(bytes);
     partialEvent_ += bytes;
-    const std::size_t end = partialEvent_.rfind(EventEnd);
-    if (end == std::string::npos) {
+    if (end == 0) {
         return {};
     }
-    std::string complete = partialEvent_.substr(0, end + EventEnd.size());
-    partialEvent_.erase(0, end + EventEnd.size());
+    std::string complete = partialEvent_.substr(0, before + end);
+    partialEvent_.erase(0, before + end);
     const std::string_view id = findLastId(complete);
     if (!id.empty()) {
         lastEventId_ = id;
@@ -44,4 +44,10 @@
     return complete;
 }
 
+void EventSplitter::discardPartialEvent()
+{
+    scanner_ = {};
+    partialEvent_.clear();
+}
+
 } // namespace almondridge::gateway
--- a/libs/gateway/src/eventsplitter.h
+++ b/libs/gateway/src/eventsplitter.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "almondridge/net/bodyend.h"
+
 #include <string>
 #include <string_view>
 
@@ -18,9 +20,10 @@
     const std::string &lastEventId() const noexcept { return lastEventId_; }
     /** The incomplete event at the end of the bytes. */
     const std::string &partialEvent() const noexcept { return partialEvent_; }
-    void discardPartialEvent() { partialEvent_.clear(); }
+    void discardPartialEvent();
 
 private:
+    net::EventScanner scanner_;
     std::string partialEvent_;
     std::string lastEventId_;
 };
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -66,8 +66,8 @@
     void forwardEvents(std::string_view events);
     void giveUp(std::string_view cause);
     void startStallTimer();
-    /** Logs the incomplete event, if any, that an answer left; stream: ended or broken. */
-    void logPartialEvent(std::string_view stream) const;
+    /** Logs the incomplete event, if any, that a broken stream left. */
+    void logPartialEvent() const;
     bool isStream() const;
     const Prompt &prompt() const { return *requestInfo().prompt_; }
     RequestCosts &costs() const { return gateway_.costs_[context_.service_]; }
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -1,4 +1,5 @@
 #include "almondridge/base/log.h"
+#include "almondridge/net/bodyend.h"
 #include "modelcall.h"
 
 #include <algorithm>
@@ -187,10 +188,17 @@
         onStreamBroken(async::ExchangeFailure::Garbled, HealthSignal::Broken);
         return;
     }
-    const std::string partialEvent = events_.partialEvent();
-    logPartialEvent("ended");
-    if (!headSent_ || !partialEvent.empty()) {
-        forwardEvents(partialEvent);
+    const std::string rest = events_.partialEvent();
+    // Without a content type, an answer on a streaming route is taken for events.
+    const bool isOtherType = !net::headerValue(attempt_.head_.headers_, "Content-Type").empty()
+                             && !net::isEventStream(attempt_.head_.headers_);
+    if (!rest.empty() && !isOtherType) {
+        checkForCrash();
+        onStreamBroken(async::ExchangeFailure::Truncated, HealthSignal::Broken);
+        return;
+    }
+    if (!headSent_ || !rest.empty()) {
+        forwardEvents(rest);
     }
     if (firstByteAt_ >= attempt_.sentAt_) {
         costs().onGenerated(route().name_,
@@ -201,13 +209,12 @@
     finish(Outcome::Answered, 200, "");
 }
 
-void ModelCall::logPartialEvent(std::string_view stream) const
+void ModelCall::logPartialEvent() const
 {
     if (!events_.partialEvent().empty()) {
         logEvent(LogLevel::Info, "partial_event",
                  {{"id", requestInfo().requestId_},
                   {"endpoint", attempt_.endpoint_.value()},
-                  {"stream", stream},
                   {"bytes", events_.partialEvent().size()},
                   {"content_type", net::headerValue(attempt_.head_.headers_, "Content-Type")}});
     }
@@ -215,7 +222,7 @@
 
 void ModelCall::onStreamBroken(async::ExchangeFailure failure, HealthSignal evidence)
 {
-    logPartialEvent("broken");
+    logPartialEvent();
     mayHaveRun_ = true;
     reportExecutionStart(BootClock::now());
     excludeEndpoint(evidence);
