--- a/libs/async/include/almondridge/async/httpserver.h
+++ b/libs/async/include/almondridge/async/httpserver.h
@@ -77,6 +77,7 @@
     void closeAfterAnswers();
     /** Closes all connections that have no active call. */
     void closeIdle();
+
     std::size_t openCalls() const noexcept { return openCalls_; }
     std::size_t connections() const noexcept { return connections_.size(); }
 
--- a/libs/async/tests/httpservertest.cpp
+++ b/libs/async/tests/httpservertest.cpp
@@ -143,6 +143,48 @@
     BOOST_TEST(!caller.has("0\r\n\r\n"));
 }
 
+/** Guards against ending an answer in order that has no other mark of its end than the close. */
+BOOST_AUTO_TEST_CASE(anAbortedAnswerWithoutFramingIsReset)
+{
+    for (const bool byAbort : {true, false}) {
+        EventLoop loop;
+        std::optional<CallId> call;
+        auto server = std::make_unique<HttpServer>(
+            loop, ServerEvents {
+                      [&](const ServerCall &one) { call = one.id_; }, [](const CallId &) {}, {}});
+        BOOST_REQUIRE(server->listen({"127.0.0.1", 0}));
+        RawClient caller(loop, server->port());
+        caller.send("GET /old HTTP/1.0\r\n\r\n");
+        runUntil(loop, [&] { return call.has_value(); });
+        server->beginStream(*call, {200, {}, {}});
+        server->streamBytes(*call, "half");
+        runUntil(loop, [&] { return caller.has("half"); });
+        if (byAbort) {
+            server->abort(*call);
+        } else {
+            server.reset();
+        }
+        runUntil(loop, [&] { return caller.closed(); });
+        BOOST_TEST((caller.cause() == CloseCause::Reset));
+    }
+}
+
+/** Guards against resetting a complete answer that only the close ends. */
+BOOST_AUTO_TEST_CASE(aCompleteAnswerWithoutFramingEndsInOrder)
+{
+    EchoServer echo;
+    echo.hold_ = true;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET /old HTTP/1.0\r\n\r\n");
+    runUntil(echo.loop_, [&] { return echo.held_.size() == 1; });
+    echo.server_.beginStream(echo.held_.front(), {200, {}, {}});
+    echo.server_.streamBytes(echo.held_.front(), "whole");
+    echo.server_.endStream(echo.held_.front());
+    runUntil(echo.loop_, [&] { return caller.closed(); });
+    BOOST_TEST(caller.has("whole"));
+    BOOST_TEST((caller.cause() == CloseCause::EndOfStream));
+}
+
 BOOST_AUTO_TEST_CASE(whileStoppingAnswersCloseTheirConnections)
 {
     EchoServer echo;
--- a/libs/net/tests/httptest.cpp
+++ b/libs/net/tests/httptest.cpp
@@ -2,6 +2,9 @@
 #include "almondridge/net/httpexchange.h"
 #include "almondridge/net/httpserver.h"
 
+#include "brokenanswers.h"
+#include "oneanswerserver.h"
+
 #include <array>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -111,6 +114,20 @@
     BOOST_TEST((std::get<Error>(captured).kind_ == ErrorKind::Interrupted));
 }
 
+// Guards against taking an answer that was broken off for a complete one.
+BOOST_AUTO_TEST_CASE(onlyWholeAnswersAreComplete)
+{
+    for (const testing::BrokenAnswer &answer : testing::brokenAnswers()) {
+        const testing::OneAnswerServer server(answer.bytes_, answer.reset_);
+        auto exchange = HttpExchange::connect(server.address(), soon()).value();
+        exchange.send({}, soon()).value();
+        exchange.readHead(soon()).value();
+        server.allowEnd();
+        const auto captured = capture([&] { return exchange.readRest(soon(), 1'000); });
+        BOOST_TEST((captured.index() == 0) == answer.complete_, answer.name_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aRefusedConnectionReportsThatNothingWasSent)
 {
     const auto captured = capture([] { return HttpExchange::connect({"127.0.0.1", 1}, soon()); });
