serve: an event stream that ends inside an event was broken off

Such an answer is Interrupted, so the request machine treats it as a broken connection: it continues or fails the request.

--- a/libs/net/src/httpexchange.cpp
+++ b/libs/net/src/httpexchange.cpp
@@ -1,5 +1,7 @@
 #include "almondridge/net/httpexchange.h"
 
+#include "almondridge/net/bodyend.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
@@ -11,6 +13,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -110,6 +113,7 @@
     int socket_ = -1;
     bool anythingSent_ = false;
     bool endOfInput_ = false;
+    std::optional<BodyEnd> bodyEnd_; ///< Once the head was read.
     std::vector<char> pending_;
     Parser parser_;
 };
@@ -232,6 +236,7 @@
     for (const auto &field : parser.get()) {
         head.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
     }
+    state_->bodyEnd_.emplace(head.headers_);
     return head;
 }
 
@@ -241,6 +246,9 @@
     Parser &parser = state_->parser_;
     for (;;) {
         if (parser.is_done()) {
+            if (!state_->bodyEnd_->isPossible(!parser.need_eof())) {
+                return interrupted(state_->address_, "the answer ended inside an event");
+            }
             return ReadResult {ReadStatus::End, 0};
         }
         if (!state_->pending_.empty()) {
@@ -256,6 +264,7 @@
             }
             const std::size_t filled = buffer.size() - body.size;
             if (filled > 0) {
+                state_->bodyEnd_->onBytes({buffer.data(), filled});
                 return ReadResult {ReadStatus::Data, filled};
             }
             if (used > 0) {
