Reset an answer without framing that is aborted, or cut off by the end of the process

An answer to an HTTP/1.0 caller has no other mark of its end than the close, so abort() and the end of the process made a broken answer look complete. The connection is set to be reset by any close from the head of such an answer until its end; EventServer/anAbortedAnswerWithoutFramingIsReset failed for both ways before. Chunked answers are closed in order as before: the last chunk is missing.

--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -78,6 +78,8 @@
     void close();
     /** Closes with a reset, which the peer can't take for the end of an answer. */
     void reset();
+    /** Whether close(), or the end of this process, resets the connection. */
+    void setResetOnClose(bool enabled);
 
 private:
     void onConnected();
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -252,11 +252,16 @@
 
 void Connection::reset()
 {
-    error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    setResetOnClose(true);
     close();
 }
 
+void Connection::setResetOnClose(bool enabled)
+{
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(enabled, 0), ignored);
+}
+
 void Connection::fail(CloseCause cause)
 {
     if (!open_) {
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -57,6 +57,9 @@
         , connection_(std::move(connection))
         , deadline_(loop)
     { }
+    ~Peer() { connection_->close(); }
+    Peer(const Peer &) = delete;
+    Peer &operator=(const Peer &) = delete;
 
     std::uint64_t number_;
     std::shared_ptr<Connection> connection_;
@@ -251,9 +254,7 @@
 
 void HttpServer::drop(std::uint64_t number)
 {
-    const auto found = connections_.find(number);
-    found->second->connection_->close();
-    connections_.erase(found);
+    connections_.erase(number);
 }
 
 HttpServer::Peer *HttpServer::find(const CallId &id)
@@ -312,6 +313,10 @@
     if (peer->http10_ && !hasLength) {
         peer->keepAlive_ = false;
     }
+    if (!hasLength && !peer->chunked_) {
+        // Only the close marks the end of this answer, so an orderly one must not come early.
+        peer->connection_->setResetOnClose(true);
+    }
     std::string text = headText(*peer, head);
     text += peer->chunked_ ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
     peer->connection_->write(text);
@@ -342,6 +347,9 @@
     if (peer->chunked_) {
         peer->connection_->write("0\r\n\r\n");
     }
+    if (peer->http10_) {
+        peer->connection_->setResetOnClose(false);
+    }
     finishCall(*peer);
 }
 
