--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -76,6 +76,13 @@
     std::uint64_t dirtyConnections_ = 0; ///< Closed because of bytes that belong to no request.
 };
 
+/** Results of new connections, by the key of their pool. */
+struct ConnectEvents
+{
+    std::function<void(const std::string &peer)> onConnected_;
+    std::function<void(const std::string &peer)> onConnectFailed_;
+};
+
 class HttpClient
 {
 public:
@@ -103,6 +110,8 @@
     void dropKept(const std::string &peer);
     /** Limits the pooled connections over all peers; beyond it, the oldest one is closed. */
     void setMaxKept(std::size_t count) { maxKept_ = count; }
+    /** Not called for connections that are cancelled before their result is known. */
+    void setConnectEvents(ConnectEvents events) { connectEvents_ = std::move(events); }
     const ClientCounters &counters() const noexcept { return counters_; }
 
 private:
@@ -111,6 +120,8 @@
     using KeptList = std::list<Kept>;
 
     std::shared_ptr<Connection> takeKept(const std::string &peer);
+    std::shared_ptr<Connection> connect(const ExchangeRequest &request);
+    void reportConnect(const std::string &peer, bool connected);
     void attach(Exchange &exchange);
     void onInput(ExchangeId id);
     void onClosed(ExchangeId id, CloseCause cause);
@@ -130,6 +141,7 @@
     std::size_t maxKept_ = 512;
     ExchangeId nextId_ = 1;
     ClientCounters counters_;
+    ConnectEvents connectEvents_;
 };
 
 } // namespace almondridge::async
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -101,8 +101,7 @@
     } else {
         ++counters_.connects_;
         ++connections_[exchange->request_.peer_];
-        exchange->connection_ = Connection::connect(loop_, exchange->request_.address_,
-                                                    exchange->request_.connectBy_, tcpTimeouts_);
+        exchange->connection_ = connect(exchange->request_);
     }
     attach(*exchange);
     exchange->connection_->write(exchange->request_.text_);
@@ -110,6 +109,22 @@
     return id;
 }
 
+std::shared_ptr<Connection> HttpClient::connect(const ExchangeRequest &request)
+{
+    auto connection =
+        Connection::connect(loop_, request.address_, request.connectBy_, tcpTimeouts_);
+    connection->onEstablished([this, peer = request.peer_] { reportConnect(peer, true); });
+    return connection;
+}
+
+void HttpClient::reportConnect(const std::string &peer, bool connected)
+{
+    const auto &handler = connected ? connectEvents_.onConnected_ : connectEvents_.onConnectFailed_;
+    if (handler) {
+        handler(peer);
+    }
+}
+
 void HttpClient::open(const std::string &peer, const net::Address &address, TimePoint connectBy,
                       const std::function<void(bool)> &done)
 {
@@ -121,11 +136,13 @@
     connection->onEstablished([this, id, peer, done] {
         const auto opened = opening_.extract(id).mapped();
         keep(peer, opened, BootClock::now() + DefaultIdleTimeout);
+        reportConnect(peer, true);
         done(true);
     });
     connection->onClosed([this, id, peer, done](CloseCause) {
         opening_.erase(id);
         decrementConnections(peer);
+        reportConnect(peer, false);
         done(false);
     });
 }
@@ -302,6 +319,7 @@
     }
     const std::shared_ptr<Exchange> exchange = found->second;
     if (cause == CloseCause::ConnectFailed) {
+        reportConnect(exchange->request_.peer_, false);
         failExchange(id, ExchangeFailure::NotSent);
         return;
     }
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -227,6 +227,7 @@
 
     async::ExchangeEvents events;
     events.onHead_ = [this](async::ResponseHead &head) {
+        gateway_.reach_.onHeard();
         attempt_.head_ = head;
         attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
         if (!endpointRestarted()) {
@@ -234,7 +235,10 @@
         }
         onAttemptHead();
     };
-    events.onBody_ = [this](std::string bytes) { onAttemptBody(std::move(bytes)); };
+    events.onBody_ = [this](std::string bytes) {
+        gateway_.reach_.onHeard();
+        onAttemptBody(std::move(bytes));
+    };
     events.onEnd_ = [this] { onAttemptEnd(); };
     events.onFailed_ = [this](async::ExchangeFailure failure) {
         endpointTrace_ += ':';
@@ -245,6 +249,7 @@
         onAttemptFailed(failure);
     };
     attempt_.exchange_ = gateway_.client_.start(std::move(request), std::move(events));
+    gateway_.reach_.onSent(attempt_.sentAt_);
 }
 
 void Call::onAnswerOfEndpoint()
@@ -461,6 +466,7 @@
               {"outcome", nameOf(OutcomeNames, outcome)},
               {"status", status},
               {"cause", cause},
+              {"reach", nameOf(ReachNames, gateway_.reach_.state())},
               {"sends", sends_},
               {"endpoints", endpointTrace_},
               {"read_tokens", prefillTokens_},
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,9 @@
 #include "call.h"
 #include "gatewaystate.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace almondridge::gateway {
 
 namespace {
@@ -42,6 +45,9 @@
     , outlierTimer_(loop)
 {
     client_.setMaxKept(settings_.maxIdleConnections_);
+    client_.setConnectEvents(
+        {[this](const std::string &peer) { onConnectResult(EndpointId(peer), true); },
+         [this](const std::string &peer) { onConnectResult(EndpointId(peer), false); }});
     probeEndpoints();
     logOutliers();
 }
@@ -418,6 +424,7 @@
         client_.open(id.value(), address, now + millis(settings_.connectTimeoutMillis_),
                      [this, id](bool reached) { onProbed(id, reached); });
     }
+    sampleEndpoints(now);
     probeTimer_.startAt(now + ProbeInterval, [this] { probeEndpoints(); });
 }
 
@@ -437,6 +444,49 @@
     }
 }
 
+void GatewayState::sampleEndpoints(TimePoint now)
+{
+    const std::size_t count = reach_.takeSample(now);
+    if (count == 0) {
+        return;
+    }
+    std::vector<const Endpoint *> others;
+    for (const auto &[id, endpoint] : std::as_const(table_).all()) {
+        const bool isCandidate = endpoint.isListed_ && !endpoint.isDraining()
+                                 && !endpoint.announcedShutdown_ && !reach_.failed().contains(id);
+        if (isCandidate) {
+            others.push_back(&endpoint);
+        }
+    }
+    std::vector<const Endpoint *> sample;
+    std::sample(others.begin(), others.end(), std::back_inserter(sample), count, random_);
+    for (const Endpoint *endpoint : sample) {
+        const EndpointId &id = endpoint->listed_.id_;
+        client_.open(id.value(), endpoint->listed_.address_,
+                     now + millis(settings_.connectTimeoutMillis_), [](bool) {});
+    }
+}
+
+void GatewayState::onConnectResult(const EndpointId &id, bool connected)
+{
+    const TimePoint now = BootClock::now();
+    reach_.setListed(table_.all().size());
+    if (connected ? reach_.onConnected(now) : reach_.onConnectFailed(id, now)) {
+        onReachChanged();
+    }
+}
+
+void GatewayState::onReachChanged()
+{
+    metrics_.count("endpoint_reach_changes_total",
+                   observe::metricLabel("state", nameOf(ReachNames, reach_.state())));
+    logEvent(LogLevel::Warning, "endpoint_reach",
+             {{"state", nameOf(ReachNames, reach_.state())},
+              {"unreached", reach_.failed().size()},
+              {"listed", table_.all().size()},
+              {"open_calls", calls_.size()}});
+}
+
 void GatewayState::logOutliers()
 {
     const TimePoint now = BootClock::now();
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -6,6 +6,7 @@
 #include "almondridge/async/httpserver.h"
 #include "almondridge/base/logratelimiter.h"
 #include "almondridge/gateway/access.h"
+#include "almondridge/gateway/endpointreach.h"
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
@@ -48,6 +49,10 @@
     /** Probes the endpoints that couldn't be reached, when they are due, by connecting to them. */
     void probeEndpoints();
     void onProbed(const EndpointId &id, bool reached);
+    /** Tries to connect to some endpoints if nothing shows whether any can be reached. */
+    void sampleEndpoints(TimePoint now);
+    void onConnectResult(const EndpointId &id, bool connected);
+    void onReachChanged();
     /** Logs the endpoints that were ejected as outliers, or taken back, since the last call. */
     void logOutliers();
     /** Destroys a call from the event loop, as the caller is one of its functions. */
@@ -74,6 +79,7 @@
     std::map<ServiceId, RequestCosts> costs_;
     observe::Metrics metrics_;
     EndpointTraffic traffic_;
+    EndpointReach reach_;
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
     async::Timer outlierTimer_;
