--- a/libs/async/include/almondridge/async/httpserver.h
+++ b/libs/async/include/almondridge/async/httpserver.h
@@ -11,6 +11,8 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <memory>
 #include <string_view>
 #include <unordered_map>
 
@@ -24,6 +26,12 @@
     friend auto operator<=>(const CallId &, const CallId &) = default;
 };
 
+/** Who connects to an address of the server. */
+enum class Listener {
+    Callers,
+    Peers, ///< Other instances.
+};
+
 /** A request that was received completely. */
 struct ServerCall
 {
@@ -31,6 +39,7 @@
     RequestHead head_;
     std::string body_;
     TimePoint startedAt_ {}; ///< When the first byte of the request was read.
+    Listener listener_ = Listener::Callers;
 };
 
 struct ServerLimits
@@ -58,8 +67,8 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     /** Fails with Unavailable if the address is in use or not local to this machine. */
-    Result<void> listen(const net::Address &address);
-    std::uint16_t port() const;
+    Result<void> listen(const net::Address &address, Listener listener = Listener::Callers);
+    std::uint16_t port(Listener listener = Listener::Callers) const;
     void stopListening();
     /** Applies to requests that begin after this call. */
     void setLimits(const ServerLimits &limits) { limits_ = limits; }
@@ -83,9 +92,10 @@
 
 private:
     struct Peer;
+    struct Acceptor;
 
-    void accept();
-    void adopt(Connection::Socket socket);
+    void accept(Acceptor &acceptor);
+    void adopt(Connection::Socket socket, Listener listener);
     void onInput(std::uint64_t number);
     void readRequest(Peer &peer);
     void beginCall(Peer &peer);
@@ -102,8 +112,7 @@
     EventLoop &loop_;
     ServerEvents events_;
     ServerLimits limits_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    Timer acceptAgain_;
+    std::map<Listener, std::unique_ptr<Acceptor>> acceptors_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Peer>> connections_;
     std::uint64_t nextConnection_ = 1;
     std::uint64_t nextCall_ = 1;
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -66,6 +66,7 @@
     Timer deadline_;
     std::unique_ptr<RequestParser> parser_ {}; ///< While a request is being read.
     TimePoint startedAt_ {};
+    Listener listener_ = Listener::Callers;
     std::uint64_t call_ = 0; ///< The active call; 0 if there is none.
     bool keepAlive_ = true;
     bool http10_ = false;
@@ -73,64 +74,81 @@
     bool expectHandled_ = false; ///< The Expect header of the request was handled.
 };
 
+struct HttpServer::Acceptor
+{
+    Acceptor(EventLoop &loop, Listener listener)
+        : listener_(listener)
+        , socket_(loop.context())
+        , acceptAgain_(loop)
+    { }
+
+    Listener listener_;
+    asio::ip::tcp::acceptor socket_;
+    Timer acceptAgain_;
+};
+
 HttpServer::HttpServer(EventLoop &loop, ServerEvents events)
     : loop_(loop)
     , events_(std::move(events))
-    , acceptor_(loop.context())
-    , acceptAgain_(loop)
 { }
 
 HttpServer::~HttpServer() = default;
 
-Result<void> HttpServer::listen(const net::Address &address)
+Result<void> HttpServer::listen(const net::Address &address, Listener listener)
 {
+    auto acceptor = std::make_unique<Acceptor>(loop_, listener);
+    asio::ip::tcp::acceptor &socket = acceptor->socket_;
     error_code failure;
     const auto ip = asio::ip::make_address_v4(address.ip_, failure);
-    acceptor_.open(asio::ip::tcp::v4(), failure);
+    socket.open(asio::ip::tcp::v4(), failure);
     if (!failure) {
-        acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
-        acceptor_.bind({ip, address.port_}, failure);
+        socket.set_option(asio::socket_base::reuse_address(true), failure);
+        socket.bind({ip, address.port_}, failure);
     }
     if (!failure) {
-        acceptor_.listen(AcceptBacklog, failure);
+        socket.listen(AcceptBacklog, failure);
     }
     if (failure) {
         return fail(ErrorKind::Unavailable, net::toString(address) + ": " + failure.message(),
                     "listen on a free port of this machine");
     }
-    accept();
+    accept(*(acceptors_[listener] = std::move(acceptor)));
     return {};
 }
 
-std::uint16_t HttpServer::port() const
+std::uint16_t HttpServer::port(Listener listener) const
 {
     error_code ignored;
-    return acceptor_.local_endpoint(ignored).port();
+    return acceptors_.at(listener)->socket_.local_endpoint(ignored).port();
 }
 
 void HttpServer::stopListening()
 {
-    error_code ignored;
-    acceptor_.close(ignored);
-    acceptAgain_.stop();
+    for (auto &[listener, acceptor] : acceptors_) {
+        error_code ignored;
+        acceptor->socket_.close(ignored);
+        acceptor->acceptAgain_.stop();
+    }
 }
 
-void HttpServer::accept()
+void HttpServer::accept(Acceptor &acceptor)
 {
-    acceptor_.async_accept([this](const error_code &failure, Connection::Socket socket) {
-        if (failure == asio::error::operation_aborted || !acceptor_.is_open()) {
-            return;
-        }
-        if (failure) {
-            acceptAgain_.startAt(BootClock::now() + AcceptPause, [this] { accept(); });
-            return;
-        }
-        adopt(std::move(socket));
-        accept();
-    });
+    acceptor.socket_.async_accept(
+        [this, &acceptor](const error_code &failure, Connection::Socket socket) {
+            if (failure == asio::error::operation_aborted || !acceptor.socket_.is_open()) {
+                return;
+            }
+            if (failure) {
+                acceptor.acceptAgain_.startAt(BootClock::now() + AcceptPause,
+                                              [this, &acceptor] { accept(acceptor); });
+                return;
+            }
+            adopt(std::move(socket), acceptor.listener_);
+            accept(acceptor);
+        });
 }
 
-void HttpServer::adopt(Connection::Socket socket)
+void HttpServer::adopt(Connection::Socket socket, Listener listener)
 {
     const std::uint64_t number = nextConnection_++;
     auto connection = Connection::adopt(loop_, std::move(socket), CallerTcpTimeouts);
@@ -143,6 +161,7 @@
         }
     });
     auto &peer = connections_[number] = std::make_unique<Peer>(loop_, number, connection);
+    peer->listener_ = listener;
     startIdle(*peer);
     connection->startReading();
 }
@@ -200,7 +219,8 @@
     ServerCall call {{peer.number_, peer.call_},
                      std::move(peer.parser_->head()),
                      std::move(peer.parser_->body()),
-                     peer.startedAt_};
+                     peer.startedAt_,
+                     peer.listener_};
     peer.parser_.reset();
     peer.connection_->input().shrink_to_fit();
     events_.onCall_(std::move(call));
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "almondridge/gateway/crashevidence.h"
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
+#include "almondridge/gateway/peerselector.h"
 #include "almondridge/gateway/promptcacheindex.h"
 #include "almondridge/gateway/requestpath.h"
 #include "almondridge/gateway/retrybudget.h"
@@ -52,7 +53,10 @@
 
     /** Starts to accept callers; fails if the address can't be bound. */
     Result<void> listen(const net::Address &address);
+    /** Starts to accept requests that other instances forward; fails as listen(). */
+    Result<void> listenForPeers(const net::Address &address);
     std::uint16_t port() const;
+    std::uint16_t peerPort() const;
 
     /** Puts a configuration in force, unless its version isn't newer than the current one's. */
     void setConfig(std::shared_ptr<const Config> config);
@@ -73,6 +77,15 @@
     void setInstances(int count);
     /** The known instances, this one included; they divide limits of endpoints among them. */
     void setMembers(const InstanceId &self, const std::vector<InstanceId> &members);
+    /** Sets the instances to which requests can be forwarded; this one may be among them. */
+    void setPeers(const InstanceId &self, const std::vector<PeerInstance> &peers);
+    /** Whether this instance holds itself cut off from all endpoints. */
+    bool isCutOff() const noexcept;
+    /**
+     * Endpoints that requests of this instance recently failed to reach, and that are to blame:
+     * this instance reaches others.
+     */
+    std::vector<EndpointId> unreachableEndpoints(TimePoint now) const;
     EndpointTable &endpoints() noexcept;
     /**
      * Whether an endpoint admits a request that the owner of the gateway sends by itself. If so,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -160,6 +160,31 @@
     return state_->server_.listen(address);
 }
 
+Result<void> Gateway::listenForPeers(const net::Address &address)
+{
+    return state_->server_.listen(address, async::Listener::Peers);
+}
+
+std::uint16_t Gateway::peerPort() const
+{
+    return state_->server_.port(async::Listener::Peers);
+}
+
+void Gateway::setPeers(const InstanceId &self, const std::vector<PeerInstance> &peers)
+{
+    state_->peers_.setPeers(self, state_->settings_.domain_, peers);
+}
+
+bool Gateway::isCutOff() const noexcept
+{
+    return state_->reach_.state() == Reach::Cut;
+}
+
+std::vector<EndpointId> Gateway::unreachableEndpoints(TimePoint now) const
+{
+    return state_->table_.recentlyUnreachable(now);
+}
+
 void Gateway::setConfig(std::shared_ptr<const Config> config)
 {
     if (state_->config_ != nullptr && config->version() <= state_->config_->version()) {
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -80,6 +80,7 @@
     observe::Metrics metrics_;
     EndpointTraffic traffic_;
     EndpointReach reach_;
+    PeerSelector peers_;
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
     async::Timer outlierTimer_;
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -206,7 +206,7 @@
         }
     }
     report.demand_ = gateway_.demand();
-    report.unreached_ = gateway_.endpoints().recentlyUnreachable(now);
+    report.unreached_ = gateway_.unreachableEndpoints(now);
     if (report.unreached_.size() > MaxUnreachedPerReport) {
         report.unreached_.resize(MaxUnreachedPerReport);
     }
