A cut instance reports no failure that its own cut explains

A failure to reach an endpoint is now told once a new connection to another one has been established later: then it is the endpoint's. The sample of one other endpoint is tried at the first failure of each, so a real one is told as soon as that connection stands. Counts of failed requests are not told while that is in doubt, and are forgotten when the instance finds itself cut off. Class of fault: one's own loss of a path taken for the failure of what is at its end.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -223,6 +223,8 @@
     /** Endpoints to probe by a connection now; report each result to onProbed(). */
     std::vector<EndpointId> takeDueProbes(TimePoint now);
     void onProbed(const EndpointId &id, bool reached, TimePoint now);
+    /** The failures counted so far were this instance's own: it is cut off. Probes go on. */
+    void forgetFailures();
     /** Endpoints without new work because they fail far more often than others of their stage. */
     std::vector<const Endpoint *> outliers(TimePoint now) const;
     /** Endpoints at which requests of this instance recently failed to connect or timed out. */
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -86,6 +86,8 @@
      * this instance reaches others.
      */
     std::vector<EndpointId> unreachableEndpoints(TimePoint now) const;
+    /** Whether failures may be this instance's own, as nothing was reached since the last one. */
+    bool isReachInDoubt() const noexcept;
     EndpointTable &endpoints() noexcept;
     /**
      * Whether an endpoint admits a request that the owner of the gateway sends by itself. If so,
--- a/libs/gateway/src/endpointreach.cpp
+++ b/libs/gateway/src/endpointreach.cpp
@@ -30,6 +30,7 @@
 bool EndpointReach::onConnected(TimePoint now)
 {
     connectedAt_ = now;
+    nextSampleAt_ = {};
     failed_.clear();
     if (unheardSince_ != TimePoint {}) {
         unheardSince_ = now;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -451,6 +451,17 @@
     endpoint->probeAt_ = now + std::min(pause, MaxProbeDelay);
 }
 
+void EndpointTable::forgetFailures()
+{
+    for (const auto &[id, active] : active_) {
+        Endpoint &endpoint = endpoints_.at(id);
+        endpoint.recentFailures_ = {};
+        endpoint.failureScore_ = 0;
+        endpoint.circuitOpenUntil_ = {};
+        endpoint.trialInFlight_ = false;
+    }
+}
+
 std::vector<EndpointId> EndpointTable::recentlyUnreachable(TimePoint now) const
 {
     std::vector<EndpointId> found;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -180,9 +180,18 @@
     return state_->reach_.state() == Reach::Cut;
 }
 
+bool Gateway::isReachInDoubt() const noexcept
+{
+    return !state_->reach_.failed().empty();
+}
+
 std::vector<EndpointId> Gateway::unreachableEndpoints(TimePoint now) const
 {
-    return state_->table_.recentlyUnreachable(now);
+    std::vector<EndpointId> found = state_->table_.recentlyUnreachable(now);
+    std::erase_if(found, [&](const EndpointId &id) {
+        return !state_->reach_.isProvenSince(state_->table_.all().at(id).unreachableAt_);
+    });
+    return found;
 }
 
 void Gateway::setConfig(std::shared_ptr<const Config> config)
@@ -495,10 +504,16 @@
 void GatewayState::onConnectResult(const EndpointId &id, bool connected)
 {
     const TimePoint now = BootClock::now();
+    const Endpoint *endpoint = std::as_const(table_).find(id);
+    const bool isKnown = endpoint != nullptr && endpoint->failedProbes_ > 0;
+    if (!connected && isKnown && reach_.state() == Reach::Connected) {
+        return; // Tells nothing new about the other endpoints.
+    }
     reach_.setListed(table_.all().size());
     if (connected ? reach_.onConnected(now) : reach_.onConnectFailed(id, now)) {
         onReachChanged();
     }
+    sampleEndpoints(now);
 }
 
 void GatewayState::onReachChanged()
@@ -510,6 +525,9 @@
               {"unreached", reach_.failed().size()},
               {"listed", table_.all().size()},
               {"open_calls", calls_.size()}});
+    if (reach_.state() == Reach::Cut) {
+        table_.forgetFailures();
+    }
 }
 
 void GatewayState::logOutliers()
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -201,7 +201,7 @@
             report.slotUse_[id] = endpoint->slotUse_;
         }
         const double failures = endpoint->recentFailures_.at(now);
-        if (failures >= MinReportedFailures) {
+        if (failures >= MinReportedFailures && !gateway_.isReachInDoubt()) {
             report.failures_[id] = failures;
         }
     }
