The cut of an instance is no evidence that endpoints crashed

Such a failure now waits for a new connection to another endpoint within 3 s; if the instance finds itself cut off, it is dropped.

--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -4,6 +4,7 @@
 #include "call.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -23,6 +24,9 @@
         rendezvousWeight(listed.service_.value(), static_cast<std::uint64_t>(listed.stage_)));
 }
 
+/** Another endpoint has to be reached within this time to show that an unreachable one crashed. */
+constexpr Duration ProofTime = millis(3'000);
+
 /** An endpoint that is draining or unlisted may close its connections without a crash. */
 bool isExpectedToServe(const Endpoint *endpoint)
 {
@@ -65,7 +69,7 @@
         || endpoint->lifetime_ != node.mapped().lifetime_) {
         return;
     }
-    onCrashed(*endpoint, node.mapped().inFlight_);
+    onUnreachable(*endpoint, node.mapped().inFlight_);
 }
 
 void CrashGuard::onConnectFailed(const EndpointId &id)
@@ -73,19 +77,55 @@
     const Endpoint *endpoint = gateway_.table_.find(id);
     if (isExpectedToServe(endpoint) && endpoint->outstanding() > 0
         && !knownCrashes_.contains(crashKeyOf(endpoint->listed_))) {
-        onCrashed(*endpoint, {});
+        onUnreachable(*endpoint, {});
     }
 }
 
-void CrashGuard::onCrashed(const Endpoint &endpoint, std::set<RequestKey> inFlight)
+std::set<RequestKey> CrashGuard::requestsOn(const Endpoint &endpoint) const
+{
+    std::set<RequestKey> running;
+    for (const auto &[number, call] : gateway_.calls_) {
+        if (call->isRunningOn(endpoint.listed_.id_, endpoint.lifetime_)) {
+            running.insert(call->key());
+        }
+    }
+    return running;
+}
+
+void CrashGuard::onUnreachable(const Endpoint &endpoint, std::set<RequestKey> inFlight)
 {
     const EndpointId &id = endpoint.listed_.id_;
     const TimePoint now = BootClock::now();
-    for (const auto &[number, call] : gateway_.calls_) {
-        if (call->isRunningOn(id, endpoint.lifetime_)) {
-            inFlight.insert(call->key());
+    gateway_.table_.onHealthSignal(id, HealthSignal::Unreachable, now);
+    if (gateway_.reach_.state() == Reach::Cut) {
+        return;
+    }
+    inFlight.merge(requestsOn(endpoint));
+    UnprovenCrash &crash = unproven_[id];
+    if (crash.lifetime_ != endpoint.lifetime_ || crash.at_ + ProofTime < now) {
+        crash = {endpoint.lifetime_, now, {}};
+    }
+    crash.inFlight_.merge(inFlight);
+}
+
+void CrashGuard::onReached(const EndpointId &reached)
+{
+    unproven_.erase(reached);
+    const TimePoint now = BootClock::now();
+    for (auto &[id, crash] : std::exchange(unproven_, {})) {
+        const Endpoint *endpoint = gateway_.table_.find(id);
+        if (isExpectedToServe(endpoint) && endpoint->lifetime_ == crash.lifetime_
+            && crash.at_ + ProofTime > now) {
+            onCrashed(*endpoint, std::move(crash.inFlight_));
         }
     }
+}
+
+void CrashGuard::onCrashed(const Endpoint &endpoint, std::set<RequestKey> inFlight)
+{
+    const EndpointId &id = endpoint.listed_.id_;
+    const TimePoint now = BootClock::now();
+    inFlight.merge(requestsOn(endpoint));
     std::erase_if(knownCrashes_,
                   [&](const auto &entry) { return entry.second.at_ + CrashRetention < now; });
     const CrashKey key = crashKeyOf(endpoint.listed_);
@@ -93,7 +133,6 @@
         key, EndpointCrash {key, groupOf(endpoint.listed_), groupSize(endpoint), now});
     evidence_.onCrash(place->second, {inFlight.begin(), inFlight.end()}, now);
     if (added) {
-        gateway_.table_.onHealthSignal(id, HealthSignal::Unreachable, now);
         gateway_.metrics_.count("endpoints_crashed_total");
         logEvent(LogLevel::Warning, "endpoint_crashed",
                  {{"endpoint", id.value()},
--- a/libs/gateway/src/crashguard.h
+++ b/libs/gateway/src/crashguard.h
@@ -1,7 +1,7 @@
 /**
  * Detects crashes of endpoints that have requests of this instance, and feeds them to the crash
  * evidence. A broken connection is followed by a probe: only an endpoint that can't be reached
- * counts as crashed.
+ * counts as crashed, and only once another endpoint is reached, as this instance may be cut off.
  */
 #pragma once
 
@@ -24,6 +24,10 @@
     void onConnectionBroken(const EndpointId &id, std::uint64_t lifetime, RequestKey key);
     /** A connection to the endpoint failed. */
     void onConnectFailed(const EndpointId &id);
+    /** A new connection to the endpoint was established. */
+    void onReached(const EndpointId &id);
+    /** This instance is cut off: what it could not reach has not crashed. */
+    void onCutOff() { unproven_.clear(); }
     /** The request got a complete response. */
     void onCompleted(RequestKey key);
 
@@ -43,7 +47,18 @@
         std::set<RequestKey> inFlight_;
     };
 
+    /** An endpoint that can't be reached, and the requests that were there. */
+    struct UnprovenCrash
+    {
+        std::uint64_t lifetime_ = 0;
+        TimePoint at_ {};
+        std::set<RequestKey> inFlight_;
+    };
+
     void onProbed(const EndpointId &id, bool reached);
+    /** Requests of this instance that are running on the endpoint. */
+    std::set<RequestKey> requestsOn(const Endpoint &endpoint) const;
+    void onUnreachable(const Endpoint &endpoint, std::set<RequestKey> inFlight);
     void onCrashed(const Endpoint &endpoint, std::set<RequestKey> inFlight);
     int groupSize(const Endpoint &endpoint) const;
 
@@ -51,6 +66,7 @@
     CrashEvidence evidence_;
     std::uint64_t leaseHolder_; ///< Random number of this instance, for RunLease.
     std::map<EndpointId, PendingProbe> pendingProbes_;
+    std::map<EndpointId, UnprovenCrash> unproven_;
     /** Crashes that this instance has detected; later broken connections need no probe. */
     std::map<CrashKey, EndpointCrash> knownCrashes_;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -513,6 +513,9 @@
     if (connected ? reach_.onConnected(now) : reach_.onConnectFailed(id, now)) {
         onReachChanged();
     }
+    if (connected) {
+        crashes_.onReached(id);
+    }
     sampleEndpoints(now);
 }
 
@@ -527,6 +530,7 @@
               {"open_calls", calls_.size()}});
     if (reach_.state() == Reach::Cut) {
         table_.forgetFailures();
+        crashes_.onCutOff();
     }
 }
 
