An instance that reaches no endpoint has its requests served through a peer

Class of fault: a path to a resource that is lost is taken for the loss of the resource. Now an instance that holds itself cut off (endpointreach), or whose service's endpoints all wait for probes, forwards the request to another instance (peerselector), which sends it to an endpoint as its own: limits, backoffs, crash evidence, usage and prompt caches are kept where the request is sent. A forwarded request is never forwarded again; the peer makes one attempt that may run, further ones and the retry budget are the sender's, so unsafe requests run at most once; a peer's refusal says not run and why (cut-off, busy, outdated, final). Streams are resumed through another peer by the same code as at another engine. Prompts that are being prefilled when the cut is found go to a peer at once; kept connections are dropped, and unreachable endpoints are probed as soon as one is reached again.

Instances listen on the port after firstPeerPort, too; the soak reserves both.

--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -108,6 +108,8 @@
     std::size_t connections(const std::string &peer) const;
     /** Closes the pooled connections to a peer that is gone or not trusted. */
     void dropKept(const std::string &peer);
+    /** The same for all peers. */
+    void dropAllKept();
     /** Limits the pooled connections over all peers; beyond it, the oldest one is closed. */
     void setMaxKept(std::size_t count) { maxKept_ = count; }
     /** Not called for connections that are cancelled before their result is known. */
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -230,6 +230,13 @@
     }
 }
 
+void HttpClient::dropAllKept()
+{
+    while (!kept_.empty()) {
+        dropKeptConnection(kept_.begin());
+    }
+}
+
 /** Whether to discard the response: it is interim (1xx) or has the id of another request. */
 bool HttpClient::mustSkipResponse(Exchange &exchange)
 {
--- a/libs/gateway/include/almondridge/gateway/credentials.h
+++ b/libs/gateway/include/almondridge/gateway/credentials.h
@@ -22,7 +22,8 @@
 struct Credentials
 {
     CredentialState state_ = CredentialState::Absent;
-    std::string key_; ///< Empty unless the state is Present.
+    std::string key_ {};    ///< Empty unless the state is Present.
+    std::string header_ {}; ///< The header as sent, for another instance; empty as key_.
 };
 
 /** Longer keys are malformed. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -59,15 +59,25 @@
     const std::int64_t timeout = route().timeoutMillis_ > 0 ? route().timeoutMillis_ : maxWait;
     deadline_ = context_.request_.startedAt_ + millis(std::min(maxWait, timeout));
     deadlineTimer_.startAt(deadline_, [this] { onDeadline(); });
+    gateway_.peerCalls_ += isFromPeer() ? 1 : 0;
 }
 
-Call::~Call() = default;
+Call::~Call()
+{
+    gateway_.peerCalls_ -= isFromPeer() ? 1 : 0;
+}
 
 void Call::tryStart()
 {
     if (finished_) {
         return;
     }
+    if (shouldForward()) {
+        // The instance that sends it to an endpoint decides by the crash evidence.
+        started_ = true;
+        start();
+        return;
+    }
     const Assessment assessment = gateway_.crashes_.assess(key());
     switch (assessment.level_) {
     case Suspicion::Quarantined:
@@ -173,7 +183,8 @@
 void Call::reportExecutionStart(TimePoint startedAt)
 {
     const AccountId &account = context_.access_.account_.id_;
-    if (std::exchange(executionReported_, true) || account.empty()
+    // A peer reports what it sends to endpoints itself.
+    if (attempt_.peer_ || std::exchange(executionReported_, true) || account.empty()
         || !gateway_.onExecutionStarted_) {
         return;
     }
@@ -190,7 +201,7 @@
 /** A broken connection alone doesn't prove a crash, so a new connection is tried. */
 void Call::checkForCrash()
 {
-    if (attempt_.exchange_ != 0) {
+    if (attempt_.exchange_ != 0 && !attempt_.peer_) {
         gateway_.crashes_.onConnectionBroken(attempt_.endpoint_, attempt_.lifetime_, key());
     }
 }
@@ -225,18 +236,33 @@
     gateway_.traffic_.onSent(endpoint, pathOf(options), attempt_.sentAt_);
     endpointTrace_ += (endpointTrace_.empty() ? "" : ",") + endpoint.value();
 
+    attempt_.exchange_ = gateway_.client_.start(std::move(request), attemptEvents());
+    gateway_.reach_.onSent(attempt_.sentAt_);
+}
+
+async::ExchangeEvents Call::attemptEvents()
+{
     async::ExchangeEvents events;
     events.onHead_ = [this](async::ResponseHead &head) {
-        gateway_.reach_.onHeard();
         attempt_.head_ = head;
         attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
-        if (!endpointRestarted()) {
-            onAnswerOfEndpoint();
+        if (attempt_.peer_) {
+            if (!attempt_.responseInfo_.signed_) {
+                attempt_.peerRefusal_ = readRefusal(head.headers_);
+                attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
+            }
+        } else {
+            gateway_.reach_.onHeard();
+            if (!endpointRestarted()) {
+                onAnswerOfEndpoint();
+            }
         }
         onAttemptHead();
     };
     events.onBody_ = [this](std::string bytes) {
-        gateway_.reach_.onHeard();
+        if (!attempt_.peer_) {
+            gateway_.reach_.onHeard();
+        }
         onAttemptBody(std::move(bytes));
     };
     events.onEnd_ = [this] { onAttemptEnd(); };
@@ -248,8 +274,67 @@
         }
         onAttemptFailed(failure);
     };
-    attempt_.exchange_ = gateway_.client_.start(std::move(request), std::move(events));
-    gateway_.reach_.onSent(attempt_.sentAt_);
+    return events;
+}
+
+bool Call::shouldForward() const
+{
+    return !isFromPeer() && gateway_.reach_.state() != Reach::Connected
+           && gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
+}
+
+bool Call::isServiceUnreachable() const
+{
+    return !isFromPeer() && gateway_.table_.isUnreachable(context_.service_);
+}
+
+bool Call::sendToPeer(const std::string &resumeAfter)
+{
+    const TimePoint now = BootClock::now();
+    const auto peer = gateway_.peers_.choose(excludedPeers_, now);
+    if (!peer || sends_ >= maxSends_) {
+        return false;
+    }
+    ++sends_;
+    attempt_ = {};
+    attempt_.peer_ = peer->id_;
+    attempt_.sentAt_ = now;
+    DispatchOptions options;
+    options.maxWaitMillis_ = remainingMillis();
+    options.resumeAfter_ = resumeAfter;
+    async::RequestHead head = context_.request_.head_;
+    addPeerHeaders(head, context_.config_->version(), context_.credentials_);
+    async::ExchangeRequest request;
+    request.peer_ = peer->id_.value();
+    request.address_ = peer->address_;
+    request.text_ = gateway_.dialect_.serializeRequest(head, context_.request_.body_, options);
+    request.requestId_ = requestInfo().requestId_;
+    request.bodyless_ = head.method_ == "HEAD";
+    request.connectBy_ = now + millis(gateway_.settings_.connectTimeoutMillis_);
+    endpointTrace_ += (endpointTrace_.empty() ? "instance:" : ",instance:") + peer->id_.value();
+    gateway_.peers_.onSent(peer->id_);
+    gateway_.metrics_.count("requests_forwarded_total");
+    attempt_.exchange_ = gateway_.peerClient_.start(std::move(request), attemptEvents());
+    return true;
+}
+
+bool Call::onPeerRefused()
+{
+    const TimePoint now = BootClock::now();
+    const PeerRefusal refusal = attempt_.peerRefusal_.value_or(PeerRefusal::Final);
+    endpointTrace_ += ':';
+    endpointTrace_ += nameOf(PeerRefusalNames, refusal);
+    gateway_.metrics_.count("requests_forwarded_refused_total",
+                            observe::metricLabel("reason", nameOf(PeerRefusalNames, refusal)));
+    takeRetryAfter();
+    const InstanceId peer = *attempt_.peer_;
+    excludeEndpoint(std::nullopt);
+    if (refusal == PeerRefusal::CutOff) {
+        gateway_.peers_.onCutOff(peer, now);
+    } else if (refusal != PeerRefusal::Final) {
+        gateway_.peers_.onUnavailable(peer, now);
+    }
+    return refusal != PeerRefusal::Final && canTryAnotherEndpoint();
 }
 
 void Call::onAnswerOfEndpoint()
@@ -311,6 +396,10 @@
         return;
     }
     attempt_.exchange_ = 0;
+    if (attempt_.peer_) {
+        gateway_.peers_.onEnded(*attempt_.peer_);
+        return;
+    }
     markPromptPrefilled();
     if (endpointRestarted()) {
         gateway_.table_.onClosedOfEarlierLifetime(attempt_.endpoint_);
@@ -329,13 +418,20 @@
 
 void Call::cancelAttempt(std::optional<HealthSignal> evidence)
 {
-    gateway_.client_.cancel(attempt_.exchange_);
+    attemptClient().cancel(attempt_.exchange_);
     closeAttempt(evidence);
 }
 
 void Call::excludeEndpoint(std::optional<HealthSignal> evidence)
 {
-    excluded_.push_back(attempt_.endpoint_);
+    if (attempt_.peer_) {
+        excludedPeers_.push_back(*attempt_.peer_);
+        if (evidence) {
+            gateway_.peers_.onUnavailable(*attempt_.peer_, BootClock::now());
+        }
+    } else {
+        excluded_.push_back(attempt_.endpoint_);
+    }
     cancelAttempt(evidence);
 }
 
@@ -364,7 +460,7 @@
 
 bool Call::acquireRerun()
 {
-    return route().idempotent() && runs_ < route().maxAttempts_ && acquireRetry();
+    return route().idempotent() && runs_ < maxAttempts() && acquireRetry();
 }
 
 void Call::onCallerGone()
@@ -409,8 +505,14 @@
     const auto retryAfter = cause == QuarantinedCause || isQuarantined()
                                 ? std::nullopt
                                 : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
-    gateway_.server_.respond(context_.request_.id_,
-                             gateway_.dialect_.refusal(503, retryAfter, cause));
+    net::Response response = gateway_.dialect_.refusal(503, retryAfter, cause);
+    if (isFromPeer()) {
+        const bool isUnreachable = gateway_.reach_.state() == Reach::Cut
+                                   || gateway_.table_.isUnreachable(context_.service_);
+        response.headers_.push_back(
+            refusalHeader(isUnreachable ? PeerRefusal::CutOff : PeerRefusal::Final));
+    }
+    gateway_.server_.respond(context_.request_.id_, response);
     finish(Outcome::Refused, 503, cause);
 }
 
@@ -467,6 +569,7 @@
               {"status", status},
               {"cause", cause},
               {"reach", nameOf(ReachNames, gateway_.reach_.state())},
+              {"from", isFromPeer() ? "peer" : "caller"},
               {"sends", sends_},
               {"endpoints", endpointTrace_},
               {"read_tokens", prefillTokens_},
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -27,8 +27,9 @@
     RequestKey key_ {};                    ///< Equal for equal requests.
     std::shared_ptr<const Config> config_; ///< In force when the request arrived; owns route_.
     const Route *route_ = nullptr;
-    AccessResult access_ {}; ///< The account that made the request.
-    ServiceId service_;      ///< Chosen among the route's services.
+    AccessResult access_ {};     ///< The account that made the request.
+    Credentials credentials_ {}; ///< For the instance that it may be forwarded to.
+    ServiceId service_;          ///< Chosen among the route's services.
 };
 
 /** Cause in the log and the response if the account's key was revoked after the request came. */
@@ -51,6 +52,8 @@
      */
     void tryStart();
     void onCallerGone();
+    /** This instance has lost the paths to its endpoints. */
+    virtual void onCutOff() { }
     /** Bytes of a streamed response were written to the caller. */
     virtual void onWritten() { }
 
@@ -64,6 +67,8 @@
     {
         async::ExchangeId exchange_ = 0; ///< 0: none.
         EndpointId endpoint_;
+        std::optional<InstanceId> peer_; ///< Sent to this instance instead of an endpoint.
+        std::optional<PeerRefusal> peerRefusal_;
         std::uint64_t lifetime_ = 0;    ///< The endpoint's lifetime when the request was sent.
         std::int64_t promptTokens_ = 0; ///< Counted as queued at the endpoint until prefilled.
         int urgency_ = 0;
@@ -77,6 +82,13 @@
     virtual void start() = 0;
     /** Starts an attempt; its result arrives through the onAttempt functions. */
     void send(const EndpointId &endpoint, DispatchOptions options, std::int64_t promptTokens);
+    /** Whether this instance reaches no endpoint, or none of the service, and has peers to ask. */
+    bool shouldForward() const;
+    bool isServiceUnreachable() const;
+    /** Starts an attempt at a peer, which makes one at its endpoints; false: there is no peer. */
+    bool sendToPeer(const std::string &resumeAfter);
+    /** A peer refused the request. True if another one may take it. */
+    bool onPeerRefused();
     virtual void onAttemptHead() { }
     virtual void onAttemptBody(std::string bytes) { attempt_.body_ += bytes; }
     virtual void onAttemptEnd() = 0;
@@ -140,6 +152,16 @@
     /** Logs and counts the result, and has the call destroyed. */
     void finish(Outcome outcome, int status, std::string_view cause);
 
+    bool isFromPeer() const noexcept
+    {
+        return context_.request_.listener_ == async::Listener::Peers;
+    }
+    /** The instance that forwards a request decides on further attempts. */
+    int maxAttempts() const noexcept { return isFromPeer() ? 1 : route().maxAttempts_; }
+    async::HttpClient &attemptClient() const
+    {
+        return attempt_.peer_ ? gateway_.peerClient_ : gateway_.client_;
+    }
     const Route &route() const noexcept { return *context_.route_; }
     /** The account's priority, or else the route's. */
     int priority() const { return context_.access_.account_.priority_.value_or(route().priority_); }
@@ -151,9 +173,10 @@
     GatewayState &gateway_;
     CallContext context_;
     Attempt attempt_;
-    std::vector<EndpointId> excluded_; ///< Not used for further attempts.
-    int runs_ = 0;                     ///< Attempts that may have been executed.
-    int sends_ = 0;                    ///< All attempts.
+    std::vector<EndpointId> excluded_;      ///< Not used for further attempts.
+    std::vector<InstanceId> excludedPeers_; ///< As excluded_.
+    int runs_ = 0;                          ///< Attempts that may have been executed.
+    int sends_ = 0;                         ///< All attempts.
     int maxSends_ = MaxSends;
     bool mayHaveRun_ = false;                      ///< An attempt may have been executed.
     Suspicion suspicion_ = Suspicion::None;        ///< When the request was started.
@@ -166,6 +189,7 @@
     std::string endpointTrace_; ///< Endpoints of the attempts and their failures, for the log.
 
 private:
+    async::ExchangeEvents attemptEvents();
     void startWithLease(const Assessment &assessment);
     void scheduleStartRetry();
     void scheduleLeaseRenewal();
--- a/libs/gateway/src/credentials.cpp
+++ b/libs/gateway/src/credentials.cpp
@@ -58,7 +58,7 @@
     if (!isToken(key)) {
         return {CredentialState::Malformed, {}};
     }
-    return {CredentialState::Present, std::string(key)};
+    return {CredentialState::Present, std::string(key), authorization->value_};
 }
 
 void removeCredentials(net::Headers &headers)
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -451,6 +451,25 @@
     endpoint->probeAt_ = now + std::min(pause, MaxProbeDelay);
 }
 
+bool EndpointTable::isUnreachable(const ServiceId &service) const
+{
+    const std::vector<const Endpoint *> all = listed(service);
+    return !all.empty() && std::all_of(all.begin(), all.end(), [](const Endpoint *endpoint) {
+        return endpoint->awaitsProbe_;
+    });
+}
+
+void EndpointTable::probeSoon(TimePoint now)
+{
+    for (const auto &[id, active] : active_) {
+        Endpoint &endpoint = endpoints_.at(id);
+        const bool isRunning = endpoint.probeAt_ == TimePoint::max();
+        if (endpoint.awaitsProbe_ && !isRunning) {
+            endpoint.probeAt_ = now;
+        }
+    }
+}
+
 void EndpointTable::forgetFailures()
 {
     for (const auto &[id, active] : active_) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -23,6 +23,10 @@
 /** Limits log lines on changed endpoints: a full list has thousands, and one log line in total. */
 constexpr int MaxEndpointLines = 200;
 constexpr Duration EndpointLogWindow = millis(10'000);
+constexpr std::size_t MaxIdlePeerConnections = 64;
+/** Requests that peers forward are taken up to this many, and this multiple of callers' own. */
+constexpr int MinPeerCalls = 64;
+constexpr int PeerCallsPerOwn = 3;
 
 } // namespace
 
@@ -34,6 +38,7 @@
                      [this](const async::CallId &id) { onCallerGone(id); },
                      [this](const async::CallId &id) { onWritten(id); }})
     , client_(loop)
+    , peerClient_(loop)
     , placement_({settings_.domain_})
     , keyLease_(settings_.revokeBoundMillis_)
     , unknownKeysTimer_(loop)
@@ -45,6 +50,7 @@
     , outlierTimer_(loop)
 {
     client_.setMaxKept(settings_.maxIdleConnections_);
+    peerClient_.setMaxKept(MaxIdlePeerConnections);
     client_.setConnectEvents(
         {[this](const std::string &peer) { onConnectResult(EndpointId(peer), true); },
          [this](const std::string &peer) { onConnectResult(EndpointId(peer), false); }});
@@ -311,8 +317,39 @@
     server_.respond(id, dialect_.refusal(status, retryAfter, reason));
 }
 
+std::optional<PeerRefusal> GatewayState::refusalForPeer(std::uint64_t configVersion) const
+{
+    if (config_ == nullptr || config_->version() < configVersion) {
+        return PeerRefusal::Outdated;
+    }
+    if (reach_.state() == Reach::Cut) {
+        return PeerRefusal::CutOff;
+    }
+    const int own = static_cast<int>(calls_.size()) - peerCalls_;
+    return peerCalls_ >= std::max(MinPeerCalls, PeerCallsPerOwn * own)
+               ? std::optional(PeerRefusal::Busy)
+               : std::nullopt;
+}
+
+void GatewayState::refusePeer(const async::CallId &id, PeerRefusal refusal)
+{
+    const std::string_view reason = nameOf(PeerRefusalNames, refusal);
+    metrics_.count("requests_of_peers_refused_total", observe::metricLabel("reason", reason));
+    net::Response response = dialect_.refusal(503, std::nullopt, reason);
+    response.headers_.push_back(refusalHeader(refusal));
+    server_.respond(id, response);
+}
+
 void GatewayState::onCall(async::ServerCall request)
 {
+    if (request.listener_ == async::Listener::Peers) {
+        const auto refusal = refusalForPeer(takeConfigVersion(request.head_));
+        if (refusal) {
+            refusePeer(request.id_, *refusal);
+            return;
+        }
+        metrics_.count("requests_of_peers_total");
+    }
     if (config_ == nullptr) {
         refuse(request.id_, 503, "no-config");
         return;
@@ -336,7 +373,7 @@
     switch (result.access_) {
     case Access::Anonymous:
     case Access::Granted:
-        startCall(std::move(request), *route, std::move(result));
+        startCall(std::move(request), *route, std::move(result), credentials);
         return;
     case Access::KeyUnknown:
         if (unknownKeys_.canQueue(request, now)) {
@@ -380,7 +417,8 @@
     }
 }
 
-void GatewayState::startCall(async::ServerCall request, const Route &route, AccessResult result)
+void GatewayState::startCall(async::ServerCall request, const Route &route, AccessResult result,
+                             const Credentials &credentials)
 {
     CallContext context;
     context.requestInfo_ = dialect_.parseRequest(request.head_);
@@ -393,7 +431,11 @@
     context.route_ = &route;
     context.access_ = std::move(result);
     context.service_ = pickService(route);
-    budget(context.service_).onRequest(BootClock::now());
+    context.credentials_ = credentials;
+    if (context.request_.listener_ == async::Listener::Callers) {
+        // The instance that forwards a request has counted it.
+        budget(context.service_).onRequest(BootClock::now());
+    }
     const bool isModelCall =
         route.kind_ == RouteKind::Streaming && context.requestInfo_.prompt_.has_value();
     const std::uint64_t number = context.request_.id_.call_;
@@ -531,6 +573,12 @@
     if (reach_.state() == Reach::Cut) {
         table_.forgetFailures();
         crashes_.onCutOff();
+        client_.dropAllKept();
+        for (const auto &[number, call] : calls_) {
+            call->onCutOff();
+        }
+    } else if (reach_.state() == Reach::Connected) {
+        table_.probeSoon(BootClock::now());
     }
 }
 
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -12,6 +12,7 @@
 #include "almondridge/gateway/requestcosts.h"
 #include "crashguard.h"
 #include "endpointtraffic.h"
+#include "peerrequest.h"
 #include "unknownkeyqueue.h"
 
 #include <map>
@@ -29,12 +30,16 @@
     ~GatewayState();
 
     void onCall(async::ServerCall request);
+    /** Why this instance doesn't take a request that a peer forwards; nullopt: it does. */
+    std::optional<PeerRefusal> refusalForPeer(std::uint64_t configVersion) const;
+    void refusePeer(const async::CallId &id, PeerRefusal refusal);
     /** Finds the route and checks the key, then starts, queues or refuses the request. */
     void admit(async::ServerCall request, const Credentials &credentials);
     bool mayConfigBeStale(TimePoint now) const;
     void refuseUnrouted(const async::ServerCall &request);
     /** Creates and starts the call of an admitted request. */
-    void startCall(async::ServerCall request, const Route &route, AccessResult result);
+    void startCall(async::ServerCall request, const Route &route, AccessResult result,
+                   const Credentials &credentials);
     /** Responds with 401, or with 503 if this instance can't tell whether the key is valid. */
     void deny(const async::CallId &id, Access access);
     /** Refuses the queued requests with unknown keys that have become due. */
@@ -62,7 +67,8 @@
     const Dialect &dialect_;
     GatewaySettings settings_;
     async::HttpServer server_;
-    async::HttpClient client_;
+    async::HttpClient client_;     ///< To endpoints.
+    async::HttpClient peerClient_; ///< To other instances.
     EndpointTable table_;
     Placement placement_;
     CrashGuard crashes_ {*this};
@@ -81,6 +87,7 @@
     EndpointTraffic traffic_;
     EndpointReach reach_;
     PeerSelector peers_;
+    int peerCalls_ = 0; ///< Requests in progress that peers have forwarded.
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
     async::Timer outlierTimer_;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -36,6 +36,9 @@
         giveUp(KeyRevokedCause);
         return;
     }
+    if (shouldForward() && forward()) {
+        return;
+    }
     PromptQuery query = promptQuery();
     const auto decodeChoice = chooseDecodeEngine(gateway_.settings_.domain_);
     if (decodeChoice) {
@@ -44,7 +47,9 @@
     const auto plan = gateway_.placement_.planPrompt(gateway_.table_, query, now);
     recordDemand(plan ? plan->uncachedTokens_ : prompt().unsharedTokens());
     if (!plan) {
-        giveUp("no-engine");
+        if (!isServiceUnreachable() || !forward()) {
+            giveUp("no-engine");
+        }
         return;
     }
     if (plan->urgency_ >= FirstLateUrgency && decodeChoice && isDecodeQueueFull(*decodeChoice)) {
@@ -66,6 +71,29 @@
     }
 }
 
+/** The peer prefills as well; a handle of this instance's prefill expires by itself. */
+bool ModelCall::forward()
+{
+    if (!sendToPeer(events_.lastEventId())) {
+        return false;
+    }
+    handle_.reset();
+    phase_ = ModelPhase::Waiting;
+    fetchesPrompt_ = false;
+    ++runs_;
+    startStallTimer();
+    return true;
+}
+
+/** A prompt that is being prefilled hasn't run, so a peer can take it over. */
+void ModelCall::onCutOff()
+{
+    if (phase_ == ModelPhase::Prefilling && shouldForward()) {
+        excludeEndpoint(std::nullopt);
+        acquireRetry() ? place() : giveUp("prefill-failed");
+    }
+}
+
 /** For a suspected request: puts one endpoint at risk instead of two. */
 void ModelCall::placeOnSingleEngine(PromptPlan plan)
 {
@@ -332,7 +360,7 @@
  */
 bool ModelCall::canRetryLater() const
 {
-    return headSent_ && route().resumable_ && runs_ < route().maxAttempts_ && !isQuarantined()
+    return headSent_ && route().resumable_ && runs_ < maxAttempts() && !isQuarantined()
            && BootClock::now() + ResumeRetryDelay < deadline();
 }
 
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -24,11 +24,14 @@
 public:
     using Call::Call;
 
+    void onCutOff() override;
     void onWritten() override;
 
 private:
     void start() override { place(); }
     void place();
+    /** Sends the request to a peer, to go on after the last event; false: there is none. */
+    bool forward();
     void placeOnSingleEngine(PromptPlan plan);
     PromptQuery promptQuery() const;
     bool isTooLate(const PromptPlan &plan, TimePoint now);
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -29,7 +29,13 @@
         giveUp(KeyRevokedCause);
         return;
     }
+    if (shouldForward() && forward()) {
+        return;
+    }
     auto choice = chooseDecodeEngine(prefillDomain_);
+    if (!choice && isServiceUnreachable() && forward()) {
+        return;
+    }
     if (!choice || isQuarantined()) {
         giveUp("no-engine");
         return;
@@ -82,7 +88,7 @@
 void ModelCall::startStallTimer()
 {
     stalled_ = false;
-    if (!route().resumable_ || runs_ >= route().maxAttempts_) {
+    if (!route().resumable_ || runs_ >= maxAttempts()) {
         return;
     }
     const std::int64_t gap = phase_ == ModelPhase::Streaming
@@ -133,7 +139,7 @@
     if (gateway_.server_.unwritten(context_.request_.id_) > MaxUnwrittenBytes && !paused_) {
         paused_ = true;
         stopAttemptTimer();
-        gateway_.client_.pause(attempt_.exchange_);
+        attemptClient().pause(attempt_.exchange_);
         return;
     }
     startStallTimer();
@@ -144,13 +150,17 @@
     if (paused_) {
         paused_ = false;
         startStallTimer();
-        gateway_.client_.resume(attempt_.exchange_);
+        attemptClient().resume(attempt_.exchange_);
     }
 }
 
 /** The engine asserts that it didn't execute the request: the handle has expired, or it is full. */
 void ModelCall::onNotRun()
 {
+    if (attempt_.peer_) {
+        onPeerRefused() ? place() : giveUp("peers-refused");
+        return;
+    }
     takeRetryAfter();
     logNotRun();
     const HealthSignal evidence = refusalSignal();
@@ -243,6 +253,10 @@
 void ModelCall::onStreamStalled()
 {
     const TimePoint now = BootClock::now();
+    if (attempt_.peer_) {
+        startAttemptTimer(now + StallCheckInterval); // Only the peer can tell whether it hangs.
+        return;
+    }
     if (!stalled_) {
         stalled_ = true;
         endpointTrace_ += ":silent";
--- /dev/null
+++ b/libs/gateway/src/peerrequest.h
@@ -0,0 +1,40 @@
+/**
+ * What instances add to requests that they forward to each other, and to the refusals of these.
+ */
+#pragma once
+
+#include "almondridge/async/parser.h"
+#include "almondridge/base/enumnames.h"
+#include "almondridge/gateway/credentials.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace almondridge::gateway {
+
+/** Why an instance refuses a forwarded request, which it didn't send to any endpoint. */
+enum class PeerRefusal {
+    CutOff,   ///< It reaches no endpoint of the service either.
+    Busy,     ///< It has as many forwarded requests as it takes.
+    Outdated, ///< The sender knows a newer configuration.
+    Final,    ///< For the caller: another instance would refuse it as well.
+};
+
+inline constexpr std::array<EnumName<PeerRefusal>, 4> PeerRefusalNames {{
+    {PeerRefusal::CutOff, "cut-off"},
+    {PeerRefusal::Busy, "busy"},
+    {PeerRefusal::Outdated, "outdated"},
+    {PeerRefusal::Final, "final"},
+}};
+
+/** Adds what the peer needs: the sender's configuration, and the caller's credentials. */
+void addPeerHeaders(async::RequestHead &head, std::uint64_t configVersion,
+                    const Credentials &credentials);
+/** Removes the version from the head; 0: none. */
+std::uint64_t takeConfigVersion(async::RequestHead &head);
+
+net::Header refusalHeader(PeerRefusal refusal);
+std::optional<PeerRefusal> readRefusal(const net::Headers &headers);
+
+} // namespace almondridge::gateway
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -17,6 +17,9 @@
     void releaseEndpointState() override { reportUnansweredStart(); }
     void reportUnansweredStart();
     void sendNext();
+    /** Sends the request to a peer; false: there is none. */
+    bool forward();
+    void startRepeatTimer();
     void onAttemptEnd() override;
     void onAttemptFailed(async::ExchangeFailure failure) override;
     void onAttemptTimeout() override;
@@ -31,17 +34,37 @@
         endUnanswered(KeyRevokedCause);
         return;
     }
+    if (shouldForward() && forward()) {
+        return;
+    }
     const auto endpoint =
         suspicion_ == Suspicion::None ? gateway_.placement_.chooseService(
             gateway_.table_, context_.service_, excluded_, gateway_.random_(), BootClock::now())
                                       : leastLoadedEndpoint();
     if (!endpoint) {
-        giveUp();
+        if (!isServiceUnreachable() || !forward()) {
+            giveUp();
+        }
         return;
     }
     ++runs_;
     send(*endpoint, {}, 0);
-    if (route().idempotent() && runs_ < route().maxAttempts_) {
+    startRepeatTimer();
+}
+
+bool ServiceCall::forward()
+{
+    if (!sendToPeer("")) {
+        return false;
+    }
+    ++runs_;
+    startRepeatTimer();
+    return true;
+}
+
+void ServiceCall::startRepeatTimer()
+{
+    if (route().idempotent() && runs_ < maxAttempts()) {
         startAttemptTimer(BootClock::now() + millis(TimeoutObjectives * route().objectiveMillis_));
     }
 }
@@ -73,6 +96,10 @@
     const ResponseInfo &response = attempt_.responseInfo_;
     if (response.notRun_) {
         --runs_;
+        if (attempt_.peer_) {
+            onPeerRefused() ? sendNext() : giveUp();
+            return;
+        }
         takeRetryAfter();
         excludeEndpoint(refusalSignal());
         acquireRetry() ? sendNext() : giveUp();
--- a/soak/instances.cpp
+++ b/soak/instances.cpp
@@ -14,7 +14,7 @@
     , name_("instance-" + std::to_string(number))
     , callers_ {"127.0.0.1", testing::freePort()}
     , health_ {"127.0.0.1", testing::freePort()}
-    , peerPort_(testing::freePort())
+    , peerPort_(testing::freePortPair())
     , storeLink_(loop, store)
 {
     writeSettings();
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -162,6 +162,16 @@
     }
 }
 
+std::uint16_t freePortPair()
+{
+    for (;;) {
+        const std::uint16_t first = freePort();
+        if (freePort() == first + 1) {
+            return first;
+        }
+    }
+}
+
 ScratchFolder::ScratchFolder()
 {
     std::string pattern = std::filesystem::temp_directory_path() / "almondridge-test-XXXXXX";
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -48,6 +48,8 @@
 
 /** A port of 127.0.0.1 that was free just now. */
 std::uint16_t freePort();
+/** The first of two such ports in a row. */
+std::uint16_t freePortPair();
 
 /** A fresh folder for one test's files, removed with the object unless KEEP_TEST_FILES is set. */
 class ScratchFolder
