A stream that a peer's engine breaks off is resumed through the same peer

Found by a test of the way through a peer: the sender took the broken answer for the peer's own failure and excluded it, so with no other peer the caller's stream was cut off (CutOff/aForwardedStreamIsResumed failed: Last-Event-Id never sent). Only a peer that can't be connected to, or is silent, is avoided.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -425,8 +425,11 @@
 void Call::excludeEndpoint(std::optional<HealthSignal> evidence)
 {
     if (attempt_.peer_) {
-        excludedPeers_.push_back(*attempt_.peer_);
-        if (evidence) {
+        // A broken answer shows that the peer lost its endpoint, not that it can't reach another.
+        if (evidence != HealthSignal::Broken) {
+            excludedPeers_.push_back(*attempt_.peer_);
+        }
+        if (evidence == HealthSignal::Unreachable || evidence == HealthSignal::TimedOut) {
             gateway_.peers_.onUnavailable(*attempt_.peer_, BootClock::now());
         }
     } else {
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -341,6 +341,7 @@
     if (cause != DeadlineCause && cause != KeyRevokedCause && canRetryLater()) {
         phase_ = ModelPhase::Idle;
         excluded_.clear();
+        excludedPeers_.clear();
         startAttemptTimer(BootClock::now() + ResumeRetryDelay);
         return;
     }
