A leader that is cut off from the endpoints hands over

It kept the lease for stages and sizes as long as it reached the store, and every order it gave failed. CutOff/aCutLeaderHandsOver failed before.

--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -37,7 +37,7 @@
     /** Whether this instance should ask for the lease to give orders. */
     bool shouldLead() const
     {
-        return leadership_.canLead_() && (leadership_.isLeader_() || mesh_.isPreferredLeader());
+        return canLead() && (leadership_.isLeader_() || mesh_.isPreferredLeader());
     }
     /** Returns the demand of this instance and its peers, in busy engines. */
     StageDemand demand(const ServiceId &service) const;
@@ -61,6 +61,8 @@
 private:
     using UdpAddress = boost::asio::ip::udp::endpoint;
 
+    /** An instance that is cut off from the endpoints could give them no orders. */
+    bool canLead() const { return leadership_.canLead_() && !gateway_.isCutOff(); }
     void waitForDatagrams();
     void receiveAll();
     ReceiveResult onDatagram(std::string_view datagram, TimePoint now);
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -184,7 +184,7 @@
 LoadReport LoadExchange::currentReport(TimePoint now) const
 {
     LoadReport report;
-    report.canLead_ = leadership_.canLead_();
+    report.canLead_ = canLead();
     report.isLeader_ = leadership_.isLeader_();
     for (const auto &[engine, until] : changing_) {
         const Endpoint *endpoint = gateway_.endpoints().find(engine);
