--- a/libs/gateway/include/almondridge/gateway/peerselector.h
+++ b/libs/gateway/include/almondridge/gateway/peerselector.h
@@ -48,6 +48,8 @@
     struct Peer
     {
         PeerInstance instance_;
+        bool isRemote_ = false;  ///< In another failure domain.
+        std::uint64_t rank_ = 0; ///< Lower ones are preferred.
         TimePoint avoidedUntil_ {};
         int open_ = 0; ///< Requests of this instance that the peer has not answered.
     };
--- a/libs/gateway/src/peerselector.cpp
+++ b/libs/gateway/src/peerselector.cpp
@@ -29,12 +29,13 @@
         ranked.back().instance_ = peer;
     }
     const std::uint64_t own = nameHash(self.value());
-    const auto rank = [&](const Peer &peer) {
-        return std::tuple(peer.instance_.domain_ != domain,
-                          rendezvousWeight(peer.instance_.id_.value(), own));
-    };
-    std::sort(ranked.begin(), ranked.end(),
-              [&](const Peer &left, const Peer &right) { return rank(left) < rank(right); });
+    for (Peer &peer : ranked) {
+        peer.isRemote_ = peer.instance_.domain_ != domain;
+        peer.rank_ = rendezvousWeight(peer.instance_.id_.value(), own);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Peer &left, const Peer &right) {
+        return std::tuple(left.isRemote_, left.rank_) < std::tuple(right.isRemote_, right.rank_);
+    });
     ranked_ = std::move(ranked);
 }
 
