Bound what a request spends on peers that can't serve it

A refusal by a peer that is cut off, too, counted as one of the five sends of a request, so where most instances are cut a caller could be refused though one peer was sound: up to eight peers are asked now, and a refusal, for which no endpoint was asked, counts as none. A peer that can't be connected to is avoided for 0.5 s, doubling up to 4 s, as a new try holds a caller for the connect timeout (PeerSelectors/aPeerThatStaysUnreachableIsTriedMoreAndMoreRarely).

--- a/libs/gateway/include/almondridge/gateway/peerselector.h
+++ b/libs/gateway/include/almondridge/gateway/peerselector.h
@@ -43,6 +43,8 @@
     void onCutOff(const InstanceId &id, TimePoint now);
     /** The peer did not answer, or has no room. */
     void onUnavailable(const InstanceId &id, TimePoint now);
+    /** The peer took a request. */
+    void onAnswered(const InstanceId &id);
 
 private:
     struct Peer
@@ -51,7 +53,8 @@
         bool isRemote_ = false;  ///< In another failure domain.
         std::uint64_t rank_ = 0; ///< Lower ones are preferred.
         TimePoint avoidedUntil_ {};
-        int open_ = 0; ///< Requests of this instance that the peer has not answered.
+        int failures_ = 0; ///< Of onUnavailable() since the last answer.
+        int open_ = 0;     ///< Requests of this instance that the peer has not answered.
     };
 
     Peer *find(const InstanceId &id);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -29,6 +29,8 @@
 constexpr Duration CrashCheckSilence = millis(1'000);
 /** Interval of lease renewals for long executions; several may be lost before the lease expires. */
 constexpr Duration LeaseRenewalInterval = millis(9'000);
+/** Peers that one request is offered to when several of them are cut off, too. */
+constexpr std::size_t MaxPeersAsked = 8;
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
 
@@ -251,6 +253,9 @@
                 attempt_.peerRefusal_ = readRefusal(head.headers_);
                 attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
             }
+            if (!attempt_.peerRefusal_) {
+                gateway_.peers_.onAnswered(*attempt_.peer_);
+            }
         } else {
             gateway_.reach_.onHeard();
             if (!endpointRestarted()) {
@@ -292,7 +297,7 @@
 {
     const TimePoint now = BootClock::now();
     const auto peer = gateway_.peers_.choose(excludedPeers_, now);
-    if (!peer || sends_ >= maxSends_) {
+    if (!peer || sends_ >= maxSends_ || excludedPeers_.size() >= MaxPeersAsked) {
         return false;
     }
     ++sends_;
@@ -327,6 +332,7 @@
     gateway_.metrics_.count("requests_forwarded_refused_total",
                             observe::metricLabel("reason", nameOf(PeerRefusalNames, refusal)));
     takeRetryAfter();
+    --sends_; // No endpoint was asked.
     const InstanceId peer = *attempt_.peer_;
     excludeEndpoint(std::nullopt);
     if (refusal == PeerRefusal::CutOff) {
--- a/libs/gateway/src/peerselector.cpp
+++ b/libs/gateway/src/peerselector.cpp
@@ -12,7 +12,9 @@
 constexpr std::size_t MaxPeersUsed = 12;
 /** For this long a peer that is cut off gets no request; about as long as one probe takes. */
 constexpr Duration CutOffAvoidance = millis(1'000);
+/** The same for a peer that can't be reached or has no room; doubles with further failures. */
 constexpr Duration UnavailableAvoidance = millis(500);
+constexpr int MaxDoublings = 3;
 
 } // namespace
 
@@ -100,7 +102,16 @@
 void PeerSelector::onUnavailable(const InstanceId &id, TimePoint now)
 {
     if (Peer *peer = find(id)) {
-        peer->avoidedUntil_ = now + UnavailableAvoidance;
+        peer->avoidedUntil_ =
+            now + UnavailableAvoidance * (1 << std::min(peer->failures_, MaxDoublings));
+        ++peer->failures_;
+    }
+}
+
+void PeerSelector::onAnswered(const InstanceId &id)
+{
+    if (Peer *peer = find(id)) {
+        peer->failures_ = 0;
     }
 }
 
--- a/libs/gateway/tests/peerselectortest.cpp
+++ b/libs/gateway/tests/peerselectortest.cpp
@@ -175,6 +175,26 @@
     BOOST_TEST(!selector.choose({}, at(1)).has_value());
 }
 
+/** Guards against callers that wait for connections when no peer can be reached. */
+BOOST_AUTO_TEST_CASE(aPeerThatStaysUnreachableIsTriedMoreAndMoreRarely)
+{
+    const std::vector<PeerInstance> all = instances(2);
+    PeerSelector selector;
+    selector.setPeers(all[0].id_, all[0].domain_, all);
+    int tried = 0;
+    for (int now = 0; now < 20'000; now += 100) {
+        if (const auto peer = selector.choose({}, at(now))) {
+            ++tried;
+            selector.onUnavailable(peer->id_, at(now));
+        }
+    }
+    BOOST_TEST(tried <= 8);
+    BOOST_REQUIRE(selector.choose({}, at(30'000)).has_value());
+    selector.onAnswered(all[1].id_);
+    selector.onUnavailable(all[1].id_, at(30'000));
+    BOOST_TEST(selector.choose({}, at(30'600)).has_value());
+}
+
 /** Guards against losing counts when the list of instances is read again. */
 BOOST_AUTO_TEST_CASE(aNewListKeepsWhatIsKnownOfPeers)
 {
