A forwarded request's head may be longer than a caller's

The forwarding instance adds the configuration's version and the deadline to a head that it accepted at the limit, and the peer rejected it with 431 (EventServer/aForwardedHeadMayBeLongerThanACallers failed before, by reading found).

--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -12,6 +12,8 @@
 
 /** Accept queue length; all callers of a failure domain may connect at the same time. */
 constexpr int AcceptBacklog = 1'024;
+/** What an instance may add to the head of a request that it forwards. */
+constexpr std::uint32_t PeerHeadBytes = 1'024;
 /** Delay before accepting again when the process has run out of file descriptors. */
 constexpr Duration AcceptPause = millis(50);
 /** Limit of buffered pipelined input; beyond it, reading from the connection is paused. */
@@ -185,7 +187,9 @@
 void HttpServer::readRequest(Peer &peer)
 {
     if (peer.parser_ == nullptr) {
-        peer.parser_ = std::make_unique<RequestParser>(limits_.message_);
+        ParserLimits message = limits_.message_;
+        message.headBytes_ += peer.listener_ == Listener::Peers ? PeerHeadBytes : 0;
+        peer.parser_ = std::make_unique<RequestParser>(message);
         peer.startedAt_ = BootClock::now();
         peer.expectHandled_ = false;
         peer.deadline_.startAt(peer.startedAt_ + millis(limits_.headerTimeoutMillis_),
--- a/libs/async/tests/httpservertest.cpp
+++ b/libs/async/tests/httpservertest.cpp
@@ -143,6 +143,23 @@
     BOOST_TEST(!caller.has("0\r\n\r\n"));
 }
 
+/** Guards against rejecting a head that the forwarding instance has accepted and added to. */
+BOOST_AUTO_TEST_CASE(aForwardedHeadMayBeLongerThanACallers)
+{
+    ServerLimits limits;
+    limits.message_.headBytes_ = 200;
+    EchoServer echo(limits);
+    BOOST_REQUIRE(echo.server_.listen({"127.0.0.1", 0}, Listener::Peers));
+    const std::string head = "GET /x HTTP/1.1\r\nX-Long: " + std::string(200, 'x') + "\r\n\r\n";
+    RawClient caller(echo.loop_, echo.server_.port());
+    RawClient peer(echo.loop_, echo.server_.port(Listener::Peers));
+    caller.send(head);
+    peer.send(head);
+    runUntil(echo.loop_, [&] { return caller.has("\r\n\r\n") && peer.has("\r\n\r\n"); });
+    BOOST_TEST(caller.has(" 431 "));
+    BOOST_TEST(peer.has(" 200 "));
+}
+
 /** Guards against ending an answer in order that has no other mark of its end than the close. */
 BOOST_AUTO_TEST_CASE(anAbortedAnswerWithoutFramingIsReset)
 {
