--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -516,7 +516,7 @@
                                 : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
     net::Response response = gateway_.dialect_.refusal(503, retryAfter, cause);
     if (isFromPeer()) {
-        const bool isUnreachable = gateway_.reach_.state() == Reach::Cut
+        const bool isUnreachable = gateway_.reach_.state() != Reach::Connected
                                    || gateway_.table_.isUnreachable(context_.service_);
         response.headers_.push_back(
             refusalHeader(isUnreachable ? PeerRefusal::CutOff : PeerRefusal::Final));
