An exchange may be cancelled as the failure of its connection is reported

The report of the failed connection could be the one that shows the cut; the call then left its prefill for a peer and cancelled the exchange, whose failure was passed on next: std::out_of_range, and the process ended with code 1.

--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -327,7 +327,9 @@
     const std::shared_ptr<Exchange> exchange = found->second;
     if (cause == CloseCause::ConnectFailed) {
         reportConnect(exchange->request_.peer_, false);
-        failExchange(id, ExchangeFailure::NotSent);
+        if (exchanges_.contains(id)) { // The report may have made its owner cancel it.
+            failExchange(id, ExchangeFailure::NotSent);
+        }
         return;
     }
     if (!exchange->headReported_) {
--- a/libs/async/tests/httpclienttest.cpp
+++ b/libs/async/tests/httpclienttest.cpp
@@ -137,6 +137,25 @@
     BOOST_TEST((finish(free).failure_ == ExchangeFailure::NotSent));
 }
 
+/** Guards against the end of the process when an exchange is cancelled as its connection fails. */
+BOOST_AUTO_TEST_CASE(anExchangeMayBeCancelledWhenItsConnectionFails)
+{
+    net::Address free;
+    {
+        RawServer server(loop_, [](const RawServer::Peer &, const std::string &) {});
+        free = server.address();
+    }
+    bool reported = false;
+    client_.setConnectEvents({{}, [&](const std::string &) {
+                                  reported = true;
+                                  client_.cancel(1);
+                              }});
+    const Outcome &result = start(free);
+    runUntil(loop_, [&] { return reported; });
+    BOOST_TEST(!result.over());
+    BOOST_TEST(client_.connections(net::toString(free)) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(anOpenedConnectionServesTheNextExchange)
 {
     RawServer server(loop_, [](const RawServer::Peer &peer, const std::string &) {
