--- a/libs/gateway/tests/endpointreachtest.cpp
+++ b/libs/gateway/tests/endpointreachtest.cpp
@@ -45,10 +45,11 @@
 {
     EndpointReach reach;
     reach.setListed(18);
+    std::int64_t now = 0;
     for (int number = 0; number < 6; ++number) {
-        reach.onConnectFailed(endpointId(number), at(10 * number));
+        reach.onConnectFailed(endpointId(number), at(now += 10));
         BOOST_TEST((reach.state() != Reach::Cut));
-        reach.onConnected(at(10 * number + 5));
+        reach.onConnected(at(now + 5));
         BOOST_TEST((reach.state() == Reach::Connected));
     }
 }
--- a/libs/gateway/tests/peerselectortest.cpp
+++ b/libs/gateway/tests/peerselectortest.cpp
@@ -31,6 +31,7 @@
 std::vector<PeerInstance> instances(int count)
 {
     std::vector<PeerInstance> all;
+    all.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         all.push_back(instance(number));
     }
