A service whose endpoints are all gone costs two peers a request, not eight

Where only one service's endpoints can't be reached, they are mostly gone for everybody: at size each request for it would have asked eight peers in vain.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -31,6 +31,8 @@
 constexpr Duration LeaseRenewalInterval = millis(9'000);
 /** Peers that one request is offered to when several of them are cut off, too. */
 constexpr std::size_t MaxPeersAsked = 8;
+/** The same if only the endpoints of its service can't be reached, which are mostly gone then. */
+constexpr std::size_t MaxPeersAskedForService = 2;
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
 
@@ -297,7 +299,9 @@
 {
     const TimePoint now = BootClock::now();
     const auto peer = gateway_.peers_.choose(excludedPeers_, now);
-    if (!peer || sends_ >= maxSends_ || excludedPeers_.size() >= MaxPeersAsked) {
+    const std::size_t maxAsked =
+        gateway_.reach_.state() == Reach::Connected ? MaxPeersAskedForService : MaxPeersAsked;
+    if (!peer || sends_ >= maxSends_ || excludedPeers_.size() >= maxAsked) {
         return false;
     }
     ++sends_;
