Probe all unreachable endpoints at once after a cut only, not after each suspicion

During the cut of a failure domain a suspicion may come and go with each pair of first failures, and every time all endpoints that wait for a probe were probed: thousands at size.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -552,8 +552,9 @@
         return; // Tells nothing new about the other endpoints.
     }
     reach_.setListed(table_.all().size());
+    const Reach before = reach_.state();
     if (connected ? reach_.onConnected(now) : reach_.onConnectFailed(id, now)) {
-        onReachChanged();
+        onReachChanged(before);
     }
     if (connected) {
         crashes_.onReached(id);
@@ -561,7 +562,7 @@
     sampleEndpoints(now);
 }
 
-void GatewayState::onReachChanged()
+void GatewayState::onReachChanged(Reach before)
 {
     metrics_.count("endpoint_reach_changes_total",
                    observe::metricLabel("state", nameOf(ReachNames, reach_.state())));
@@ -577,7 +578,7 @@
         for (const auto &[number, call] : calls_) {
             call->onCutOff();
         }
-    } else if (reach_.state() == Reach::Connected) {
+    } else if (before == Reach::Cut) {
         table_.probeSoon(BootClock::now());
     }
 }
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -57,7 +57,7 @@
     /** Tries to connect to some endpoints if nothing shows whether any can be reached. */
     void sampleEndpoints(TimePoint now);
     void onConnectResult(const EndpointId &id, bool connected);
-    void onReachChanged();
+    void onReachChanged(Reach before);
     /** Logs the endpoints that were ejected as outliers, or taken back, since the last call. */
     void logOutliers();
     /** Destroys a call from the event loop, as the caller is one of its functions. */
