A part of the endpoints within reach is no cut, and what is missing of it is asked of peers

From the logs: cut instances changed their mind several times a second, each time dropping kept connections and moving prompts that were being prefilled; they refused with no-engine though reachable endpoints of the service were left, of the wrong stage; and failed probes of endpoints with hung requests were told to peers again and again, whose callers were refused too.

A cut now needs 300 ms without a new connection; a request without an endpoint goes to a peer if any endpoint of the service is out of reach; a failed probe tells nothing anew.

--- a/libs/gateway/include/almondridge/gateway/endpointreach.h
+++ b/libs/gateway/include/almondridge/gateway/endpointreach.h
@@ -49,8 +49,8 @@
     /** Whether an endpoint was reached after that time: failures until then are the endpoints'. */
     bool isProvenSince(TimePoint time) const noexcept { return connectedAt_ > time; }
     /**
-     * Number of endpoints, other than those in failed(), to connect to now; call it at short
-     * intervals.
+     * Number of endpoints to connect to now, preferably others than those in failed(); call it at
+     * short intervals.
      */
     std::size_t takeSample(TimePoint now);
 
@@ -62,6 +62,7 @@
     Reach state_ = Reach::Connected;
     TimePoint since_ {};
     TimePoint connectedAt_ {};
+    TimePoint failingSince_ {}; ///< The first failure since connectedAt_.
     TimePoint nextSampleAt_ {};
     TimePoint unheardSince_ {}; ///< The first request since the last byte of an answer.
     std::set<EndpointId> failed_;
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -223,8 +223,8 @@
     /** Endpoints to probe by a connection now; report each result to onProbed(). */
     std::vector<EndpointId> takeDueProbes(TimePoint now);
     void onProbed(const EndpointId &id, bool reached, TimePoint now);
-    /** Whether the service has endpoints, and each of them waits for a probe. */
-    bool isUnreachable(const ServiceId &service) const;
+    /** Whether some endpoint of the service waits for a probe. */
+    bool hasUnreachable(const ServiceId &service) const;
     /** Unreachable endpoints are probed at once, as the paths to them may be back. */
     void probeSoon(TimePoint now);
     /** The failures counted so far were this instance's own: it is cut off. Probes go on. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -290,9 +290,9 @@
            && gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
 }
 
-bool Call::isServiceUnreachable() const
+bool Call::mayPeerReachMore() const
 {
-    return !isFromPeer() && gateway_.table_.isUnreachable(context_.service_);
+    return !isFromPeer() && gateway_.table_.hasUnreachable(context_.service_);
 }
 
 bool Call::sendToPeer(const std::string &resumeAfter)
@@ -520,8 +520,10 @@
                                 : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
     net::Response response = gateway_.dialect_.refusal(503, retryAfter, cause);
     if (isFromPeer()) {
-        const bool isUnreachable = gateway_.reach_.state() != Reach::Connected
-                                   || gateway_.table_.isUnreachable(context_.service_);
+        const bool hasNone = cause == NoEngineCause || cause == NoEndpointCause;
+        const bool isUnreachable =
+            gateway_.reach_.state() != Reach::Connected
+            || (hasNone && gateway_.table_.hasUnreachable(context_.service_));
         response.headers_.push_back(
             refusalHeader(isUnreachable ? PeerRefusal::CutOff : PeerRefusal::Final));
     }
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -35,6 +35,10 @@
 /** Cause in the log and the response if the account's key was revoked after the request came. */
 inline constexpr std::string_view KeyRevokedCause = "key-withdrawn";
 
+/** Causes of requests for which no endpoint can take a request now. */
+inline constexpr std::string_view NoEngineCause = "no-engine";
+inline constexpr std::string_view NoEndpointCause = "no-endpoint";
+
 /** Limit on the attempts for one request, to bound what a request can cost. */
 inline constexpr int MaxSends = 5;
 
@@ -82,9 +86,10 @@
     virtual void start() = 0;
     /** Starts an attempt; its result arrives through the onAttempt functions. */
     void send(const EndpointId &endpoint, DispatchOptions options, std::int64_t promptTokens);
-    /** Whether this instance reaches no endpoint, or none of the service, and has peers to ask. */
+    /** Whether this instance seems to reach no endpoint, and has peers to ask. */
     bool shouldForward() const;
-    bool isServiceUnreachable() const;
+    /** Whether a peer may have an endpoint for the request where this instance has none. */
+    bool mayPeerReachMore() const;
     /** Starts an attempt at a peer, which makes one at its endpoints; false: there is no peer. */
     bool sendToPeer(const std::string &resumeAfter);
     /** A peer refused the request. True if another one may take it. */
--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -96,7 +96,9 @@
 {
     const EndpointId &id = endpoint.listed_.id_;
     const TimePoint now = BootClock::now();
-    gateway_.table_.onHealthSignal(id, HealthSignal::Unreachable, now);
+    if (!endpoint.awaitsProbe_) {
+        gateway_.table_.onHealthSignal(id, HealthSignal::Unreachable, now);
+    }
     if (gateway_.reach_.state() == Reach::Cut) {
         return;
     }
--- a/libs/gateway/src/endpointreach.cpp
+++ b/libs/gateway/src/endpointreach.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t FailedForSuspicion = 2;
 /** The same for a cut; fewer if fewer are listed. */
 constexpr std::size_t FailedForCut = 4;
+/** Nothing is reached for this long in a cut: a part of the endpoints may still be in reach. */
+constexpr Duration MinFailingTime = millis(300);
 /** Endpoints that are tried at once to find out whether any can be reached. */
 constexpr std::size_t SampleSize = 3;
 constexpr Duration SampleInterval = millis(250);
@@ -40,8 +42,13 @@
 
 bool EndpointReach::onConnectFailed(const EndpointId &id, TimePoint now)
 {
+    if (failed_.empty()) {
+        failingSince_ = now;
+    }
     failed_.insert(id);
-    if (failed_.size() >= std::min(FailedForCut, std::max<std::size_t>(listed_, 1))) {
+    const bool isEnough =
+        failed_.size() >= std::min(FailedForCut, std::max<std::size_t>(listed_, 1));
+    if (isEnough && failingSince_ + MinFailingTime <= now) {
         return change(Reach::Cut, now);
     }
     return state_ == Reach::Connected && failed_.size() >= FailedForSuspicion
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -451,12 +451,11 @@
     endpoint->probeAt_ = now + std::min(pause, MaxProbeDelay);
 }
 
-bool EndpointTable::isUnreachable(const ServiceId &service) const
+bool EndpointTable::hasUnreachable(const ServiceId &service) const
 {
     const std::vector<const Endpoint *> all = listed(service);
-    return !all.empty() && std::all_of(all.begin(), all.end(), [](const Endpoint *endpoint) {
-        return endpoint->awaitsProbe_;
-    });
+    return std::any_of(all.begin(), all.end(),
+                       [](const Endpoint *endpoint) { return endpoint->awaitsProbe_; });
 }
 
 void EndpointTable::probeSoon(TimePoint now)
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -526,14 +526,19 @@
     if (count == 0) {
         return;
     }
-    std::vector<const Endpoint *> others;
+    std::vector<const Endpoint *> serving;
     for (const auto &[id, endpoint] : std::as_const(table_).all()) {
-        const bool isCandidate = endpoint.isListed_ && !endpoint.isDraining()
-                                 && !endpoint.announcedShutdown_ && !reach_.failed().contains(id);
-        if (isCandidate) {
-            others.push_back(&endpoint);
+        if (endpoint.isListed_ && !endpoint.isDraining()) {
+            serving.push_back(&endpoint);
         }
     }
+    std::vector<const Endpoint *> others;
+    std::copy_if(
+        serving.begin(), serving.end(), std::back_inserter(others),
+        [this](const Endpoint *one) { return !reach_.failed().contains(one->listed_.id_); });
+    if (others.empty()) {
+        others = std::move(serving);
+    }
     std::vector<const Endpoint *> sample;
     std::sample(others.begin(), others.end(), std::back_inserter(sample), count, random_);
     for (const Endpoint *endpoint : sample) {
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -42,7 +42,7 @@
             gateway_.table_, context_.service_, excluded_, gateway_.random_(), BootClock::now())
                                       : leastLoadedEndpoint();
     if (!endpoint) {
-        if (!isServiceUnreachable() || !forward()) {
+        if (!mayPeerReachMore() || !forward()) {
             giveUp();
         }
         return;
@@ -71,7 +71,7 @@
 
 void ServiceCall::giveUp()
 {
-    endUnanswered(mayHaveRun_ ? "no-endpoint-left" : "no-endpoint");
+    endUnanswered(mayHaveRun_ ? std::string_view("no-endpoint-left") : NoEndpointCause);
 }
 
 void ServiceCall::endUnanswered(std::string_view cause)
