--- a/libs/gateway/tests/endpointreachtest.cpp
+++ b/libs/gateway/tests/endpointreachtest.cpp
@@ -1,18 +1,16 @@
 #include "almondridge/gateway/endpointreach.h"
 
+#include "enginefleet.h"
+
 #include <boost/test/unit_test.hpp>
 #include <string>
 
 using namespace almondridge;
 using namespace almondridge::gateway;
+using gateway::testing::at;
 
 namespace {
 
-TimePoint at(std::int64_t milliseconds)
-{
-    return TimePoint {} + millis(1'000'000 + milliseconds);
-}
-
 EndpointId endpointId(int number)
 {
     return EndpointId("e" + std::to_string(number));
--- a/libs/gateway/tests/peerselectortest.cpp
+++ b/libs/gateway/tests/peerselectortest.cpp
@@ -1,5 +1,7 @@
 #include "almondridge/gateway/peerselector.h"
 
+#include "enginefleet.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -9,6 +11,7 @@
 
 using namespace almondridge;
 using namespace almondridge::gateway;
+using gateway::testing::at;
 
 namespace {
 
@@ -16,11 +19,6 @@
 /** Requests in progress at an instance at the peak. */
 constexpr int OpenRequests = 33;
 
-TimePoint at(std::int64_t milliseconds)
-{
-    return TimePoint {} + millis(1'000'000 + milliseconds);
-}
-
 PeerInstance instance(int number)
 {
     return {InstanceId("instance-" + std::to_string(number)),
