--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -336,8 +336,6 @@
     peer->chunked_ = !hasLength && !peer->http10_;
     if (peer->http10_ && !hasLength) {
         peer->keepAlive_ = false;
-    }
-    if (!hasLength && !peer->chunked_) {
         // Only the close marks the end of this answer, so an orderly one must not come early.
         peer->connection_->setResetOnClose(true);
     }
--- a/libs/gateway/include/almondridge/gateway/peerselector.h
+++ b/libs/gateway/include/almondridge/gateway/peerselector.h
@@ -32,7 +32,6 @@
     /** Sets the instances of the fleet; this one may be among them. */
     void setPeers(const InstanceId &self, const DomainId &domain,
                   const std::vector<PeerInstance> &peers);
-    bool empty() const noexcept { return ranked_.empty(); }
 
     /** The peer for the next request; nullopt: none but excluded ones or such that can't serve. */
     std::optional<PeerInstance> choose(const std::vector<InstanceId> &excluded,
