One place that starts an attempt's exchange, at an endpoint or a peer

send() and sendToPeer() built the same exchange but for address and head. While an instance is cut off, its peers were ranked twice for each request, once to ask whether there is one and once to send: the places that send ask for the state alone. Whether an endpoint of a service is out of reach is looked for among the active endpoints, where all that wait for a probe are, not among all. Behaviour is the same; tests of async, gateway and platform pass.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -228,22 +228,26 @@
     attempt_.promptTokens_ = promptTokens;
     attempt_.urgency_ = options.urgency_.value_or(0);
     attempt_.sentAt_ = BootClock::now();
-    async::ExchangeRequest request;
-    request.peer_ = endpoint.value();
-    request.address_ = target->listed_.address_;
-    request.text_ = gateway_.dialect_.serializeRequest(context_.request_.head_,
-                                                       context_.request_.body_, options);
-    request.requestId_ = requestInfo().requestId_;
-    request.bodyless_ = context_.request_.head_.method_ == "HEAD";
-    request.connectBy_ = BootClock::now() + millis(gateway_.settings_.connectTimeoutMillis_);
     gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens, attempt_.sentAt_);
     gateway_.traffic_.onSent(endpoint, pathOf(options), attempt_.sentAt_);
     endpointTrace_ += (endpointTrace_.empty() ? "" : ",") + endpoint.value();
-
-    attempt_.exchange_ = gateway_.client_.start(std::move(request), attemptEvents());
+    startExchange(endpoint.value(), target->listed_.address_, context_.request_.head_, options);
     gateway_.reach_.onSent(attempt_.sentAt_);
 }
 
+void Call::startExchange(const std::string &peer, const net::Address &address,
+                         const async::RequestHead &head, const DispatchOptions &options)
+{
+    async::ExchangeRequest request;
+    request.peer_ = peer;
+    request.address_ = address;
+    request.text_ = gateway_.dialect_.serializeRequest(head, context_.request_.body_, options);
+    request.requestId_ = requestInfo().requestId_;
+    request.bodyless_ = head.method_ == "HEAD";
+    request.connectBy_ = attempt_.sentAt_ + millis(gateway_.settings_.connectTimeoutMillis_);
+    attempt_.exchange_ = attemptClient().start(std::move(request), attemptEvents());
+}
+
 async::ExchangeEvents Call::attemptEvents()
 {
     async::ExchangeEvents events;
@@ -284,10 +288,14 @@
     return events;
 }
 
+bool Call::seemsCutOff() const
+{
+    return !isFromPeer() && gateway_.reach_.state() != Reach::Connected;
+}
+
 bool Call::shouldForward() const
 {
-    return !isFromPeer() && gateway_.reach_.state() != Reach::Connected
-           && gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
+    return seemsCutOff() && gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
 }
 
 bool Call::mayPeerReachMore() const
@@ -313,17 +321,10 @@
     options.resumeAfter_ = resumeAfter;
     async::RequestHead head = context_.request_.head_;
     addPeerHeaders(head, context_.config_->version(), context_.credentials_);
-    async::ExchangeRequest request;
-    request.peer_ = peer->id_.value();
-    request.address_ = peer->address_;
-    request.text_ = gateway_.dialect_.serializeRequest(head, context_.request_.body_, options);
-    request.requestId_ = requestInfo().requestId_;
-    request.bodyless_ = head.method_ == "HEAD";
-    request.connectBy_ = now + millis(gateway_.settings_.connectTimeoutMillis_);
     endpointTrace_ += (endpointTrace_.empty() ? "instance:" : ",instance:") + peer->id_.value();
     gateway_.peers_.onSent(peer->id_);
     gateway_.metrics_.count("requests_forwarded_total");
-    attempt_.exchange_ = gateway_.peerClient_.start(std::move(request), attemptEvents());
+    startExchange(peer->id_.value(), peer->address_, head, options);
     return true;
 }
 
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -86,7 +86,9 @@
     virtual void start() = 0;
     /** Starts an attempt; its result arrives through the onAttempt functions. */
     void send(const EndpointId &endpoint, DispatchOptions options, std::int64_t promptTokens);
-    /** Whether this instance seems to reach no endpoint, and has peers to ask. */
+    /** Whether this instance seems to reach no endpoint; a forwarded request isn't forwarded. */
+    bool seemsCutOff() const;
+    /** The same, and there is a peer to ask. */
     bool shouldForward() const;
     /** Whether a peer may have an endpoint for the request where this instance has none. */
     bool mayPeerReachMore() const;
@@ -194,6 +196,9 @@
     std::string endpointTrace_; ///< Endpoints of the attempts and their failures, for the log.
 
 private:
+    /** Sends the request with a head of its own to the address for the attempt. */
+    void startExchange(const std::string &peer, const net::Address &address,
+                       const async::RequestHead &head, const DispatchOptions &options);
     async::ExchangeEvents attemptEvents();
     void startWithLease(const Assessment &assessment);
     void scheduleStartRetry();
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -453,9 +453,11 @@
 
 bool EndpointTable::hasUnreachable(const ServiceId &service) const
 {
-    const std::vector<const Endpoint *> all = listed(service);
-    return std::any_of(all.begin(), all.end(),
-                       [](const Endpoint *endpoint) { return endpoint->awaitsProbe_; });
+    return std::any_of(active_.begin(), active_.end(), [&](const auto &entry) {
+        const Endpoint &endpoint = *entry.second;
+        return endpoint.awaitsProbe_ && endpoint.isListed_ && !endpoint.isDraining()
+               && endpoint.listed_.service_ == service;
+    });
 }
 
 void EndpointTable::probeSoon(TimePoint now)
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -36,7 +36,7 @@
         giveUp(KeyRevokedCause);
         return;
     }
-    if (shouldForward() && forward()) {
+    if (seemsCutOff() && forward()) {
         return;
     }
     PromptQuery query = promptQuery();
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -29,7 +29,7 @@
         giveUp(KeyRevokedCause);
         return;
     }
-    if (shouldForward() && forward()) {
+    if (seemsCutOff() && forward()) {
         return;
     }
     auto choice = chooseDecodeEngine(prefillDomain_);
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -34,7 +34,7 @@
         endUnanswered(KeyRevokedCause);
         return;
     }
-    if (shouldForward() && forward()) {
+    if (seemsCutOff() && forward()) {
         return;
     }
     const auto endpoint =
