Logs: which version an endpoint has, and which endpoint goes on with a stream

The request line names the versions of the endpoints that a request was sent to, and what stream a caller resumes; event=stream_continued names the endpoint that goes on with a stream and how (in the same answer, or resumed by the caller). For that the endpoint list's version is read; nothing decides by it yet.

--- a/libs/base/include/almondridge/base/ids.h
+++ b/libs/base/include/almondridge/base/ids.h
@@ -42,6 +42,8 @@
 using ModelId = Id<struct ModelTag>;
 using RequestId = Id<struct RequestTag>;
 using ServiceId = Id<struct ServiceTag>;
+/** The version of an endpoint's software; empty: unknown. */
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 
 /** An offset in the platform's log. */
 using LogOffset = std::uint64_t;
--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -43,6 +43,7 @@
     std::optional<std::int64_t> maxWaitMillis_; ///< How long the caller waits for the answer.
     std::optional<Prompt> prompt_;
     std::string lastEventId_; ///< A resumed stream continues after this event; empty: new stream.
+    std::string resumes_;     ///< Id of the request that brought the resumed stream's first event.
 };
 
 /** A prefilled prompt that an engine keeps until another engine fetches its KV cache. */
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -44,6 +44,7 @@
     ServiceId service_;
     net::Address address_;
     DomainId domain_;
+    SoftwareVersion version_;
     int slots_ = 1;
     bool draining_ = false;
     bool spot_ = false; ///< A spot machine: all of a domain can be revoked at once.
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -225,12 +225,14 @@
     attempt_ = {};
     attempt_.endpoint_ = endpoint;
     attempt_.lifetime_ = target->lifetime_;
+    attempt_.version_ = target->listed_.version_;
     attempt_.promptTokens_ = promptTokens;
     attempt_.urgency_ = options.urgency_.value_or(0);
     attempt_.sentAt_ = BootClock::now();
     gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens, attempt_.sentAt_);
     gateway_.traffic_.onSent(endpoint, pathOf(options), attempt_.sentAt_);
     endpointTrace_ += (endpointTrace_.empty() ? "" : ",") + endpoint.value();
+    versionTrace_ += (sends_ > 1 ? "," : "") + attempt_.version_.value();
     startExchange(endpoint.value(), target->listed_.address_, context_.request_.head_, options);
     gateway_.reach_.onSent(attempt_.sentAt_);
 }
@@ -322,6 +324,7 @@
     async::RequestHead head = context_.request_.head_;
     addPeerHeaders(head, context_.config_->version(), context_.credentials_);
     endpointTrace_ += (endpointTrace_.empty() ? "instance:" : ",instance:") + peer->id_.value();
+    versionTrace_ += sends_ > 1 ? "," : "";
     gateway_.peers_.onSent(peer->id_);
     gateway_.metrics_.count("requests_forwarded_total");
     startExchange(peer->id_.value(), peer->address_, head, options);
@@ -588,6 +591,9 @@
               {"from", isFromPeer() ? "peer" : "caller"},
               {"sends", sends_},
               {"endpoints", endpointTrace_},
+              {"versions", versionTrace_},
+              {"resumes", requestInfo().resumes_},
+              {"resumes_after", requestInfo().lastEventId_},
               {"read_tokens", prefillTokens_},
               {"read_estimate_ms", static_cast<std::int64_t>(prefillEstimateMillis_)},
               {"urgency", urgency_},
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -74,6 +74,7 @@
         std::optional<InstanceId> peer_; ///< Sent to this instance instead of an endpoint.
         std::optional<PeerRefusal> peerRefusal_;
         std::uint64_t lifetime_ = 0;    ///< The endpoint's lifetime when the request was sent.
+        SoftwareVersion version_;       ///< The endpoint's version when the request was sent.
         std::int64_t promptTokens_ = 0; ///< Counted as queued at the endpoint until prefilled.
         int urgency_ = 0;
         TimePoint sentAt_ {};
@@ -194,6 +195,7 @@
     int urgency_ = -1;                 ///< As sent to the engine that prefills; -1: no prompt.
     TimePoint prefilledAt_ {};         ///< When the prompt was prefilled.
     std::string endpointTrace_; ///< Endpoints of the attempts and their failures, for the log.
+    std::string versionTrace_;  ///< Versions of these endpoints.
 
 private:
     /** Sends the request with a head of its own to the address for the attempt. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -250,6 +250,7 @@
                   {"service", listed.service_.value()},
                   {"address", net::toString(listed.address_)},
                   {"domain", listed.domain_.value()},
+                  {"version", listed.version_.value()},
                   {"state", listed.draining_ ? "draining" : "ready"},
                   {"stage", nameOf(StageNames, listed.stage_)},
                   {"restarted", change == ListingChange::Restarted ? "yes" : "no"},
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -67,6 +67,7 @@
     void recordPrefillPlan(const PromptPlan &plan);
     void recordDemand(std::int64_t newTokens);
     void forwardEvents(std::string_view events);
+    void logContinued();
     void giveUp(std::string_view cause);
     void startStallTimer();
     /** Logs the incomplete event, if any, that a broken stream left. */
@@ -75,7 +76,16 @@
     const Prompt &prompt() const { return *requestInfo().prompt_; }
     RequestCosts &costs() const { return gateway_.costs_[context_.service_]; }
 
+    /** The attempt that brought the latest events. */
+    struct EventSource
+    {
+        EndpointId endpoint_;
+        SoftwareVersion version_;
+        TimePoint sentAt_ {};
+    };
+
     ModelPhase phase_ = ModelPhase::Idle;
+    EventSource eventsFrom_;
     std::optional<PromptHandle> handle_; ///< Prefilled, and not known to have been fetched.
     EndpointId prefillEngine_;           ///< The last engine asked for a separate prefill.
     std::uint64_t prefillLifetime_ = 0;
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -135,6 +135,7 @@
                                      {attempt_.head_.status_, attempt_.head_.reason_,
                                       gateway_.dialect_.callerHeaders(attempt_.head_.headers_)});
     }
+    logContinued();
     gateway_.server_.streamBytes(context_.request_.id_, events);
     if (gateway_.server_.unwritten(context_.request_.id_) > MaxUnwrittenBytes && !paused_) {
         paused_ = true;
@@ -145,6 +146,30 @@
     startStallTimer();
 }
 
+/** Logs which endpoint goes on with a stream of this answer or of an earlier one. */
+void ModelCall::logContinued()
+{
+    const bool isResumed = !requestInfo().lastEventId_.empty();
+    if (eventsFrom_.endpoint_ == attempt_.endpoint_ && eventsFrom_.sentAt_ == attempt_.sentAt_) {
+        return;
+    }
+    if (eventsFrom_.sentAt_ != TimePoint {} || isResumed) {
+        logEvent(LogLevel::Info, "stream_continued",
+                 {{"id", requestInfo().requestId_},
+                  {"resumes", requestInfo().resumes_},
+                  {"event", events_.lastEventId()},
+                  {"how", eventsFrom_.sentAt_ != TimePoint {} ? "same-answer" : "caller"},
+                  {"through", attempt_.peer_.value_or(InstanceId()).value()},
+                  {"began_at", eventsFrom_.endpoint_.value()},
+                  {"began_version", eventsFrom_.version_.value()},
+                  {"endpoint", attempt_.endpoint_.value()},
+                  {"version", attempt_.version_.value()},
+                  {"restarted", endpointRestarted() ? "yes" : "no"},
+                  {"prompt_from", fetchesPrompt_ ? prefillEngine_.value() : ""}});
+    }
+    eventsFrom_ = {attempt_.endpoint_, attempt_.version_, attempt_.sentAt_};
+}
+
 void ModelCall::onWritten()
 {
     if (paused_) {
