A stream goes on only at the version that began it, in one answer and through a peer

What callers saw: a broken or stalled stream went on at the least loaded engine of its service, whatever its version; 8 of 12 streams of a test with engines three to three held events of two versions, and one whose version had left was completed by another version.

Cause: the list's version was never read, so placement had nothing to ask for. Class: what a run has written is taken for fitting any endpoint of its service.

Now the attempt that brings the first event sets the stream's origin (service and version, by the entry that the request was sent by), and every way on asks placement for that version only: prefill, decode, in place, stalls, suspected requests, peers. A version that is empty, or in doubt because the endpoint was restarted or relisted since, fits nothing. Events of an attempt are checked once more before the first of them is forwarded. When no listed endpoint has the version, the stream ends at once, without a retry. An answer of a peer names its origin, and a request to a peer names the one that it has to go on at.

Ruled out: that the balance of versions among engines hides it; the test draws the engine at random, and no engine of the other version is asked any more.

--- a/libs/gateway/include/almondridge/gateway/config.h
+++ b/libs/gateway/include/almondridge/gateway/config.h
@@ -8,6 +8,7 @@
 #include "almondridge/base/ids.h"
 #include "almondridge/gateway/accounts.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -54,6 +55,13 @@
     bool resumable_ = false; ///< Streams: can be continued after the last received event.
     bool public_ = false;    ///< Callers need no API key.
 
+    /** Whether requests may go to the service. */
+    bool leadsTo(const ServiceId &service) const
+    {
+        return std::any_of(services_.begin(), services_.end(),
+                           [&](const ServiceShare &share) { return share.service_ == service; });
+    }
+
     /** Whether a request may be executed again when it may already have been executed. */
     bool idempotent() const noexcept
     {
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -37,6 +37,12 @@
     {Stage::Decode, "decode"},
 }};
 
+/** Whether both versions are known and the same: one may go on with what the other began. */
+inline bool isSameVersion(const SoftwareVersion &left, const SoftwareVersion &right)
+{
+    return !left.empty() && left == right;
+}
+
 /** An endpoint's entry in the platform's list. */
 struct ListedEndpoint
 {
@@ -190,6 +196,8 @@
     const RequestLimits &limits() const noexcept { return limits_; }
     /** Endpoints of a service that are listed and not draining, healthy or not. */
     std::vector<const Endpoint *> listed(const ServiceId &service) const;
+    /** Whether one of them has this version, which must be known. */
+    bool hasVersion(const ServiceId &service, const SoftwareVersion &version) const;
     const std::map<EndpointId, Endpoint> &all() const noexcept { return endpoints_; }
     using Active = std::map<EndpointId, const Endpoint *>;
     /**
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -60,6 +60,8 @@
     const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Costs of this service's requests.
     double slotWaitMillis_ = 0;   ///< Estimated wait for a decode slot after the prefill.
     bool prefillInPlace_ = false; ///< Prefill on the decode engine even if prefill engines exist.
+    /** Only engines of this version, to go on with a stream; nullopt: the prompt begins one. */
+    std::optional<SoftwareVersion> version_ {};
 };
 
 /** Input of Placement::chooseDecodeEngine(). */
@@ -69,6 +71,8 @@
     DomainId source_; ///< Failure domain of the engine that prefilled the prompt.
     std::vector<EndpointId> excluded_ {};
     const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Costs of this service's requests.
+    /** Only engines of this version: that of the stream's earlier events. */
+    std::optional<SoftwareVersion> version_ {};
 };
 
 struct DecodeChoice
@@ -101,9 +105,9 @@
     std::optional<DecodeChoice> chooseDecodeEngine(const EndpointTable &table,
                                                    const DecodeQuery &query,
                                                    std::uint64_t tieBreaker, TimePoint now) const;
-    /** Whether the last load report of some decode engine leaves room for one more request. */
-    bool anyDecodeEngineHasRoom(const EndpointTable &table, const ServiceId &service,
-                                const std::vector<EndpointId> &excluded, TimePoint now) const;
+    /** Whether the last load report of some such engine leaves room for one more request. */
+    bool anyDecodeEngineHasRoom(const EndpointTable &table, const DecodeQuery &query,
+                                TimePoint now) const;
     /**
      * The load that fetching a prefilled prompt adds to the queue of a decode engine, as an
      * equivalent number of tokens to prefill.
@@ -111,23 +115,24 @@
     static std::int64_t handoverTokens(const Prompt &prompt);
     /**
      * Chooses an endpoint for a call to a plain service. tieBreaker: a random number that decides
-     * between endpoints of equal cost.
+     * between endpoints of equal cost. version: as in DecodeQuery.
      */
-    std::optional<EndpointId> chooseService(const EndpointTable &table, const ServiceId &service,
-                                            const std::vector<EndpointId> &excluded,
-                                            std::uint64_t tieBreaker, TimePoint now) const;
+    std::optional<EndpointId>
+    chooseService(const EndpointTable &table, const ServiceId &service,
+                  const std::vector<EndpointId> &excluded, std::uint64_t tieBreaker, TimePoint now,
+                  const std::optional<SoftwareVersion> &version = std::nullopt) const;
 
     /**
      * Chooses the endpoint with the fewest requests, for a request that may crash its endpoint and
      * would then fail the others there too. Engines that only prefill are left out, as the request
      * is served by one endpoint alone. tieBreaker: a random number that decides between endpoints
-     * of equal load.
+     * of equal load. version: as in DecodeQuery.
      */
-    std::optional<LeastLoadedChoice> chooseLeastLoaded(const EndpointTable &table,
-                                                       const ServiceId &service,
-                                                       const std::vector<EndpointId> &excluded,
-                                                       std::uint64_t tieBreaker,
-                                                       TimePoint now) const;
+    std::optional<LeastLoadedChoice>
+    chooseLeastLoaded(const EndpointTable &table, const ServiceId &service,
+                      const std::vector<EndpointId> &excluded, std::uint64_t tieBreaker,
+                      TimePoint now,
+                      const std::optional<SoftwareVersion> &version = std::nullopt) const;
 
     /** Records that the prompt was sent to the engine: its parts count as cached there from now. */
     void onPromptSent(const ListedEndpoint &engine, const Prompt &prompt, TimePoint now);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -55,6 +55,7 @@
 Call::Call(GatewayState &gateway, CallContext context)
     : gateway_(gateway)
     , context_(std::move(context))
+    , origin_(context_.origin_)
     , deadlineTimer_(gateway.loop_)
     , attemptTimer_(gateway.loop_)
     , startRetryTimer_(gateway.loop_)
@@ -76,6 +77,10 @@
     if (finished_) {
         return;
     }
+    if (origin_ && !route().leadsTo(origin_->service_)) {
+        refuse(VersionGoneCause);
+        return;
+    }
     if (shouldForward()) {
         // The instance that sends it to an endpoint decides by the crash evidence.
         started_ = true;
@@ -178,8 +183,9 @@
 
 std::optional<EndpointId> Call::leastLoadedEndpoint() const
 {
-    const auto choice = gateway_.placement_.chooseLeastLoaded(
-        gateway_.table_, context_.service_, excluded_, gateway_.random_(), BootClock::now());
+    const auto choice = gateway_.placement_.chooseLeastLoaded(gateway_.table_, context_.service_,
+                                                              excluded_, gateway_.random_(),
+                                                              BootClock::now(), requiredVersion());
     const bool isLastOne = choice && choice->isLastUsable_ && suspicion_ == Suspicion::Strong;
     return choice && !isLastOne ? std::optional(choice->endpoint_) : std::nullopt;
 }
@@ -225,14 +231,14 @@
     attempt_ = {};
     attempt_.endpoint_ = endpoint;
     attempt_.lifetime_ = target->lifetime_;
-    attempt_.version_ = target->listed_.version_;
+    attempt_.origin_ = {context_.service_, target->listed_.version_};
     attempt_.promptTokens_ = promptTokens;
     attempt_.urgency_ = options.urgency_.value_or(0);
     attempt_.sentAt_ = BootClock::now();
     gateway_.table_.onSent(endpoint, attempt_.urgency_, promptTokens, attempt_.sentAt_);
     gateway_.traffic_.onSent(endpoint, pathOf(options), attempt_.sentAt_);
     endpointTrace_ += (endpointTrace_.empty() ? "" : ",") + endpoint.value();
-    versionTrace_ += (sends_ > 1 ? "," : "") + attempt_.version_.value();
+    versionTrace_ += (sends_ > 1 ? "," : "") + attempt_.origin_.version_.value();
     startExchange(endpoint.value(), target->listed_.address_, context_.request_.head_, options);
     gateway_.reach_.onSent(attempt_.sentAt_);
 }
@@ -247,6 +253,7 @@
     request.requestId_ = requestInfo().requestId_;
     request.bodyless_ = head.method_ == "HEAD";
     request.connectBy_ = attempt_.sentAt_ + millis(gateway_.settings_.connectTimeoutMillis_);
+    attempt_.number_ = ++attempts_;
     attempt_.exchange_ = attemptClient().start(std::move(request), attemptEvents());
 }
 
@@ -254,6 +261,10 @@
 {
     async::ExchangeEvents events;
     events.onHead_ = [this](async::ResponseHead &head) {
+        if (attempt_.peer_) {
+            attempt_.origin_ =
+                takeOrigin(head.headers_).value_or(StreamOrigin {context_.service_, {}});
+        }
         attempt_.head_ = head;
         attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
         if (attempt_.peer_) {
@@ -300,6 +311,27 @@
     return seemsCutOff() && gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
 }
 
+StreamOrigin Call::attemptOrigin() const
+{
+    const Endpoint *endpoint = gateway_.table_.find(attempt_.endpoint_);
+    const bool isInDoubt = !attempt_.peer_
+                           && (endpoint == nullptr || endpointRestarted()
+                               || endpoint->listed_.version_ != attempt_.origin_.version_);
+    return isInDoubt ? StreamOrigin {attempt_.origin_.service_, {}} : attempt_.origin_;
+}
+
+void Call::setOrigin(const StreamOrigin &origin)
+{
+    origin_ = origin;
+    context_.service_ = origin.service_;
+}
+
+bool Call::canGoOn() const
+{
+    return !origin_ || gateway_.table_.hasVersion(origin_->service_, origin_->version_)
+           || seemsCutOff();
+}
+
 bool Call::mayPeerReachMore() const
 {
     return !isFromPeer() && gateway_.table_.hasUnreachable(context_.service_);
@@ -323,6 +355,9 @@
     options.resumeAfter_ = resumeAfter;
     async::RequestHead head = context_.request_.head_;
     addPeerHeaders(head, context_.config_->version(), context_.credentials_);
+    if (origin_) {
+        head.headers_.push_back(originHeader(*origin_));
+    }
     endpointTrace_ += (endpointTrace_.empty() ? "instance:" : ",instance:") + peer->id_.value();
     versionTrace_ += sends_ > 1 ? "," : "";
     gateway_.peers_.onSent(peer->id_);
@@ -518,10 +553,10 @@
 
 void Call::refuse(std::string_view cause)
 {
-    // No Retry-After for quarantined requests: every instance would refuse them.
-    const auto retryAfter = cause == QuarantinedCause || isQuarantined()
-                                ? std::nullopt
-                                : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
+    // No Retry-After for what every instance would refuse, too.
+    const bool isFinal = cause == QuarantinedCause || cause == VersionGoneCause || isQuarantined();
+    const auto retryAfter =
+        isFinal ? std::nullopt : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
     net::Response response = gateway_.dialect_.refusal(503, retryAfter, cause);
     if (isFromPeer()) {
         const bool hasNone = cause == NoEngineCause || cause == NoEndpointCause;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "almondridge/gateway/requestkey.h"
+#include "almondridge/gateway/streamorigin.h"
 #include "gatewaystate.h"
 
 namespace almondridge::gateway {
@@ -27,9 +28,10 @@
     RequestKey key_ {};                    ///< Equal for equal requests.
     std::shared_ptr<const Config> config_; ///< In force when the request arrived; owns route_.
     const Route *route_ = nullptr;
-    AccessResult access_ {};     ///< The account that made the request.
-    Credentials credentials_ {}; ///< For the instance that it may be forwarded to.
-    ServiceId service_;          ///< Chosen among the route's services.
+    AccessResult access_ {};                ///< The account that made the request.
+    Credentials credentials_ {};            ///< For the instance that it may be forwarded to.
+    ServiceId service_;                     ///< Chosen among the route's services.
+    std::optional<StreamOrigin> origin_ {}; ///< Of the stream to go on with, as the peer tells.
 };
 
 /** Cause in the log and the response if the account's key was revoked after the request came. */
@@ -39,6 +41,9 @@
 inline constexpr std::string_view NoEngineCause = "no-engine";
 inline constexpr std::string_view NoEndpointCause = "no-endpoint";
 
+/** Cause of streams whose version no endpoint has any more, so that they can't go on. */
+inline constexpr std::string_view VersionGoneCause = "version-gone";
+
 /** Limit on the attempts for one request, to bound what a request can cost. */
 inline constexpr int MaxSends = 5;
 
@@ -70,11 +75,12 @@
     struct Attempt
     {
         async::ExchangeId exchange_ = 0; ///< 0: none.
+        int number_ = 0;                 ///< Of the request's attempts, from 1.
         EndpointId endpoint_;
         std::optional<InstanceId> peer_; ///< Sent to this instance instead of an endpoint.
         std::optional<PeerRefusal> peerRefusal_;
-        std::uint64_t lifetime_ = 0;    ///< The endpoint's lifetime when the request was sent.
-        SoftwareVersion version_;       ///< The endpoint's version when the request was sent.
+        std::uint64_t lifetime_ = 0; ///< The endpoint's lifetime when the request was sent.
+        StreamOrigin origin_; ///< Of what it streams: by its entry when sent, or as the peer tells.
         std::int64_t promptTokens_ = 0; ///< Counted as queued at the endpoint until prefilled.
         int urgency_ = 0;
         TimePoint sentAt_ {};
@@ -93,6 +99,17 @@
     bool shouldForward() const;
     /** Whether a peer may have an endpoint for the request where this instance has none. */
     bool mayPeerReachMore() const;
+    /** The version at which the request's stream must go on; nullopt: it hasn't begun. */
+    std::optional<SoftwareVersion> requiredVersion() const
+    {
+        return origin_ ? std::optional(origin_->version_) : std::nullopt;
+    }
+    /** The origin of what the attempt streams; its version is empty if it is in doubt. */
+    StreamOrigin attemptOrigin() const;
+    /** The stream began there. */
+    void setOrigin(const StreamOrigin &origin);
+    /** Whether an endpoint may go on with the stream, now or later. */
+    bool canGoOn() const;
     /** Starts an attempt at a peer, which makes one at its endpoints; false: there is no peer. */
     bool sendToPeer(const std::string &resumeAfter);
     /** A peer refused the request. True if another one may take it. */
@@ -181,10 +198,11 @@
     GatewayState &gateway_;
     CallContext context_;
     Attempt attempt_;
+    std::optional<StreamOrigin> origin_;    ///< Of the stream that the caller has begun to get.
     std::vector<EndpointId> excluded_;      ///< Not used for further attempts.
     std::vector<InstanceId> excludedPeers_; ///< As excluded_.
     int runs_ = 0;                          ///< Attempts that may have been executed.
-    int sends_ = 0;                         ///< All attempts.
+    int sends_ = 0;                         ///< All attempts that count toward maxSends_.
     int maxSends_ = MaxSends;
     bool mayHaveRun_ = false;                      ///< An attempt may have been executed.
     Suspicion suspicion_ = Suspicion::None;        ///< When the request was started.
@@ -217,7 +235,8 @@
     async::Timer attemptTimer_;
     async::Timer startRetryTimer_; ///< Next call of tryStart(), or next renewal of the lease.
     TimePoint leaseSettledAt_ {};  ///< Competing claims for the run lease are known by then.
-    bool started_ = false;         ///< start() was called.
+    int attempts_ = 0;
+    bool started_ = false; ///< start() was called.
     bool executionReported_ = false;
     bool finished_ = false;
 };
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -206,6 +206,14 @@
     return found;
 }
 
+bool EndpointTable::hasVersion(const ServiceId &service, const SoftwareVersion &version) const
+{
+    const std::vector<const Endpoint *> found = listed(service);
+    return std::any_of(found.begin(), found.end(), [&](const Endpoint *endpoint) {
+        return isSameVersion(endpoint->listed_.version_, version);
+    });
+}
+
 std::vector<const Endpoint *> EndpointTable::available(const ServiceId &service,
                                                        TimePoint now) const
 {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -431,7 +431,10 @@
     context.config_ = config_;
     context.route_ = &route;
     context.access_ = std::move(result);
-    context.service_ = pickService(route);
+    if (context.request_.listener_ == async::Listener::Peers) {
+        context.origin_ = takeOrigin(context.request_.head_.headers_);
+    }
+    context.service_ = context.origin_ ? context.origin_->service_ : pickService(route);
     context.credentials_ = credentials;
     if (context.request_.listener_ == async::Listener::Callers) {
         // The instance that forwards a request has counted it.
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -26,6 +26,7 @@
     query.costs_ = &costs();
     query.excluded_ = excluded_;
     query.prefillInPlace_ = inPlaceOnly_;
+    query.version_ = requiredVersion();
     return query;
 }
 
@@ -338,7 +339,9 @@
 {
     releaseEndpointState();
     cancelAttempt(std::nullopt);
-    if (cause != DeadlineCause && cause != KeyRevokedCause && canRetryLater()) {
+    if (cause != DeadlineCause && cause != KeyRevokedCause && !canGoOn()) {
+        cause = VersionGoneCause;
+    } else if (cause != DeadlineCause && cause != KeyRevokedCause && canRetryLater()) {
         phase_ = ModelPhase::Idle;
         excluded_.clear();
         excludedPeers_.clear();
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -67,6 +67,10 @@
     void recordPrefillPlan(const PromptPlan &plan);
     void recordDemand(std::int64_t newTokens);
     void forwardEvents(std::string_view events);
+    /** Whether the attempt's events fit those that the caller already has. */
+    bool fitsStream() const;
+    void onOtherVersion();
+    void beginStream();
     void logContinued();
     void giveUp(std::string_view cause);
     void startStallTimer();
@@ -81,7 +85,7 @@
     {
         EndpointId endpoint_;
         SoftwareVersion version_;
-        TimePoint sentAt_ {};
+        int attempt_ = 0; ///< Attempt::number_; 0: none yet.
     };
 
     ModelPhase phase_ = ModelPhase::Idle;
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -72,6 +72,7 @@
     query.source_ = source;
     query.excluded_ = excluded_;
     query.costs_ = &costs();
+    query.version_ = requiredVersion();
     return gateway_.placement_.chooseDecodeEngine(gateway_.table_, query, gateway_.random_(),
                                                   BootClock::now());
 }
@@ -119,10 +120,30 @@
     }
     const std::string complete = events_.feed(bytes);
     if (!complete.empty()) {
-        forwardEvents(complete);
+        fitsStream() ? forwardEvents(complete) : onOtherVersion();
     }
 }
 
+bool ModelCall::fitsStream() const
+{
+    return !origin_ || eventsFrom_.attempt_ == attempt_.number_
+           || isSameVersion(attemptOrigin().version_, origin_->version_);
+}
+
+/** The endpoint was replaced since its entry was read, so the version that it now has is unknown.
+ */
+void ModelCall::onOtherVersion()
+{
+    logEvent(LogLevel::Warning, "stream_version_differs",
+             {{"id", requestInfo().requestId_},
+              {"endpoint", attempt_.endpoint_.value()},
+              {"version", attemptOrigin().version_.value()},
+              {"began_version", origin_->version_.value()}});
+    mayHaveRun_ = true;
+    excludeEndpoint(std::nullopt);
+    acquireRerun() ? sendResume() : giveUp("version-differs");
+}
+
 void ModelCall::forwardEvents(std::string_view events)
 {
     phase_ = ModelPhase::Streaming;
@@ -131,9 +152,7 @@
         headSent_ = true;
         maxSends_ = std::numeric_limits<int>::max(); // Bounded by ResumeRetryDelay.
         firstByteAt_ = BootClock::now();
-        gateway_.server_.beginStream(context_.request_.id_,
-                                     {attempt_.head_.status_, attempt_.head_.reason_,
-                                      gateway_.dialect_.callerHeaders(attempt_.head_.headers_)});
+        beginStream();
     }
     logContinued();
     gateway_.server_.streamBytes(context_.request_.id_, events);
@@ -146,28 +165,43 @@
     startStallTimer();
 }
 
+/** The events of an attempt that fits the stream, or begins it, come next. */
+void ModelCall::beginStream()
+{
+    if (!origin_) {
+        setOrigin(attemptOrigin());
+    }
+    net::Headers headers = gateway_.dialect_.callerHeaders(attempt_.head_.headers_);
+    if (isFromPeer()) {
+        headers.push_back(originHeader(*origin_));
+    }
+    gateway_.server_.beginStream(context_.request_.id_,
+                                 {attempt_.head_.status_, attempt_.head_.reason_, headers});
+}
+
 /** Logs which endpoint goes on with a stream of this answer or of an earlier one. */
 void ModelCall::logContinued()
 {
     const bool isResumed = !requestInfo().lastEventId_.empty();
-    if (eventsFrom_.endpoint_ == attempt_.endpoint_ && eventsFrom_.sentAt_ == attempt_.sentAt_) {
+    const bool isSameAnswer = eventsFrom_.attempt_ != 0;
+    if (eventsFrom_.attempt_ == attempt_.number_) {
         return;
     }
-    if (eventsFrom_.sentAt_ != TimePoint {} || isResumed) {
+    if (isSameAnswer || isResumed) {
         logEvent(LogLevel::Info, "stream_continued",
                  {{"id", requestInfo().requestId_},
                   {"resumes", requestInfo().resumes_},
                   {"event", events_.lastEventId()},
-                  {"how", eventsFrom_.sentAt_ != TimePoint {} ? "same-answer" : "caller"},
+                  {"how", isSameAnswer ? "same-answer" : "caller"},
                   {"through", attempt_.peer_.value_or(InstanceId()).value()},
                   {"began_at", eventsFrom_.endpoint_.value()},
                   {"began_version", eventsFrom_.version_.value()},
                   {"endpoint", attempt_.endpoint_.value()},
-                  {"version", attempt_.version_.value()},
+                  {"version", attempt_.origin_.version_.value()},
                   {"restarted", endpointRestarted() ? "yes" : "no"},
                   {"prompt_from", fetchesPrompt_ ? prefillEngine_.value() : ""}});
     }
-    eventsFrom_ = {attempt_.endpoint_, attempt_.version_, attempt_.sentAt_};
+    eventsFrom_ = {attempt_.endpoint_, attempt_.origin_.version_, attempt_.number_};
 }
 
 void ModelCall::onWritten()
@@ -232,6 +266,10 @@
         onStreamBroken(async::ExchangeFailure::Truncated, HealthSignal::Broken);
         return;
     }
+    if (!rest.empty() && !fitsStream()) {
+        onOtherVersion();
+        return;
+    }
     if (!headSent_ || !rest.empty()) {
         forwardEvents(rest);
     }
@@ -287,11 +325,13 @@
         endpointTrace_ += ":silent";
         gateway_.table_.onSuspected(attempt_.endpoint_, now);
     }
-    std::vector<EndpointId> excluded = excluded_;
-    excluded.push_back(attempt_.endpoint_);
-    const bool shouldMove = isEngineGone()
-                            || gateway_.placement_.anyDecodeEngineHasRoom(
-                                gateway_.table_, context_.service_, excluded, now);
+    DecodeQuery others;
+    others.service_ = context_.service_;
+    others.excluded_ = excluded_;
+    others.excluded_.push_back(attempt_.endpoint_);
+    others.version_ = requiredVersion();
+    const bool shouldMove =
+        isEngineGone() || gateway_.placement_.anyDecodeEngineHasRoom(gateway_.table_, others, now);
     if (!shouldMove || !acquireRerun()) {
         startAttemptTimer(now + StallCheckInterval);
         return;
--- a/libs/gateway/src/peerrequest.h
+++ b/libs/gateway/src/peerrequest.h
@@ -1,11 +1,12 @@
 /**
- * What instances add to requests that they forward to each other, and to the refusals of these.
+ * What instances add to requests that they forward to each other, and to the answers of these.
  */
 #pragma once
 
 #include "almondridge/async/parser.h"
 #include "almondridge/base/enumnames.h"
 #include "almondridge/gateway/credentials.h"
+#include "almondridge/gateway/streamorigin.h"
 
 #include <array>
 #include <cstdint>
@@ -34,6 +35,14 @@
 /** Removes the version from the head; 0: none. */
 std::uint64_t takeConfigVersion(async::RequestHead &head);
 
+/**
+ * Tells the origin of the stream: with a request, that the peer may go on with it only there; with
+ * an answer, what began it at the peer.
+ */
+net::Header originHeader(const StreamOrigin &origin);
+/** Removes the origin from the headers; nullopt: none. */
+std::optional<StreamOrigin> takeOrigin(net::Headers &headers);
+
 net::Header refusalHeader(PeerRefusal refusal);
 std::optional<PeerRefusal> readRefusal(const net::Headers &headers);
 
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -45,11 +45,20 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-void removeExcluded(std::vector<const Endpoint *> &endpoints,
-                    const std::vector<EndpointId> &excluded)
+/** version: if there is one, endpoints of other and of unknown versions are removed as well. */
+void removeUnsuitable(std::vector<const Endpoint *> &endpoints,
+                      const std::vector<EndpointId> &excluded,
+                      const std::optional<SoftwareVersion> &version)
 {
-    std::erase_if(endpoints,
-                  [&](const Endpoint *one) { return contains(excluded, one->listed_.id_); });
+    std::erase_if(endpoints, [&](const Endpoint *one) {
+        return contains(excluded, one->listed_.id_)
+               || (version && !isSameVersion(one->listed_.version_, *version));
+    });
+}
+
+bool decodes(const Endpoint &endpoint)
+{
+    return endpoint.listed_.stage_ != Stage::Prefill;
 }
 
 /** Requests at the endpoint per slot. */
@@ -180,7 +189,7 @@
                                             TimePoint now) const
 {
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
-    removeExcluded(engines, query.excluded_);
+    removeUnsuitable(engines, query.excluded_, query.version_);
     const PromptPart *leading = leadingPart(*query.prompt_);
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
     Candidates found;
@@ -196,7 +205,7 @@
 {
     Candidates replicas;
     for (const Candidate &one : engines) {
-        if (one.engine_->listed_.stage_ != Stage::Prefill) {
+        if (decodes(*one.engine_)) {
             continue;
         }
         const auto place =
@@ -218,8 +227,7 @@
 {
     Candidate first;
     for (const Candidate &one : engines) {
-        const bool generates = one.engine_->listed_.stage_ != Stage::Prefill;
-        if (generates && (first.engine_ == nullptr || one.weight_ > first.weight_)) {
+        if (decodes(*one.engine_) && (first.engine_ == nullptr || one.weight_ > first.weight_)) {
             first = one;
         }
     }
@@ -351,9 +359,8 @@
     // with slow links has few requests, so its slots look free though each request takes a second.
     constexpr double FullEngineWaitMillis = 100;
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
-    removeExcluded(engines, query.excluded_);
-    std::erase_if(engines,
-                  [](const Endpoint *one) { return one->listed_.stage_ == Stage::Prefill; });
+    removeUnsuitable(engines, query.excluded_, query.version_);
+    std::erase_if(engines, [](const Endpoint *one) { return !decodes(*one); });
     const Endpoint *best = cheapest(engines, tieBreaker, [&](const Endpoint &one) {
         const double waitMillis =
             static_cast<double>(one.fleetQueuedTokens()) * millisPerToken(*query.costs_, one);
@@ -371,32 +378,31 @@
                          use.all() >= 2 * std::max(1, slots)};
 }
 
-bool Placement::anyDecodeEngineHasRoom(const EndpointTable &table, const ServiceId &service,
-                                       const std::vector<EndpointId> &excluded, TimePoint now) const
+bool Placement::anyDecodeEngineHasRoom(const EndpointTable &table, const DecodeQuery &query,
+                                       TimePoint now) const
 {
     // A full engine reports its load with every response, so an engine without a report for this
     // long gets few requests as far as this instance can tell.
     constexpr Duration MaxFullLoadAge = millis(2'000);
-    std::vector<const Endpoint *> engines = table.usable(service, now);
-    removeExcluded(engines, excluded);
+    std::vector<const Endpoint *> engines = table.usable(query.service_, now);
+    removeUnsuitable(engines, query.excluded_, query.version_);
     return std::any_of(engines.begin(), engines.end(), [&](const Endpoint *engine) {
         const LoadSample &load = engine->load_;
         const bool full = engine->loadAt_ + MaxFullLoadAge > now && load.slots_ > 0
                           && load.running_ + load.waiting_ >= load.slots_;
-        return engine->listed_.stage_ != Stage::Prefill && !full
-               && engine->outstanding() < engine->listed_.slots_;
+        return decodes(*engine) && !full && engine->outstanding() < engine->listed_.slots_;
     });
 }
 
-std::optional<EndpointId> Placement::chooseService(const EndpointTable &table,
-                                                   const ServiceId &service,
-                                                   const std::vector<EndpointId> &excluded,
-                                                   std::uint64_t tieBreaker, TimePoint now) const
+std::optional<EndpointId>
+Placement::chooseService(const EndpointTable &table, const ServiceId &service,
+                         const std::vector<EndpointId> &excluded, std::uint64_t tieBreaker,
+                         TimePoint now, const std::optional<SoftwareVersion> &version) const
 {
     // Calls are short: a tenth of the slots less load outweighs the longer way to another domain.
     constexpr double CrossDomainPenalty = 0.1;
     std::vector<const Endpoint *> endpoints = table.usable(service, now);
-    removeExcluded(endpoints, excluded);
+    removeUnsuitable(endpoints, excluded, version);
     const Endpoint *best = cheapest(endpoints, tieBreaker, [&](const Endpoint &one) {
         return utilization(one, now)
                + (one.listed_.domain_ == settings_.domain_ ? 0 : CrossDomainPenalty);
@@ -407,7 +413,7 @@
 std::optional<LeastLoadedChoice>
 Placement::chooseLeastLoaded(const EndpointTable &table, const ServiceId &service,
                              const std::vector<EndpointId> &excluded, std::uint64_t tieBreaker,
-                             TimePoint now) const
+                             TimePoint now, const std::optional<SoftwareVersion> &version) const
 {
     const auto isPrefillOnly = [](const Endpoint *one) {
         return one->listed_.stage_ == Stage::Prefill;
@@ -417,7 +423,7 @@
     std::vector<const Endpoint *> usableEngines = table.usable(service, now);
     std::erase_if(usableEngines, isPrefillOnly);
     const bool last = usableEngines.size() == 1 && listed.size() > 1;
-    removeExcluded(usableEngines, excluded);
+    removeUnsuitable(usableEngines, excluded, version);
     const Endpoint *best = cheapest(usableEngines, tieBreaker, [&](const Endpoint &one) {
         return decodeUtilization(one, now) * std::max(1, one.listed_.slots_);
     });
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -37,10 +37,10 @@
     if (seemsCutOff() && forward()) {
         return;
     }
-    const auto endpoint =
-        suspicion_ == Suspicion::None ? gateway_.placement_.chooseService(
-            gateway_.table_, context_.service_, excluded_, gateway_.random_(), BootClock::now())
-                                      : leastLoadedEndpoint();
+    const auto endpoint = suspicion_ == Suspicion::None ? gateway_.placement_.chooseService(
+                              gateway_.table_, context_.service_, excluded_, gateway_.random_(),
+                              BootClock::now(), requiredVersion())
+                                                        : leastLoadedEndpoint();
     if (!endpoint) {
         if (!mayPeerReachMore() || !forward()) {
             giveUp();
