A caller's resume goes on only at the version that began the stream, at any instance

Cause: the instance that gets Last-Event-Id knew nothing of the stream and placed it as a new request. Nothing that the caller sends back says the version: the answer's headers are the endpoint's own, and Resumes is the caller's id.

Now the instance that begins a resumable stream sends its origin (service and version) in one datagram each to two holders, before the caller gets the first event, so that also an instance killed after one event has told them. Holders follow from a keyed hash of the request id and the account by rendezvous, in two failure domains; whoever gets the resume knows whom to ask, six instances at most, and sends the origin on anew. Nobody needs the store or the first instance. A stream that nobody knows, or without Resumes, is refused at once, or after 250 ms when nobody answers; a version that is gone is refused for good.

Ruled out: the store (a write a stream, and none while it is down); gossip to all (each stream at each of 985 instances).

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "almondridge/gateway/crashevidence.h"
 #include "almondridge/gateway/dialect.h"
 #include "almondridge/gateway/endpoints.h"
+#include "almondridge/gateway/loadmesh.h"
 #include "almondridge/gateway/peerselector.h"
 #include "almondridge/gateway/promptcacheindex.h"
 #include "almondridge/gateway/requestpath.h"
@@ -79,6 +80,14 @@
     void setMembers(const InstanceId &self, const std::vector<InstanceId> &members);
     /** Sets the instances to which requests can be forwarded; this one may be among them. */
     void setPeers(const InstanceId &self, const std::vector<PeerInstance> &peers);
+    /**
+     * Sets how datagrams about streams' origins are sent to other instances. Without it, a stream
+     * can be taken up only at the instance that began it.
+     */
+    using SendDatagrams = std::function<void(const std::vector<MeshDatagram> &datagrams)>;
+    void setSendDatagrams(SendDatagrams sendDatagrams);
+    /** Processes such a datagram; it begins with OriginDatagramMark. */
+    ReceiveResult onOriginDatagram(std::string_view datagram, TimePoint now);
     /** Whether this instance holds itself cut off from all endpoints. */
     bool isCutOff() const noexcept;
     /**
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -33,6 +33,10 @@
 constexpr std::size_t MaxPeersAsked = 8;
 /** The same if only the endpoints of its service can't be reached, which are mostly gone then. */
 constexpr std::size_t MaxPeersAskedForService = 2;
+/** Between two queries where a stream began; several times the way to another failure domain. */
+constexpr Duration OriginQueryInterval = millis(50);
+/** A caller abandons a stream after seconds without events; a refusal lets it try elsewhere. */
+constexpr Duration OriginQueryTime = millis(250);
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
 
@@ -83,8 +87,7 @@
     }
     if (shouldForward()) {
         // The instance that sends it to an endpoint decides by the crash evidence.
-        started_ = true;
-        start();
+        begin();
         return;
     }
     const Assessment assessment = gateway_.crashes_.assess(key());
@@ -107,10 +110,88 @@
         break;
     }
     suspicion_ = assessment.level_;
+    begin();
+}
+
+void Call::begin()
+{
     started_ = true;
+    resumesStream() && !origin_ ? findOrigin() : start();
+}
+
+bool Call::resumesStream() const
+{
+    return route().kind_ == RouteKind::Streaming && !requestInfo().lastEventId_.empty();
+}
+
+/** All attempts to resume a stream name the request that began it. */
+RequestKey Call::streamKey() const
+{
+    return gateway_.streamKey(resumesStream() ? requestInfo().resumes_ : requestInfo().requestId_,
+                              context_.access_.account_.id_);
+}
+
+void Call::findOrigin()
+{
+    if (requestInfo().resumes_.empty()) {
+        refuse(VersionUnknownCause);
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    if (const auto known = gateway_.origins_.find(streamKey(), now)) {
+        goOnAt(*known);
+        return;
+    }
+    originDeadline_ = now + OriginQueryTime;
+    askOrigin();
+}
+
+void Call::askOrigin()
+{
+    const TimePoint now = BootClock::now();
+    if (now >= originDeadline_ || !gateway_.askOrigin(streamKey())) {
+        gateway_.origins_.endQuery(streamKey());
+        refuse(VersionUnknownCause);
+        return;
+    }
+    attemptTimer_.startAt(std::min(now + OriginQueryInterval, originDeadline_),
+                          [this] { askOrigin(); });
+}
+
+void Call::onOriginAnswer(const OriginAnswer &answer)
+{
+    const bool isAwaited = started_ && !finished_ && originDeadline_ != TimePoint {} && !origin_;
+    if (!isAwaited || answer.stream_ != streamKey()) {
+        return;
+    }
+    attemptTimer_.stop();
+    if (answer.origin_) {
+        goOnAt(*answer.origin_);
+    } else {
+        refuse(VersionUnknownCause);
+    }
+}
+
+void Call::goOnAt(const StreamOrigin &origin)
+{
+    if (!route().leadsTo(origin.service_)) {
+        refuse(VersionGoneCause);
+        return;
+    }
+    setOrigin(origin);
+    gateway_.addOrigin(streamKey(), origin); // Those that were told before may be gone.
     start();
 }
 
+void Call::onStreamBegun(const StreamOrigin &origin)
+{
+    setOrigin(origin);
+    // The instance that forwards a request tells the others.
+    if (route().resumable_ && !origin.version_.empty() && !isFromPeer()) {
+        gateway_.addOrigin(streamKey(), origin);
+    }
+}
+
 /** Under strong suspicion only one of the equal requests runs at a time in the whole fleet. */
 void Call::startWithLease(const Assessment &assessment)
 {
@@ -121,9 +202,8 @@
     } else if (leaseSettledAt_ != TimePoint {} && now >= leaseSettledAt_) {
         if (gateway_.crashes_.holdsLease(key())) {
             suspicion_ = Suspicion::Strong;
-            started_ = true;
             scheduleLeaseRenewal();
-            start();
+            begin();
             return;
         }
         leaseSettledAt_ = {};
@@ -529,6 +609,10 @@
         refuse("suspected");
         return;
     }
+    if (attempts_ == 0 && resumesStream()) {
+        refuse(VersionUnknownCause);
+        return;
+    }
     checkForCrashIfSilent();
     failCall(504, "deadline");
 }
@@ -554,7 +638,8 @@
 void Call::refuse(std::string_view cause)
 {
     // No Retry-After for what every instance would refuse, too.
-    const bool isFinal = cause == QuarantinedCause || cause == VersionGoneCause || isQuarantined();
+    const bool isFinal = cause == QuarantinedCause || cause == VersionGoneCause || isQuarantined()
+                         || (cause == VersionUnknownCause && requestInfo().resumes_.empty());
     const auto retryAfter =
         isFinal ? std::nullopt : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
     net::Response response = gateway_.dialect_.refusal(503, retryAfter, cause);
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -43,6 +43,8 @@
 
 /** Cause of streams whose version no endpoint has any more, so that they can't go on. */
 inline constexpr std::string_view VersionGoneCause = "version-gone";
+/** Cause of streams of which nothing shows at which version they began. */
+inline constexpr std::string_view VersionUnknownCause = "version-unknown";
 
 /** Limit on the attempts for one request, to bound what a request can cost. */
 inline constexpr int MaxSends = 5;
@@ -63,6 +65,8 @@
     void onCallerGone();
     /** This instance has lost the paths to its endpoints. */
     virtual void onCutOff() { }
+    /** Other instances have answered where a stream began. */
+    void onOriginAnswer(const OriginAnswer &answer);
     /** Bytes of a streamed response were written to the caller. */
     virtual void onWritten() { }
 
@@ -106,8 +110,8 @@
     }
     /** The origin of what the attempt streams; its version is empty if it is in doubt. */
     StreamOrigin attemptOrigin() const;
-    /** The stream began there. */
-    void setOrigin(const StreamOrigin &origin);
+    /** The caller gets the stream's first event, which came from there. */
+    void onStreamBegun(const StreamOrigin &origin);
     /** Whether an endpoint may go on with the stream, now or later. */
     bool canGoOn() const;
     /** Starts an attempt at a peer, which makes one at its endpoints; false: there is no peer. */
@@ -216,6 +220,14 @@
     std::string versionTrace_;  ///< Versions of these endpoints.
 
 private:
+    /** Makes the first attempt, or first finds out where the stream to be resumed began. */
+    void begin();
+    bool resumesStream() const;
+    RequestKey streamKey() const;
+    void findOrigin();
+    void askOrigin();
+    void goOnAt(const StreamOrigin &origin);
+    void setOrigin(const StreamOrigin &origin);
     /** Sends the request with a head of its own to the address for the attempt. */
     void startExchange(const std::string &peer, const net::Address &address,
                        const async::RequestHead &head, const DispatchOptions &options);
@@ -236,7 +248,8 @@
     async::Timer startRetryTimer_; ///< Next call of tryStart(), or next renewal of the lease.
     TimePoint leaseSettledAt_ {};  ///< Competing claims for the run lease are known by then.
     int attempts_ = 0;
-    bool started_ = false; ///< start() was called.
+    bool started_ = false;        ///< begin() was called.
+    TimePoint originDeadline_ {}; ///< Until then instances are asked where the stream began.
     bool executionReported_ = false;
     bool finished_ = false;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -179,6 +179,32 @@
 void Gateway::setPeers(const InstanceId &self, const std::vector<PeerInstance> &peers)
 {
     state_->peers_.setPeers(self, state_->settings_.domain_, peers);
+    std::vector<MeshMember> members;
+    members.reserve(peers.size());
+    for (const PeerInstance &peer : peers) {
+        members.push_back({peer.id_, peer.domain_});
+    }
+    state_->origins_.setMembers(self, members);
+}
+
+void Gateway::setSendDatagrams(SendDatagrams sendDatagrams)
+{
+    state_->sendDatagrams_ = std::move(sendDatagrams);
+}
+
+ReceiveResult Gateway::onOriginDatagram(std::string_view datagram, TimePoint now)
+{
+    std::vector<MeshDatagram> out;
+    const ReceiveResult result = state_->origins_.onDatagram(datagram, now, out);
+    if (!out.empty() && state_->sendDatagrams_) {
+        state_->sendDatagrams_(out);
+    }
+    for (const OriginAnswer &answer : state_->origins_.takeAnswers()) {
+        for (const auto &[number, call] : state_->calls_) {
+            call->onOriginAnswer(answer);
+        }
+    }
+    return result;
 }
 
 bool Gateway::isCutOff() const noexcept
@@ -295,6 +321,30 @@
     return place->second;
 }
 
+RequestKey GatewayState::streamKey(std::string_view requestId, const AccountId &account) const
+{
+    return requestKey(settings_.keySecret_, {"", "stream", requestId, "", account.value()});
+}
+
+void GatewayState::addOrigin(RequestKey stream, const StreamOrigin &origin)
+{
+    const std::vector<MeshDatagram> datagrams = origins_.add(stream, origin, BootClock::now());
+    if (sendDatagrams_) {
+        sendDatagrams_(datagrams);
+    }
+}
+
+bool GatewayState::askOrigin(RequestKey stream)
+{
+    const std::vector<MeshDatagram> datagrams = origins_.ask(stream);
+    if (datagrams.empty() || !sendDatagrams_) {
+        origins_.endQuery(stream);
+        return false;
+    }
+    sendDatagrams_(datagrams);
+    return true;
+}
+
 const ServiceId &GatewayState::pickService(const Route &route)
 {
     int total = 0;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -10,6 +10,7 @@
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
+#include "almondridge/gateway/streamorigins.h"
 #include "crashguard.h"
 #include "endpointtraffic.h"
 #include "peerrequest.h"
@@ -51,6 +52,12 @@
     /** A random service of the route, by weight. */
     const ServiceId &pickService(const Route &route);
     RetryBudget &budget(const ServiceId &service);
+    /** Key of the stream that a request of the account began. */
+    RequestKey streamKey(std::string_view requestId, const AccountId &account) const;
+    /** Keeps the origin of a stream, also at other instances. */
+    void addOrigin(RequestKey stream, const StreamOrigin &origin);
+    /** Asks other instances for an origin; false: there are none. The answer goes to the calls. */
+    bool askOrigin(RequestKey stream);
     /** Probes the endpoints that couldn't be reached, when they are due, by connecting to them. */
     void probeEndpoints();
     void onProbed(const EndpointId &id, bool reached);
@@ -87,6 +94,8 @@
     EndpointTraffic traffic_;
     EndpointReach reach_;
     PeerSelector peers_;
+    StreamOrigins origins_;
+    Gateway::SendDatagrams sendDatagrams_;
     int peerCalls_ = 0; ///< Requests in progress that peers have forwarded.
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/gateway/loadexchange.h"
 
 #include "almondridge/base/log.h"
+#include "almondridge/gateway/streamorigins.h"
 
 #include <algorithm>
 #include <array>
@@ -41,6 +42,11 @@
         logLearnedLimits(now);
         return result;
     });
+    setHandler(OriginDatagramMark, [this](std::string_view datagram, TimePoint now) {
+        return gateway_.onOriginDatagram(datagram, now);
+    });
+    gateway_.setSendDatagrams(
+        [this](const std::vector<MeshDatagram> &datagrams) { send(datagrams); });
 }
 
 void LoadExchange::logLearnedLimits(TimePoint now)
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -169,7 +169,7 @@
 void ModelCall::beginStream()
 {
     if (!origin_) {
-        setOrigin(attemptOrigin());
+        onStreamBegun(attemptOrigin());
     }
     net::Headers headers = gateway_.dialect_.callerHeaders(attempt_.head_.headers_);
     if (isFromPeer()) {
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -117,6 +117,9 @@
         acquireRerun() ? sendNext() : forwardResponse();
         return;
     }
+    if (route().kind_ == RouteKind::Streaming && !origin_) {
+        onStreamBegun(attemptOrigin());
+    }
     closeAttempt(HealthSignal::Healthy);
     forwardResponse();
 }
