What one version has read of a prompt is fetched and copied only by the same version

Now a prompt is read apart only by an engine of a version that also decodes, is decoded by the same version, and is copied only within it. Where its version stops decoding meanwhile, the prompt is read again in place by another version.

The engines of the models' tests list a version, as the platform's do.

--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -71,7 +71,7 @@
     DomainId source_; ///< Failure domain of the engine that prefilled the prompt.
     std::vector<EndpointId> excluded_ {};
     const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Costs of this service's requests.
-    /** Only engines of this version: that of the stream's earlier events. */
+    /** Only engines of this version: that of the prefill, or of the stream's earlier events. */
     std::optional<SoftwareVersion> version_ {};
 };
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -261,11 +261,12 @@
     return level == Suspicion::Quarantined || (level == Suspicion::HalfOpen && !started_);
 }
 
-std::optional<EndpointId> Call::leastLoadedEndpoint() const
+std::optional<EndpointId>
+Call::leastLoadedEndpoint(const std::optional<SoftwareVersion> &version) const
 {
-    const auto choice = gateway_.placement_.chooseLeastLoaded(gateway_.table_, context_.service_,
-                                                              excluded_, gateway_.random_(),
-                                                              BootClock::now(), requiredVersion());
+    const auto choice =
+        gateway_.placement_.chooseLeastLoaded(gateway_.table_, context_.service_, excluded_,
+                                              gateway_.random_(), BootClock::now(), version);
     const bool isLastOne = choice && choice->isLastUsable_ && suspicion_ == Suspicion::Strong;
     return choice && !isLastOne ? std::optional(choice->endpoint_) : std::nullopt;
 }
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -158,9 +158,10 @@
     /**
      * The endpoint where a crash caused by this request would affect the fewest other requests.
      * nullopt: there is none, or, under strong suspicion, only the last one of several still
-     * serves.
+     * serves. version: only of this one, if any.
      */
-    std::optional<EndpointId> leastLoadedEndpoint() const;
+    std::optional<EndpointId>
+    leastLoadedEndpoint(const std::optional<SoftwareVersion> &version) const;
     /** Reports that an endpoint began to execute the request; only the first call has an effect. */
     void reportExecutionStart(TimePoint startedAt);
     /** Whether the caller's key is still valid; checked before each attempt. */
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -41,7 +41,7 @@
         return;
     }
     PromptQuery query = promptQuery();
-    const auto decodeChoice = chooseDecodeEngine(gateway_.settings_.domain_);
+    const auto decodeChoice = chooseDecodeEngine(gateway_.settings_.domain_, requiredVersion());
     if (decodeChoice) {
         query.slotWaitMillis_ = decodeChoice->waitMillis_;
     }
@@ -98,7 +98,7 @@
 /** For a suspected request: puts one endpoint at risk instead of two. */
 void ModelCall::placeOnSingleEngine(PromptPlan plan)
 {
-    const auto engine = leastLoadedEndpoint();
+    const auto engine = leastLoadedEndpoint(requiredVersion());
     if (!engine) {
         giveUp("no-spare-engine");
         return;
@@ -162,10 +162,14 @@
     return true;
 }
 
-std::optional<net::Address> ModelCall::partsCopySource(const PromptPlan &plan) const
+std::optional<net::Address> ModelCall::partsCopySource(const PromptPlan &plan,
+                                                       const EndpointId &reader) const
 {
     const Endpoint *source = plan.copyFrom_ ? gateway_.table_.find(*plan.copyFrom_) : nullptr;
-    return source != nullptr ? std::optional(source->listed_.address_) : std::nullopt;
+    const Endpoint *target = gateway_.table_.find(reader);
+    const bool fits = source != nullptr && target != nullptr
+                      && isSameVersion(source->listed_.version_, target->listed_.version_);
+    return fits ? std::optional(source->listed_.address_) : std::nullopt;
 }
 
 /**
@@ -178,9 +182,11 @@
 std::optional<net::Address> ModelCall::prefilledCopySource(const EndpointId &decodeEngine) const
 {
     const Endpoint *prefillEngine = gateway_.table_.find(prefillEngine_);
+    const Endpoint *decode = gateway_.table_.find(decodeEngine);
     const bool mayHavePrompt =
         prefillEngine != nullptr && prefillEngine->isListed_ && !prefillEngine->awaitsProbe_
-        && prefillEngine->lifetime_ == prefillLifetime_ && prefillEngine_ != decodeEngine;
+        && prefillEngine->lifetime_ == prefillLifetime_ && prefillEngine_ != decodeEngine
+        && decode != nullptr && isSameVersion(prefillVersion_, decode->listed_.version_);
     return mayHavePrompt ? std::optional(prefillEngine->listed_.address_) : std::nullopt;
 }
 
@@ -192,11 +198,12 @@
     const Endpoint &prefillEngine = *gateway_.table_.find(prefillEngine_);
     prefillLifetime_ = prefillEngine.lifetime_;
     prefillDomain_ = prefillEngine.listed_.domain_;
+    prefillVersion_ = prefillEngine.listed_.version_;
     gateway_.placement_.onPromptSent(prefillEngine.listed_, prompt(), BootClock::now());
     DispatchOptions options;
     options.urgency_ = plan.urgency_;
     options.prefillOnly_ = true;
-    options.copyPartsFrom_ = partsCopySource(plan);
+    options.copyPartsFrom_ = partsCopySource(plan, prefillEngine_);
     send(prefillEngine_, options, plan.uncachedTokens_);
     const Duration timeout =
         PrefillTimeoutBase
@@ -216,7 +223,7 @@
     options.urgency_ = plan.urgency_;
     options.resumeAfter_ = events_.lastEventId();
     const auto prefilled = prefilledCopySource(plan.decode_);
-    options.copyPartsFrom_ = prefilled ? prefilled : partsCopySource(plan);
+    options.copyPartsFrom_ = prefilled ? prefilled : partsCopySource(plan, plan.decode_);
     send(plan.decode_, options, plan.uncachedTokens_);
     startStallTimer();
 }
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -37,12 +37,16 @@
     bool isTooLate(const PromptPlan &plan, TimePoint now);
     bool isDecodeQueueFull(const DecodeChoice &decodeChoice);
     void sendPrefill(const PromptPlan &plan);
-    std::optional<net::Address> partsCopySource(const PromptPlan &plan) const;
+    /** reader: the engine that reads the prompt, which needn't be the planned one. */
+    std::optional<net::Address> partsCopySource(const PromptPlan &plan,
+                                                const EndpointId &reader) const;
     std::optional<net::Address> prefilledCopySource(const EndpointId &decodeEngine) const;
     void sendInPlace(const PromptPlan &plan);
     void sendToDecode();
     TimePoint objectiveDeadline() const;
-    std::optional<DecodeChoice> chooseDecodeEngine(const DomainId &source) const;
+    /** version: the engine's must be the same; nullopt: any. */
+    std::optional<DecodeChoice>
+    chooseDecodeEngine(const DomainId &source, const std::optional<SoftwareVersion> &version) const;
     void sendResume();
     void continueElsewhere();
     bool isEngineGone() const;
@@ -94,6 +98,7 @@
     EndpointId prefillEngine_;           ///< The last engine asked for a separate prefill.
     std::uint64_t prefillLifetime_ = 0;
     DomainId prefillDomain_; ///< Failure domain of prefillEngine_.
+    SoftwareVersion prefillVersion_;
     EventSplitter events_;
     std::int64_t queuedTokens_ = 0; ///< Queued before this prompt at the engine that prefills.
     bool cacheHitUnknown_ = false; ///< Whether that engine had the shared parts cached was a guess.
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -32,16 +32,21 @@
     if (seemsCutOff() && forward()) {
         return;
     }
-    auto choice = chooseDecodeEngine(prefillDomain_);
+    auto choice = chooseDecodeEngine(prefillDomain_, prefillVersion_);
     if (!choice && mayPeerReachMore() && forward()) {
         return;
     }
-    if (!choice || isQuarantined()) {
+    if (isQuarantined()) {
         giveUp(NoEngineCause);
         return;
     }
+    if (!choice) {
+        releaseEndpointState(); // Engines of other versions can't use what was read.
+        sendResume();
+        return;
+    }
     if (suspicion_ == Suspicion::Weak) {
-        choice->engine_ = leastLoadedEndpoint().value_or(choice->engine_);
+        choice->engine_ = leastLoadedEndpoint(prefillVersion_).value_or(choice->engine_);
     }
     const auto wait = millis(static_cast<std::int64_t>(choice->waitMillis_));
     const bool late = now + wait > objectiveDeadline();
@@ -65,14 +70,16 @@
     return context_.request_.startedAt_ + millis(route().objectiveMillis_);
 }
 
-std::optional<DecodeChoice> ModelCall::chooseDecodeEngine(const DomainId &source) const
+std::optional<DecodeChoice>
+ModelCall::chooseDecodeEngine(const DomainId &source,
+                              const std::optional<SoftwareVersion> &version) const
 {
     DecodeQuery query;
     query.service_ = context_.service_;
     query.source_ = source;
     query.excluded_ = excluded_;
     query.costs_ = &costs();
-    query.version_ = requiredVersion();
+    query.version_ = version;
     return gateway_.placement_.chooseDecodeEngine(gateway_.table_, query, gateway_.random_(),
                                                   BootClock::now());
 }
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -40,7 +40,8 @@
  */
 constexpr double RecomputePenalty = 2;
 
-bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
+template <typename Id>
+bool contains(const std::vector<Id> &ids, const Id &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -200,12 +201,20 @@
     return found;
 }
 
-/** The highest-ranked prefill engines. */
+/** The highest-ranked prefill engines whose prompts an engine of the same version can decode. */
 std::vector<const Endpoint *> Placement::replicaEngines(const Candidates &engines)
 {
+    std::vector<SoftwareVersion> decodingVersions; // A few at most.
+    for (const Candidate &one : engines) {
+        const SoftwareVersion &version = one.engine_->listed_.version_;
+        if (decodes(*one.engine_) && !contains(decodingVersions, version)) {
+            decodingVersions.push_back(version);
+        }
+    }
     Candidates replicas;
     for (const Candidate &one : engines) {
-        if (decodes(*one.engine_)) {
+        const SoftwareVersion &version = one.engine_->listed_.version_;
+        if (decodes(*one.engine_) || version.empty() || !contains(decodingVersions, version)) {
             continue;
         }
         const auto place =
@@ -305,7 +314,8 @@
     for (const auto &[weight, engine] : engines) {
         const std::int64_t kept =
             std::min(shared, cacheIndex_.cachedTokens(engine->listed_, prompt, now - MinCacheAge));
-        if (engine == &prefillEngine || kept <= minTokens) {
+        if (engine == &prefillEngine || kept <= minTokens
+            || !isSameVersion(engine->listed_.version_, prefillEngine.listed_.version_)) {
             continue;
         }
         const Rank engineRank {kept, engine->listed_.domain_ == prefillEngine.listed_.domain_,
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -40,7 +40,7 @@
     const auto endpoint = suspicion_ == Suspicion::None ? gateway_.placement_.chooseService(
                               gateway_.table_, context_.service_, excluded_, gateway_.random_(),
                               BootClock::now(), requiredVersion())
-                                                        : leastLoadedEndpoint();
+                                                        : leastLoadedEndpoint(requiredVersion());
     if (!endpoint) {
         if (!mayPeerReachMore() || !forward()) {
             giveUp();
--- a/libs/gateway/tests/enginefleet.h
+++ b/libs/gateway/tests/enginefleet.h
@@ -25,6 +25,7 @@
     listed.service_ = Models;
     listed.address_ = {"127.0.0.1", static_cast<std::uint16_t>(number + 1)};
     listed.domain_ = DomainId(domain);
+    listed.version_ = SoftwareVersion("v1");
     listed.slots_ = 64;
     listed.stage_ = stage;
     return listed;
