The last engines of a version keep room for the streams that it has begun

LOST: of the streams that callers take up while two servers of their version serve, too few went on if the load of new streams had filled these two.

Now new streams leave the engines of a version as much room as one of them uses: with n of them up to (n-1)/n of their slots, as long as another version has room. It follows from what fails next, one engine, and has no constant. It holds for decode engines, for prompts read in place, and for the choice of the reader, whose version also decodes. Streams that go on are not held to it.

Test (Versions): without it the two old engines of ten got 90 of 448 streams (64 is what one of them can hold), and a single old engine got new ones.

--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -13,6 +13,7 @@
 #include "almondridge/gateway/endpoints.h"
 #include "almondridge/gateway/promptcacheindex.h"
 #include "almondridge/gateway/requestcosts.h"
+#include "almondridge/gateway/versionroom.h"
 
 #include <optional>
 #include <string>
@@ -162,10 +163,18 @@
         std::uint64_t weight_ = 0;
         const Endpoint *engine_ = nullptr;
     };
-    using Candidates = std::vector<Candidate>;
+    using Ranking = std::vector<Candidate>;
+    struct Candidates
+    {
+        Ranking ranking_;
+        VersionRoom room_;
+    };
 
     Candidates candidates(const EndpointTable &table, const PromptQuery &query,
                           TimePoint now) const;
+    static VersionRoom versionRoom(const std::vector<const Endpoint *> &engines, TimePoint now);
+    /** Whether the engine decodes, and at a version that is open to new streams. */
+    static bool mayDecode(const Candidates &engines, const Endpoint &engine);
     static std::vector<const Endpoint *> replicaEngines(const Candidates &engines);
     static const Endpoint *firstDecodeEngine(const Candidates &engines);
     Estimate estimateTokens(const Endpoint &engine, const PromptQuery &query,
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -194,32 +194,46 @@
     const PromptPart *leading = leadingPart(*query.prompt_);
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
     Candidates found;
-    found.reserve(engines.size());
+    found.room_ = versionRoom(engines, now);
+    found.ranking_.reserve(engines.size());
     for (const Endpoint *engine : engines) {
-        found.push_back({rendezvousWeight(engine->idHash_, part), engine});
+        found.ranking_.push_back({rendezvousWeight(engine->idHash_, part), engine});
     }
     return found;
 }
 
-/** The highest-ranked prefill engines whose prompts an engine of the same version can decode. */
-std::vector<const Endpoint *> Placement::replicaEngines(const Candidates &engines)
+VersionRoom Placement::versionRoom(const std::vector<const Endpoint *> &engines, TimePoint now)
 {
-    std::vector<SoftwareVersion> decodingVersions; // A few at most.
-    for (const Candidate &one : engines) {
-        const SoftwareVersion &version = one.engine_->listed_.version_;
-        if (decodes(*one.engine_) && !contains(decodingVersions, version)) {
-            decodingVersions.push_back(version);
+    VersionRoom room;
+    for (const Endpoint *engine : engines) {
+        if (decodes(*engine)) {
+            room.add(engine->listed_.version_, decodeUtilization(*engine, now));
         }
     }
-    Candidates replicas;
-    for (const Candidate &one : engines) {
+    return room;
+}
+
+/**
+ * The highest-ranked prefill engines whose prompts an engine of the same version can decode. Those
+ * of versions that are open to new streams come first.
+ */
+std::vector<const Endpoint *> Placement::replicaEngines(const Candidates &engines)
+{
+    const VersionRoom &room = engines.room_;
+    Ranking replicas;
+    const auto ranksBefore = [&](const Candidate &left, const Candidate &right) {
+        const bool isLeftOpen = room.isOpen(left.engine_->listed_.version_);
+        const bool isRightOpen = room.isOpen(right.engine_->listed_.version_);
+        return isLeftOpen == isRightOpen ? left.weight_ > right.weight_ : isLeftOpen;
+    };
+    for (const Candidate &one : engines.ranking_) {
         const SoftwareVersion &version = one.engine_->listed_.version_;
-        if (decodes(*one.engine_) || version.empty() || !contains(decodingVersions, version)) {
+        if (decodes(*one.engine_) || version.empty() || !room.decodes(version)) {
             continue;
         }
         const auto place =
             std::find_if(replicas.begin(), replicas.end(),
-                         [&](const Candidate &replica) { return replica.weight_ < one.weight_; });
+                         [&](const Candidate &replica) { return ranksBefore(one, replica); });
         if (place != replicas.end() || replicas.size() < ReplicasPerPart) {
             replicas.insert(place, one);
             replicas.resize(std::min(replicas.size(), ReplicasPerPart));
@@ -231,12 +245,18 @@
     return found;
 }
 
-/** The highest-ranked engine that decodes; null if there is none. */
+bool Placement::mayDecode(const Candidates &engines, const Endpoint &engine)
+{
+    return decodes(engine) && engines.room_.isOpen(engine.listed_.version_);
+}
+
+/** The highest-ranked engine that may decode the prompt; null if there is none. */
 const Endpoint *Placement::firstDecodeEngine(const Candidates &engines)
 {
     Candidate first;
-    for (const Candidate &one : engines) {
-        if (decodes(*one.engine_) && (first.engine_ == nullptr || one.weight_ > first.weight_)) {
+    for (const Candidate &one : engines.ranking_) {
+        if (mayDecode(engines, *one.engine_)
+            && (first.engine_ == nullptr || one.weight_ > first.weight_)) {
             first = one;
         }
     }
@@ -279,8 +299,8 @@
 {
     Estimate best;
     std::uint64_t bestWeight = 0;
-    for (const auto &[weight, engine] : engines) {
-        if (engine->listed_.stage_ == Stage::Prefill) {
+    for (const auto &[weight, engine] : engines.ranking_) {
+        if (!mayDecode(engines, *engine)) {
             continue;
         }
         const Estimate estimate = estimatePrefill(
@@ -311,7 +331,7 @@
     using Rank = std::tuple<std::int64_t, bool, std::uint64_t>;
     const Endpoint *best = nullptr;
     Rank bestRank;
-    for (const auto &[weight, engine] : engines) {
+    for (const auto &[weight, engine] : engines.ranking_) {
         const std::int64_t kept =
             std::min(shared, cacheIndex_.cachedTokens(engine->listed_, prompt, now - MinCacheAge));
         if (engine == &prefillEngine || kept <= minTokens
@@ -370,7 +390,10 @@
     constexpr double FullEngineWaitMillis = 100;
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
     removeUnsuitable(engines, query.excluded_, query.version_);
-    std::erase_if(engines, [](const Endpoint *one) { return !decodes(*one); });
+    const VersionRoom room = versionRoom(engines, now);
+    std::erase_if(engines, [&](const Endpoint *one) {
+        return !decodes(*one) || !room.isOpen(one->listed_.version_);
+    });
     const Endpoint *best = cheapest(engines, tieBreaker, [&](const Endpoint &one) {
         const double waitMillis =
             static_cast<double>(one.fleetQueuedTokens()) * millisPerToken(*query.costs_, one);
--- a/libs/gateway/tests/versiontest.cpp
+++ b/libs/gateway/tests/versiontest.cpp
@@ -3,6 +3,7 @@
 #include "prompts.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace almondridge;
 using namespace almondridge::gateway;
@@ -42,4 +43,80 @@
     }
 }
 
+/** A release with traffic: the last engines of a version could take no stream of a failed one. */
+BOOST_AUTO_TEST_CASE(theLastEnginesOfAVersionKeepRoomForItsStreams)
+{
+    constexpr int OldEngines = 2;
+    constexpr int NewEngines = 8;
+    constexpr int Slots = 64;
+    constexpr int Streams = 7 * Slots; // Of the 10 engines' slots.
+    EndpointTable table;
+    for (int number = 0; number < OldEngines + NewEngines; ++number) {
+        table.list(engineOf(number, Stage::Decode, number < OldEngines ? Old : New), at(0));
+    }
+    const Placement placement({DomainId("a")});
+    DecodeQuery query;
+    query.service_ = Models;
+    int old = 0;
+    for (std::uint64_t number = 0; number < Streams; ++number) {
+        const EndpointId chosen =
+            placement.chooseDecodeEngine(table, query, number, at(0))->engine_;
+        old += isSameVersion(table.find(chosen)->listed_.version_, Old) ? 1 : 0;
+        table.onSent(chosen, 1, 0, at(0));
+    }
+    BOOST_TEST(old <= Slots); // One of the two engines could take up all of them.
+    BOOST_TEST(old > 0);
+    query.version_ = Old;
+    BOOST_TEST(placement.chooseDecodeEngine(table, query, 0, at(0)).has_value());
+}
+
+/** A prompt that is read where it is decoded must keep the same room. */
+BOOST_AUTO_TEST_CASE(theLastEngineOfAVersionGetsNoPromptWhileOthersHaveRoom)
+{
+    EndpointTable table;
+    table.list(engineOf(0, Stage::Decode, Old), at(0));
+    table.list(engineOf(1, Stage::Decode, New), at(0));
+    table.list(engineOf(2, Stage::Decode, New), at(0));
+    const Placement placement({DomainId("a")});
+    for (std::uint64_t part = 1; part <= 20; ++part) {
+        const Prompt prompt = promptWith(part);
+        BOOST_TEST((planFor(placement, table, prompt)->decode_ != engine(0, Stage::Decode).id_));
+    }
+}
+
+/** Guards against refusing requests for the sake of room when every version is full. */
+BOOST_AUTO_TEST_CASE(everyEngineIsUsedWhenNoVersionHasRoom)
+{
+    EndpointTable table;
+    table.list(engineOf(0, Stage::Decode, Old), at(0));
+    table.list(engineOf(1, Stage::Decode, New), at(0));
+    const Placement placement({DomainId("a")});
+    DecodeQuery query;
+    query.service_ = Models;
+    std::set<EndpointId> used;
+    for (std::uint64_t number = 0; number < 10; ++number) {
+        used.insert(placement.chooseDecodeEngine(table, query, number, at(0))->engine_);
+    }
+    BOOST_TEST(used.size() == 2U);
+}
+
+/** Guards against taking a prompt's reader for its affinity where the version is to keep room. */
+BOOST_AUTO_TEST_CASE(promptsAreReadAtVersionsThatAreOpenToNewStreams)
+{
+    EndpointTable table;
+    for (int number = 0; number < 4; ++number) {
+        const SoftwareVersion &version = number < 2 ? Old : New;
+        table.list(engineOf(number, Stage::Prefill, version), at(0));
+    }
+    table.list(engineOf(4, Stage::Decode, Old), at(0));
+    table.list(engineOf(5, Stage::Decode, New), at(0));
+    table.list(engineOf(6, Stage::Decode, New), at(0));
+    const Placement placement({DomainId("a")});
+    for (std::uint64_t part = 1; part <= 20; ++part) {
+        const Prompt prompt = promptWith(part);
+        const EndpointId reader = *planFor(placement, table, prompt)->prefill_;
+        BOOST_TEST(isSameVersion(table.find(reader)->listed_.version_, New));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
