A stage change leaves each version two decode engines

A version whose decode engines were made prefill engines could go on with none of its streams; the least busy engines, which a release leaves to the old version, were picked first. Two stay: one fails, the other takes its streams up. Before the first request no version has streams, and with one version the minimum a failure domain holds as before.

Test: eachVersionKeepsTwoDecodeEngines failed before (both changed).

--- a/libs/gateway/include/almondridge/gateway/stageplan.h
+++ b/libs/gateway/include/almondridge/gateway/stageplan.h
@@ -103,6 +103,7 @@
     int targetPrefill(int count, int prefill, int minPerStage);
     /** Returns the engine to change, or null if no engine of the stage may be changed. */
     const Endpoint *pickEngine(const std::vector<const Endpoint *> &engines, Stage from) const;
+    bool canSpare(const std::vector<const Endpoint *> &engines, const Endpoint &engine) const;
     void removeFinishedOrders(const EndpointTable &table, TimePoint now);
     std::vector<StageChange> makeOrders(std::vector<const Endpoint *> engines, int difference,
                                         int maxChanging, TimePoint now);
--- a/libs/gateway/src/stageplan.cpp
+++ b/libs/gateway/src/stageplan.cpp
@@ -113,6 +113,9 @@
     return count > 0 ? wait / count : 0;
 }
 
+/** When one of them fails, the other one takes its streams up. */
+constexpr int MinDecodeEnginesOfVersion = 2;
+
 /**
  * Returns the minimum number of engines in each stage: one per failure domain if there are enough
  * engines. An isolated failure domain can then continue on its own, and both stages survive the
@@ -129,6 +132,15 @@
     return std::clamp(static_cast<int>(domains.size()), 1, std::max(1, count / 2));
 }
 
+int countVersions(const std::vector<const Endpoint *> &engines)
+{
+    std::set<SoftwareVersion> versions;
+    for (const Endpoint *engine : engines) {
+        versions.insert(engine->listed_.version_);
+    }
+    return static_cast<int>(versions.size());
+}
+
 int countStage(const std::vector<const Endpoint *> &engines, Stage stage)
 {
     return static_cast<int>(
@@ -167,6 +179,18 @@
     return isWorthwhile ? best : unchanged;
 }
 
+/** Whether its version keeps decode engines enough to go on with its streams without this one. */
+bool StagePlan::canSpare(const std::vector<const Endpoint *> &engines, const Endpoint &engine) const
+{
+    const auto decodesSame = [&](const Endpoint *one) {
+        return one->listed_.stage_ == Stage::Decode && !pendingOrders_.contains(one->listed_.id_)
+               && one->listed_.version_ == engine.listed_.version_;
+    };
+    return engine.listed_.stage_ != Stage::Decode
+           || std::count_if(engines.begin(), engines.end(), decodesSame)
+                  > MinDecodeEnginesOfVersion;
+}
+
 /** Prefers the failure domain with the most engines of the stage, then the least busy engine. */
 const Endpoint *StagePlan::pickEngine(const std::vector<const Endpoint *> &engines,
                                       Stage from) const
@@ -175,6 +199,8 @@
     for (const Endpoint *engine : engines) {
         enginesInDomain[engine->listed_.domain_] += engine->listed_.stage_ == from ? 1 : 0;
     }
+    // Before the first request no version has streams.
+    const bool protectsVersions = hasSeenDemand_ && countVersions(engines) > 1;
     const Endpoint *best = nullptr;
     const auto rank = [&](const Endpoint *engine) {
         return std::make_pair(-enginesInDomain[engine->listed_.domain_],
@@ -183,7 +209,8 @@
     for (const Endpoint *engine : engines) {
         const bool fits =
             engine->listed_.stage_ == from && !pendingOrders_.contains(engine->listed_.id_);
-        if (fits && (best == nullptr || rank(engine) < rank(best))) {
+        if (fits && (best == nullptr || rank(engine) < rank(best))
+            && (!protectsVersions || canSpare(engines, *engine))) {
             best = engine;
         }
     }
--- a/libs/gateway/tests/stageplantest.cpp
+++ b/libs/gateway/tests/stageplantest.cpp
@@ -274,4 +274,37 @@
     BOOST_TEST(plan.plan(table, Models, at(5'000)).size() == 8U);
 }
 
+/**
+ * Prefill is short of engines in the middle of a release: the few decode engines of a version that
+ * could take up its streams must stay, however idle they are.
+ */
+BOOST_AUTO_TEST_CASE(eachVersionKeepsTwoDecodeEngines)
+{
+    constexpr int Engines = 14;
+    constexpr int Prefill = 2;
+    const auto isOld = [](int number) { return number >= Engines - 2; };
+    EndpointTable table;
+    for (int number = 0; number < Engines; ++number) {
+        ListedEndpoint listed = engine(number, number < Prefill ? Stage::Prefill : Stage::Decode);
+        listed.version_ = SoftwareVersion(isOld(number) ? "v1" : "v1.1");
+        table.list(listed, at(0));
+    }
+    StagePlan plan({});
+    const StageDemand demand {6, 1};
+    plan.observe(table, Models, loadOf(demand), at(0));
+    for (const Endpoint *one : table.listed(Models)) {
+        const bool isBusy = one->listed_.version_ == SoftwareVersion("v1.1");
+        table.onSent(one->listed_.id_, 0, isBusy ? 40'000 : 0, at(0));
+    }
+    int orders = 0;
+    for (std::int64_t now = 500; now < 40'000; now += 500) {
+        orders += applyPlan(table, plan, demand, at(now));
+    }
+    BOOST_TEST(orders > 0);
+    for (int number = Engines - 2; number < Engines; ++number) {
+        BOOST_TEST(
+            (table.find(engine(number, Stage::Decode).id_)->listed_.stage_ == Stage::Decode));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
