A restart that a status query shows leaves the engine's version unknown

The entry was listed again with the new start and the old version, so that a stream of that version could be sent to a process of another one until the engine's own entry came.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -64,6 +64,17 @@
     friend bool operator==(const ListedEndpoint &, const ListedEndpoint &) = default;
 };
 
+/**
+ * The entry of an endpoint that has restarted as its own answer shows, before its new entry is
+ * listed. The version may have changed with it, so it is unknown.
+ */
+inline ListedEndpoint restartedEntry(ListedEndpoint listed, std::int64_t startedAtMillis)
+{
+    listed.startedAtMillis_ = startedAtMillis;
+    listed.version_ = {};
+    return listed;
+}
+
 /** Load that an endpoint reports in the headers of its responses. */
 struct LoadSample
 {
--- a/libs/gateway/src/stagecontroller.cpp
+++ b/libs/gateway/src/stagecontroller.cpp
@@ -137,9 +137,7 @@
     const Endpoint *engine = gateway_.endpoints().find(id);
     if (engine != nullptr && engine->isListed_
         && report.startedAtMillis_ > engine->listed_.startedAtMillis_) {
-        ListedEndpoint listed = engine->listed_;
-        listed.startedAtMillis_ = report.startedAtMillis_;
-        gateway_.listEndpoint(listed);
+        gateway_.listEndpoint(restartedEntry(engine->listed_, report.startedAtMillis_));
     }
 }
 
--- a/libs/gateway/tests/versiontest.cpp
+++ b/libs/gateway/tests/versiontest.cpp
@@ -119,4 +119,28 @@
     }
 }
 
+/** Guards against the version of the process before a restart that a status query has shown. */
+BOOST_AUTO_TEST_CASE(theVersionOfARestartedEngineIsUnknownUntilItIsListed)
+{
+    EndpointTable table;
+    ListedEndpoint listed = engineOf(0, Stage::Decode, Old);
+    listed.startedAtMillis_ = 1'000;
+    table.list(listed, at(0));
+    BOOST_TEST(table.hasVersion(Models, Old));
+    table.list(restartedEntry(listed, 2'000), at(10));
+    table.list(listed, at(20)); // An old entry that arrives late.
+    BOOST_TEST(!table.hasVersion(Models, Old));
+    DecodeQuery query;
+    query.service_ = Models;
+    query.version_ = Old;
+    const Placement placement({DomainId("a")});
+    BOOST_TEST(!placement.chooseDecodeEngine(table, query, 0, at(20)).has_value());
+    query.version_ = SoftwareVersion();
+    BOOST_TEST(!placement.chooseDecodeEngine(table, query, 0, at(20)).has_value());
+    listed = engineOf(0, Stage::Decode, New);
+    listed.startedAtMillis_ = 2'000;
+    table.list(listed, at(30));
+    BOOST_TEST(table.hasVersion(Models, New));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
