Streams whose version is not listed here: final only by a list that is current

An instance that is cut off from the store, has just started or reads an old list called a version gone that others list, and told the caller so for good. Now it offers the stream to a peer, and refuses with Retry-After while its list may be old; a peer in the same state says that it is outdated. The counter streams_taken_up_total tells known, asked and unknown origins.

Tests: aResumeMayComeBackWhenTheListOfEndpointsMayBeOld failed before (no Retry-After); aForwardedStreamGoesOnOnlyAtItsVersion is the peer's side.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -134,7 +134,7 @@
 void Call::findOrigin()
 {
     if (requestInfo().resumes_.empty()) {
-        refuse(VersionUnknownCause);
+        refuseUnknownVersion();
         return;
     }
     const TimePoint now = BootClock::now();
@@ -151,13 +151,19 @@
     const TimePoint now = BootClock::now();
     if (now >= originDeadline_ || !gateway_.askOrigin(streamKey())) {
         gateway_.origins_.endQuery(streamKey());
-        refuse(VersionUnknownCause);
+        refuseUnknownVersion();
         return;
     }
     attemptTimer_.startAt(std::min(now + OriginQueryInterval, originDeadline_),
                           [this] { askOrigin(); });
 }
 
+void Call::refuseUnknownVersion()
+{
+    gateway_.metrics_.count("streams_taken_up_total", observe::metricLabel("origin", "unknown"));
+    refuse(VersionUnknownCause);
+}
+
 void Call::onOriginAnswer(const OriginAnswer &answer)
 {
     const bool isAwaited = started_ && !finished_ && originDeadline_ != TimePoint {} && !origin_;
@@ -168,12 +174,15 @@
     if (answer.origin_) {
         goOnAt(*answer.origin_);
     } else {
-        refuse(VersionUnknownCause);
+        refuseUnknownVersion();
     }
 }
 
 void Call::goOnAt(const StreamOrigin &origin)
 {
+    gateway_.metrics_.count(
+        "streams_taken_up_total",
+        observe::metricLabel("origin", originDeadline_ == TimePoint {} ? "known" : "asked"));
     if (!route().leadsTo(origin.service_)) {
         refuse(VersionGoneCause);
         return;
@@ -407,15 +416,27 @@
     context_.service_ = origin.service_;
 }
 
+bool Call::isVersionListed() const
+{
+    return gateway_.table_.hasVersion(origin_->service_, origin_->version_);
+}
+
+/** The list of endpoints is read together with the configuration. */
+bool Call::mayBeListedElsewhere() const
+{
+    return !origin_->version_.empty()
+           && (seemsCutOff() || gateway_.mayConfigBeStale(BootClock::now()));
+}
+
 bool Call::canGoOn() const
 {
-    return !origin_ || gateway_.table_.hasVersion(origin_->service_, origin_->version_)
-           || seemsCutOff();
+    return !origin_ || isVersionListed() || mayBeListedElsewhere();
 }
 
 bool Call::mayPeerReachMore() const
 {
-    return !isFromPeer() && gateway_.table_.hasUnreachable(context_.service_);
+    const bool isListOld = origin_ && !isVersionListed() && mayBeListedElsewhere();
+    return !isFromPeer() && (isListOld || gateway_.table_.hasUnreachable(context_.service_));
 }
 
 bool Call::sendToPeer(const std::string &resumeAfter)
@@ -611,7 +632,7 @@
         return;
     }
     if (attempts_ == 0 && resumesStream()) {
-        refuse(VersionUnknownCause);
+        refuseUnknownVersion();
         return;
     }
     checkForCrashIfSilent();
@@ -639,8 +660,10 @@
 void Call::refuse(std::string_view cause)
 {
     // No Retry-After for what every instance would refuse, too.
-    const bool isFinal = cause == QuarantinedCause || cause == VersionGoneCause || isQuarantined()
-                         || (cause == VersionUnknownCause && requestInfo().resumes_.empty());
+    const bool isVersionGone = cause == VersionGoneCause && !mayBeListedElsewhere();
+    const bool isNotNamed = cause == VersionUnknownCause && requestInfo().resumes_.empty();
+    const bool isFinal =
+        cause == QuarantinedCause || isQuarantined() || isVersionGone || isNotNamed;
     const auto retryAfter =
         isFinal ? std::nullopt : std::optional(retryAfterMillis_.value_or(millisUntilAdmitted()));
     net::Response response = gateway_.dialect_.refusal(503, retryAfter, cause);
@@ -649,8 +672,10 @@
         const bool isUnreachable =
             gateway_.reach_.state() != Reach::Connected
             || (hasNone && gateway_.table_.hasUnreachable(context_.service_));
-        response.headers_.push_back(
-            refusalHeader(isUnreachable ? PeerRefusal::CutOff : PeerRefusal::Final));
+        const bool isListOld = cause == VersionGoneCause && !isVersionGone;
+        response.headers_.push_back(refusalHeader(isUnreachable ? PeerRefusal::CutOff
+                                                  : isListOld   ? PeerRefusal::Outdated
+                                                                : PeerRefusal::Final));
     }
     gateway_.server_.respond(context_.request_.id_, response);
     finish(Outcome::Refused, 503, cause);
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -112,7 +112,7 @@
     StreamOrigin attemptOrigin() const;
     /** The caller gets the stream's first event, which came from there. */
     void onStreamBegun(const StreamOrigin &origin);
-    /** Whether an endpoint may go on with the stream, now or later. */
+    /** Whether an endpoint may go on with the stream, now or later, here or at a peer. */
     bool canGoOn() const;
     /** Starts an attempt at a peer, which makes one at its endpoints; false: there is no peer. */
     bool sendToPeer(const std::string &resumeAfter);
@@ -224,9 +224,14 @@
     /** Makes the first attempt, or first finds out where the stream to be resumed began. */
     void begin();
     bool resumesStream() const;
+    /** Whether an endpoint of the version that the stream needs is listed here. */
+    bool isVersionListed() const;
+    /** The same at peers, if this instance's list may be old. */
+    bool mayBeListedElsewhere() const;
     RequestKey streamKey() const;
     void findOrigin();
     void askOrigin();
+    void refuseUnknownVersion();
     void goOnAt(const StreamOrigin &origin);
     void setOrigin(const StreamOrigin &origin);
     /** Sends the request with a head of its own to the address for the attempt. */
