Soak: two versions serve side by side, callers take their streams up anywhere

Endpoints list versions, a release replaces the older one little by little, and engines sign events and handles with theirs. One caller in eight loses its connection after the first event of a resumable stream and takes it up at any instance with Resumes, as every caller does whose stream was cut. Two promises: no stream and no fetched memory crosses versions, and streams that are taken up go on at least half as often as requests are served.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -13,6 +13,12 @@
 /** What cut a stream is known to instances by then. */
 constexpr Duration RepeatAfter = millis(300);
 
+/** A caller takes its stream up at once. */
+constexpr Duration TakeUpAfter = millis(20);
+constexpr int MaxAttempts = 3;
+/** One caller in so many loses its connection in the middle of a resumable stream. */
+constexpr std::uint64_t CallersToOneThatLeaves = 8;
+
 } // namespace
 
 struct Callers::Asked
@@ -24,7 +30,14 @@
     int status_ = 0;
     std::string body_;
     std::string sent_;
+    std::string prompt_; ///< Headers that describe the prompt.
     bool isRepeat_ = false;
+    std::string stream_;  ///< The request that began the stream.
+    std::string version_; ///< Of the stream's events so far.
+    int next_ = 1;        ///< The event that comes next.
+    int attempts_ = 1;    ///< To get the stream.
+    async::ExchangeId exchange_ = 0;
+    bool leaves_ = false; ///< Closes its connection after the first event.
 };
 
 Callers::Callers(async::EventLoop &loop, Ledger &ledger,
@@ -86,40 +99,72 @@
     asked->kind_ = kind;
     asked->instance_ = &instance;
     asked->lifetime_ = instance.lifetime();
-    const std::string_view service = nameOf(KindNames, kind);
     const bool prompt = kind == Kind::Stream || kind == Kind::ResumableStream;
     asked->isRepeat_ = !repeated.empty();
     const std::string fresh = kind == Kind::Safe ? "" : "body of " + asked->id_;
     const std::string body = asked->isRepeat_ ? repeated : fresh;
     asked->sent_ = body;
-    std::string text = fmt::format("{} /{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n"
-                                   "X-Deadline-Ms: {}\r\nContent-Length: {}\r\n",
-                                   kind == Kind::Safe ? "GET" : "POST", service, asked->id_,
-                                   PatienceMillis, body.size());
+    asked->stream_ = asked->id_;
     if (prompt) {
-        text += fmt::format("X-Model: m\r\nX-Token-Count: 900,8\r\n"
-                            "X-Prefix-Hash: {:x}:700,{:x}:200\r\n",
-                            random_() % 20, random_());
+        asked->prompt_ = fmt::format("X-Model: m\r\nX-Token-Count: 900,8\r\n"
+                                     "X-Prefix-Hash: {:x}:700,{:x}:200\r\n",
+                                     random_() % 20, random_());
     }
+    send(asked, "");
+}
+
+void Callers::send(const std::shared_ptr<Asked> &asked, const std::string &headers)
+{
+    const std::string_view service = nameOf(KindNames, asked->kind_);
+    std::string text = fmt::format("{} /{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n"
+                                   "X-Deadline-Ms: {}\r\nContent-Length: {}\r\n",
+                                   asked->kind_ == Kind::Safe ? "GET" : "POST", service, asked->id_,
+                                   PatienceMillis, asked->sent_.size());
     async::ExchangeRequest request;
-    request.peer_ = fmt::format("{}.{}", instance.name(), instance.lifetime());
-    request.address_ = instance.callers();
-    request.text_ = text + "\r\n" + body;
+    request.peer_ = fmt::format("{}.{}", asked->instance_->name(), asked->lifetime_);
+    request.address_ = asked->instance_->callers();
+    request.text_ = text + asked->prompt_ + headers + "\r\n" + asked->sent_;
     request.connectBy_ = BootClock::now() + ConnectTime;
-    ledger_.onSent(asked->id_, kind);
+    ledger_.onSent(asked->id_, asked->kind_);
     ++open_;
     async::ExchangeEvents events;
     events.onHead_ = [asked](async::ResponseHead &head) { asked->status_ = head.status_; };
-    events.onBody_ = [asked](const std::string &bytes) { asked->body_ += bytes; };
+    asked->leaves_ = asked->kind_ == Kind::ResumableStream && asked->attempts_ < MaxAttempts
+                     && random_() % CallersToOneThatLeaves == 0;
+    events.onBody_ = [this, asked](const std::string &bytes) {
+        asked->body_ += bytes;
+        if (asked->leaves_ && asked->body_.find("\n\n") != std::string::npos) {
+            asked->leaves_ = false;
+            // Not from inside of the exchange that is cancelled.
+            loop_.post([this, asked] { leave(asked); });
+        }
+    };
     events.onEnd_ = [this, asked] {
         --open_;
+        asked->exchange_ = 0;
         onEnd(asked);
     };
     events.onFailed_ = [this, asked](async::ExchangeFailure failure) {
         --open_;
+        asked->exchange_ = 0;
         onFailed(asked, failure);
     };
-    client_.start(std::move(request), std::move(events));
+    asked->exchange_ = client_.start(std::move(request), std::move(events));
+}
+
+void Callers::leave(const std::shared_ptr<Asked> &asked)
+{
+    const async::ExchangeId exchange = std::exchange(asked->exchange_, 0);
+    if (exchange == 0) {
+        return; // It has ended meanwhile.
+    }
+    client_.cancel(exchange);
+    --open_;
+    if (asked->attempts_ > 1) {
+        ledger_.onTakenUp(true);
+    }
+    checkStream(*asked, false);
+    later(loop_, TakeUpAfter, [this, asked] { takeUp(*asked); });
 }
 
 void Callers::onEnd(const std::shared_ptr<Asked> &asked)
@@ -132,6 +177,9 @@
     if (promisesNotRun) {
         ledger_.onNotRunTold(asked->id_);
     }
+    if (asked->attempts_ > 1) {
+        ledger_.onTakenUp(status == 200);
+    }
     if (status != 200) {
         return;
     }
@@ -152,13 +200,48 @@
     }
 }
 
-void Callers::checkStream(const Asked &asked, bool whole)
+void Callers::takeUp(const Asked &cut)
+{
+    const std::vector<InstanceProcess *> ready = readyInstances();
+    if (ready.empty()) {
+        return;
+    }
+    auto asked = std::make_shared<Asked>(cut);
+    asked->id_ = fmt::format("{:x}-{}", seed_, next_++);
+    asked->instance_ = ready[random_() % ready.size()];
+    asked->lifetime_ = asked->instance_->lifetime();
+    asked->status_ = 0;
+    asked->body_.clear();
+    ++asked->attempts_;
+    send(asked, fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n", cut.next_ - 1, cut.stream_));
+}
+
+/** Checks the events one by one and remembers which one comes next. */
+void Callers::checkStream(Asked &asked, bool whole)
 {
-    std::string expected;
-    for (int number = 1; number <= EventsOfAStream; ++number) {
-        expected += streamEvent(asked.id_, number);
+    constexpr std::string_view VersionMark = " by ";
+    std::string_view rest = asked.body_;
+    bool right = true;
+    for (std::size_t end = rest.find("\n\n"); right && end != std::string_view::npos;
+         end = rest.find("\n\n")) {
+        const std::string event(rest.substr(0, end + 2));
+        const std::size_t mark = event.rfind(VersionMark);
+        const std::size_t begin = mark + VersionMark.size();
+        const std::string version =
+            mark != std::string::npos ? event.substr(begin, end - begin) : "";
+        if (!asked.version_.empty() && asked.version_ != version) {
+            ledger_.violate(Promise::OneVersion,
+                            fmt::format("{}, which {} began, got of {}: {}", asked.id_,
+                                        asked.version_, version, event));
+        }
+        right = event == streamEvent(asked.stream_, asked.next_, version);
+        asked.version_ = version;
+        ++asked.next_;
+        rest.remove_prefix(end + 2);
     }
-    const bool right = whole ? asked.body_ == expected : expected.starts_with(asked.body_);
+    right = right
+            && (whole ? rest.empty() && asked.next_ == EventsOfAStream + 1
+                      : streamEvent(asked.stream_, asked.next_, asked.version_).starts_with(rest));
     if (!right) {
         ledger_.violate(Promise::StreamInOrder, asked.id_ + " got: " + asked.body_);
     }
@@ -173,6 +256,13 @@
         && (asked->kind_ == Kind::Stream || asked->kind_ == Kind::ResumableStream)) {
         checkStream(*asked, false);
     }
+    if (asked->attempts_ > 1) {
+        ledger_.onTakenUp(asked->status_ == 200);
+    }
+    if (asked->kind_ == Kind::ResumableStream && asked->next_ > 1 && asked->next_ <= EventsOfAStream
+        && asked->attempts_ < MaxAttempts) {
+        later(loop_, TakeUpAfter, [this, asked] { takeUp(*asked); });
+    }
     if (asked->kind_ == Kind::Stream && !asked->isRepeat_) {
         later(loop_, RepeatAfter, [this, asked] { repeat(*asked); });
     }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -34,10 +34,15 @@
     std::vector<InstanceProcess *> readyInstances() const;
     /** body: of the request that is sent once more; empty: a new one. */
     void send(Kind kind, InstanceProcess &instance, const std::string &body = {});
+    void send(const std::shared_ptr<Asked> &asked, const std::string &headers);
     void repeat(const Asked &asked);
+    /** Closes the connection of a stream that has brought its first event, and takes it up. */
+    void leave(const std::shared_ptr<Asked> &asked);
+    /** Asks any instance for the rest of a stream that was cut. */
+    void takeUp(const Asked &cut);
     void onEnd(const std::shared_ptr<Asked> &asked);
     void onFailed(const std::shared_ptr<Asked> &asked, async::ExchangeFailure failure);
-    void checkStream(const Asked &asked, bool whole);
+    void checkStream(Asked &asked, bool whole);
 
     async::EventLoop &loop_;
     Ledger &ledger_;
--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -37,21 +37,21 @@
     return "answer to " + requestId + "\n";
 }
 
-std::string streamEvent(const std::string &requestId, int number)
+std::string streamEvent(const std::string &stream, int number, const std::string &version)
 {
-    return "id: " + std::to_string(number) + "\ndata: " + requestId + " token "
-           + std::to_string(number) + "\n\n";
+    return fmt::format("id: {}\ndata: {} token {} by {}\n\n", number, stream, number, version);
 }
 
 EndpointStandIn::EndpointStandIn(async::EventLoop &loop, StoreStandIn &store, Ledger &ledger,
                                  std::string id, std::string service, std::string stage,
-                                 std::uint64_t seed)
+                                 std::string version, std::uint64_t seed)
     : loop_(loop)
     , store_(store)
     , ledger_(ledger)
     , id_(std::move(id))
     , service_(std::move(service))
     , stage_(std::move(stage))
+    , version_(std::move(version))
     , server_(loop, {[this](const async::ServerCall &call) { onCall(call); },
                      [this](const async::CallId &call) { streams_.erase(call.call_); },
                      {}})
@@ -72,7 +72,7 @@
 {
     heartbeat_.startAt(BootClock::now() + HeartbeatInterval, [this] { beat(); });
     Json entry {{"service", service_}, {"address", net::toString(proxy_->address())},
-                {"zone", "z"},         {"version", "v1"},
+                {"zone", "z"},         {"version", version_},
                 {"slots", 16},         {"state", draining() ? "draining" : "ready"},
                 {"seq", random_()}};
     if (!stage_.empty()) {
@@ -247,11 +247,23 @@
     }
 }
 
+/** What another version has written into its memory doesn't fit here. */
+void EndpointStandIn::checkMemory(const async::ServerCall &call, std::string_view header)
+{
+    const std::string source(net::headerValue(call.head_.headers_, header));
+    const std::size_t slash = source.find('/');
+    if (slash != std::string::npos && !source.substr(slash + 1).starts_with(version_ + "-")) {
+        ledger_.violate(Promise::OneVersion,
+                        fmt::format("{} of {} was told to fetch {}", id_, version_, source));
+    }
+}
+
 void EndpointStandIn::onWork(const async::ServerCall &call)
 {
     const net::Headers &headers = call.head_.headers_;
     const std::string requestId(net::headerValue(headers, "X-Request-Id"));
     const bool prefillOnly = net::headerValue(headers, "X-Stage") == "prefill";
+    checkMemory(call, "X-Kv-Source");
     if (net::headerValue(headers, "X-Target-Instance") != id_) {
         refuse(call.id_, 421);
         return;
@@ -320,7 +332,7 @@
 
 void EndpointStandIn::prefill(const async::ServerCall &call)
 {
-    const std::string handle = id_ + "-" + std::to_string(nextHandle_++);
+    const std::string handle = fmt::format("{}-{}-{}", version_, id_, nextHandle_++);
     handles_.insert(handle);
     later(loop_, WorkTime, [this, call, handle] {
         respond(call.id_,
@@ -334,7 +346,9 @@
     net::Headers headers = signedHeaders(requestId);
     headers.push_back({"Content-Type", "text/event-stream"});
     server_.beginStream(call.id_, {200, "OK", withAsked(headers)});
-    streams_[call.id_.call_] = {call.id_, requestId, after.empty() ? 1 : std::stoi(after) + 1};
+    const std::string resumes(net::headerValue(call.head_.headers_, "Resumes"));
+    streams_[call.id_.call_] = {call.id_, resumes.empty() ? requestId : resumes,
+                                after.empty() ? 1 : std::stoi(after) + 1};
     streamNext(call.id_.call_);
 }
 
@@ -346,7 +360,7 @@
     }
     Stream &stream = found->second;
     const bool breaks = fault_ == EndpointFault::Garble && stream.next_ == EventsOfAStream / 2;
-    const std::string event = streamEvent(stream.requestId_, stream.next_);
+    const std::string event = streamEvent(stream.name_, stream.next_, version_);
     if (breaks && strikes()) {
         // In the middle of an event, as a crash would.
         server_.streamBytes(stream.call_, event.substr(0, event.size() / 2));
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -28,8 +28,11 @@
 
 /** The whole answer of a service to a request. */
 std::string serviceBody(const std::string &requestId);
-/** One event of a stream; the stream has EventsOfAStream of them, numbered from 1. */
-std::string streamEvent(const std::string &requestId, int number);
+/**
+ * One event of a stream, which is named by the request that began it, as an endpoint of that
+ * version writes it. The stream has EventsOfAStream of them, numbered from 1.
+ */
+std::string streamEvent(const std::string &stream, int number, const std::string &version);
 inline constexpr int EventsOfAStream = 8;
 /** The body of a request that crashes each endpoint that begins to run it. */
 inline constexpr std::string_view CrashingBody = "ends endpoints";
@@ -38,7 +41,8 @@
 {
 public:
     EndpointStandIn(async::EventLoop &loop, StoreStandIn &store, Ledger &ledger, std::string id,
-                    std::string service, std::string stage, std::uint64_t seed);
+                    std::string service, std::string stage, std::string version,
+                    std::uint64_t seed);
     ~EndpointStandIn();
 
     const std::string &id() const noexcept { return id_; }
@@ -66,7 +70,7 @@
     struct Stream
     {
         async::CallId call_;
-        std::string requestId_;
+        std::string name_; ///< The request that began it.
         int next_ = 1;
     };
 
@@ -81,6 +85,7 @@
     void streamNext(std::uint64_t number);
     void refuse(const async::CallId &call, int status);
     void checkDrain(const std::string &requestId);
+    void checkMemory(const async::ServerCall &call, std::string_view header);
     bool isJudged() const;
     void checkLimit();
     void checkBackoff();
@@ -96,6 +101,7 @@
     std::string id_;
     std::string service_;
     std::string stage_;
+    std::string version_;
     async::HttpServer server_;
     std::unique_ptr<Proxy> proxy_;
     std::mt19937_64 random_;
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -72,6 +72,18 @@
     }
 }
 
+void Ledger::checkTakenUp()
+{
+    constexpr std::uint64_t LeastTakenUp = 12;
+    constexpr double LeastRatio = 0.5;
+    const double wentOnShare = static_cast<double>(wentOn_) / static_cast<double>(takenUp_ + 1);
+    const double servedShare = static_cast<double>(served_) / static_cast<double>(sent_ + 1);
+    if (takenUp_ >= LeastTakenUp && wentOnShare < LeastRatio * servedShare) {
+        violate(Promise::StreamsGoOn, std::to_string(wentOn_) + " of " + std::to_string(takenUp_)
+                                          + " streams that were taken up went on");
+    }
+}
+
 void Ledger::violate(Promise promise, std::string what)
 {
     violations_.push_back({promise, std::move(what)});
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -27,6 +27,8 @@
     OwnAnswer,       ///< A whole answer to the caller's own request.
     AtMostOnce,      ///< What may not be repeated runs once at most.
     TruthfulNotRun,  ///< What was called not run did not run and does not run later.
+    OneVersion,      ///< What one version began, in a stream or in memory, no other goes on with.
+    StreamsGoOn,     ///< Streams that callers take up go on at least half as often as others begin.
     StreamInOrder,   ///< No event is missing or doubled, and a cut stream does not look whole.
     DrainKept,       ///< A leaving endpoint gets nothing after the bound.
     ConfigKept,      ///< A configuration is in force in time and never goes back.
@@ -40,10 +42,12 @@
     BackoffKept,     ///< An endpoint that asks for a backoff gets few requests of each instance.
 };
 
-inline constexpr std::array<EnumName<Promise>, 14> PromiseNames {{
+inline constexpr std::array<EnumName<Promise>, 16> PromiseNames {{
     {Promise::OwnAnswer, "own-answer"},
     {Promise::AtMostOnce, "at-most-once"},
     {Promise::TruthfulNotRun, "truthful-not-run"},
+    {Promise::OneVersion, "one-version"},
+    {Promise::StreamsGoOn, "streams-go-on"},
     {Promise::StreamInOrder, "stream-in-order"},
     {Promise::DrainKept, "drain-kept"},
     {Promise::ConfigKept, "config-kept"},
@@ -77,12 +81,22 @@
     /** The caller was told that the request has not run and never will. */
     void onNotRunTold(const std::string &id);
     void onServed(const std::string &id);
+    /** A caller has asked for the rest of a stream; it did or did not get events. */
+    void onTakenUp(bool wentOn)
+    {
+        ++takenUp_;
+        wentOn_ += wentOn ? 1 : 0;
+    }
     void onOrder(const std::string &engine, const std::string &holder, std::uint64_t fence);
     void violate(Promise promise, std::string what);
 
     std::uint64_t sent() const noexcept { return sent_; }
     std::uint64_t served() const noexcept { return served_; }
     std::uint64_t notRun() const noexcept { return notRun_; }
+    /** Compares the streams that were taken up with all requests, once the soak has ended. */
+    void checkTakenUp();
+    std::uint64_t takenUp() const noexcept { return takenUp_; }
+    std::uint64_t wentOn() const noexcept { return wentOn_; }
     const std::vector<Violation> &violations() const noexcept { return violations_; }
 
 private:
@@ -100,6 +114,8 @@
     std::uint64_t sent_ = 0;
     std::uint64_t served_ = 0;
     std::uint64_t notRun_ = 0;
+    std::uint64_t takenUp_ = 0;
+    std::uint64_t wentOn_ = 0;
     int crashes_ = 0;
     int lateCrashes_ = 0;
     TimePoint knownFrom_ {}; ///< All instances in touch know the request then.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -103,6 +103,7 @@
     template <typename Enum, std::size_t size>
     Enum anyFault(const std::array<EnumName<Enum>, size> &names);
     void addEndpoint(const std::string &service, const std::string &stage);
+    std::string anyVersion();
 
     Options options_;
     async::EventLoop loop_;
@@ -127,6 +128,7 @@
     TimePoint faultsEnd_ {};
     int version_ = 0;
     int nextEndpoint_ = 1;
+    std::uint64_t release_ = 0;
     std::uint64_t servedBeforeEnd_ = 0;
 };
 
@@ -188,11 +190,17 @@
 void Soak::addEndpoint(const std::string &service, const std::string &stage)
 {
     endpoints_.emplace_back(loop_, store_, ledger_, fmt::format("e-{}", nextEndpoint_++), service,
-                            stage, random_());
+                            stage, anyVersion(), random_());
     EndpointStandIn &endpoint = endpoints_.back();
     endpoint.onCrash([this, &endpoint] { replaceCrashed(endpoint); });
 }
 
+/** Two versions serve side by side; a release ends the older one little by little. */
+std::string Soak::anyVersion()
+{
+    return fmt::format("v1.{}", release_ + random_() % 2);
+}
+
 void Soak::replaceCrashed(const EndpointStandIn &endpoint)
 {
     constexpr Duration StartTime = millis(1'500);
@@ -487,7 +495,9 @@
 /** The new one comes first. */
 void Soak::replaceEndpoint()
 {
+    constexpr int ReplacedInARelease = 6;
     const bool plain = random_() % 2 == 0;
+    release_ += random_() % ReplacedInARelease == 0 ? 1 : 0;
     addEndpoint(plain ? "desk" : "llm", plain ? "" : "decode");
     anyEndpoint().drain();
 }
@@ -553,9 +563,12 @@
 
 int Soak::report()
 {
-    fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={} crashes={}\n",
+    ledger_.checkTakenUp();
+    fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={} crashes={} "
+               "taken_up={} went_on={}\n",
                options_.seed_, options_.seconds_, options_.instances_, ledger_.sent(),
-               ledger_.served(), ledger_.notRun(), ledger_.crashes());
+               ledger_.served(), ledger_.notRun(), ledger_.crashes(), ledger_.takenUp(),
+               ledger_.wentOn());
     for (const auto &[name, count] : struck_) {
         fmt::print("  {:24} {}\n", name, count);
     }
