An endpoint that was away may have restarted under its id: its version is unknown for a while

Where entries name start times, a process may start anew under the id that it had, at another version, and is reached before its new entry is here. Its streams would be recorded and continued by the old entry's version. Now the version is unknown from a failed connection until the new entry is listed, or until 3 s after it is reached again, by when its entry would be here. New requests go there all the while; their streams go on nowhere. Elsewhere a new process has a new id, and a request that names the old one isn't run.

What remains: a restart that this instance doesn't meet, as no connection of its own failed, before the new entry comes.

Test: theVersionOfAnEngineThatWasAwayIsUnknownUntilItsEntryCanBeHere, which fails on the code before.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -123,6 +123,11 @@
     bool isDraining() const noexcept { return listed_.draining_ || announcedShutdown_; }
     /** No requests, recent failures, pending probe or order: needs no periodic work. */
     bool isIdle(TimePoint now) const noexcept;
+    /** Its version, unless it may have restarted since its entry was written. */
+    SoftwareVersion versionAt(TimePoint now) const
+    {
+        return mayHaveRestartedUntil_ > now ? SoftwareVersion() : listed_.version_;
+    }
     /** State for metrics: leaving, draining, changing, unreachable, distrusted or usable. */
     std::string_view stateName(TimePoint now) const noexcept;
 
@@ -134,6 +139,11 @@
      * engine that a network partition or a crash took away.
      */
     bool awaitsProbe_ = false;
+    /**
+     * A process may have started anew under this id, and its entry not be here yet. Only where
+     * entries name start times, as other endpoints get a new id.
+     */
+    TimePoint mayHaveRestartedUntil_ {};
     TimePoint probeAt_ {}; ///< When to start the next probe; max() while one is running.
     int failedProbes_ = 0;
     TimePoint probeSucceededAt_ {}; ///< When a probe last succeeded.
@@ -265,6 +275,8 @@
     void eraseIfUnused(const EndpointId &id);
     std::int64_t lastKnownStart(const EndpointId &id) const;
     static void restart(Endpoint &endpoint, TimePoint now);
+    static void onConnectFailed(Endpoint &endpoint);
+    static void onReachedAgain(Endpoint &endpoint, TimePoint now);
     static void scheduleProbe(Endpoint &endpoint, TimePoint probeAt);
     /** Endpoints that may get new work, each judged by its own health alone. */
     std::vector<const Endpoint *> available(const ServiceId &service, TimePoint now) const;
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -43,6 +43,10 @@
 /** A response within this time outweighs a peer's report that the endpoint is unreachable. */
 constexpr Duration MaxHealthyAge = millis(300);
 
+/** Within this time after an endpoint is reached again, its entry shows whether it has restarted.
+ */
+constexpr Duration EntryDelay = millis(3'000);
+
 /** Smoothing factor of an engine's measured speed. */
 constexpr double SpeedSmoothing = 0.1;
 /** Shorter prefill times measure fixed costs rather than the speed. */
@@ -441,6 +445,20 @@
     return due;
 }
 
+void EndpointTable::onConnectFailed(Endpoint &endpoint)
+{
+    if (endpoint.listed_.startedAtMillis_ != 0) {
+        endpoint.mayHaveRestartedUntil_ = TimePoint::max();
+    }
+}
+
+void EndpointTable::onReachedAgain(Endpoint &endpoint, TimePoint now)
+{
+    if (endpoint.mayHaveRestartedUntil_ == TimePoint::max()) {
+        endpoint.mayHaveRestartedUntil_ = now + EntryDelay;
+    }
+}
+
 void EndpointTable::onProbed(const EndpointId &id, bool reached, TimePoint now)
 {
     Endpoint *endpoint = find(id);
@@ -450,8 +468,10 @@
     if (reached) {
         cancelProbe(*endpoint);
         endpoint->probeSucceededAt_ = now;
+        onReachedAgain(*endpoint, now);
         return;
     }
+    onConnectFailed(*endpoint);
     ++endpoint->failedProbes_;
     constexpr int MaxDoublings = 3;
     const Duration pause =
@@ -528,6 +548,7 @@
         endpoint->unreachableAt_ = now;
     }
     if (signal == HealthSignal::Unreachable) {
+        onConnectFailed(*endpoint);
         scheduleProbe(*endpoint, now + InitialProbeDelay);
         return wasAvailable;
     }
@@ -536,6 +557,7 @@
     }
     if (signal == HealthSignal::Healthy) {
         cancelProbe(*endpoint);
+        onReachedAgain(*endpoint, now);
         endpoint->healthyAt_ = now;
     }
     if (rule.failureWeight_ == 0) {
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -49,11 +49,11 @@
 /** version: if there is one, endpoints of other and of unknown versions are removed as well. */
 void removeUnsuitable(std::vector<const Endpoint *> &endpoints,
                       const std::vector<EndpointId> &excluded,
-                      const std::optional<SoftwareVersion> &version)
+                      const std::optional<SoftwareVersion> &version, TimePoint now)
 {
     std::erase_if(endpoints, [&](const Endpoint *one) {
         return contains(excluded, one->listed_.id_)
-               || (version && !isSameVersion(one->listed_.version_, *version));
+               || (version && !isSameVersion(one->versionAt(now), *version));
     });
 }
 
@@ -190,12 +190,16 @@
                                             TimePoint now) const
 {
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
-    removeUnsuitable(engines, query.excluded_, query.version_);
+    removeUnsuitable(engines, query.excluded_, query.version_, now);
     const PromptPart *leading = leadingPart(*query.prompt_);
     const std::uint64_t part = leading != nullptr ? leading->id_ : 0;
     Candidates found;
     found.room_ = versionRoom(engines, now);
     found.ranking_.reserve(engines.size());
+    // No engine could be told to fetch what an engine of unknown version has read.
+    std::erase_if(engines, [&](const Endpoint *engine) {
+        return !decodes(*engine) && engine->versionAt(now).empty();
+    });
     for (const Endpoint *engine : engines) {
         found.ranking_.push_back({rendezvousWeight(engine->idHash_, part), engine});
     }
@@ -228,7 +232,7 @@
     };
     for (const Candidate &one : engines.ranking_) {
         const SoftwareVersion &version = one.engine_->listed_.version_;
-        if (decodes(*one.engine_) || version.empty() || !room.decodes(version)) {
+        if (decodes(*one.engine_) || !room.decodes(version)) {
             continue;
         }
         const auto place =
@@ -389,7 +393,7 @@
     // with slow links has few requests, so its slots look free though each request takes a second.
     constexpr double FullEngineWaitMillis = 100;
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
-    removeUnsuitable(engines, query.excluded_, query.version_);
+    removeUnsuitable(engines, query.excluded_, query.version_, now);
     const VersionRoom room = versionRoom(engines, now);
     std::erase_if(engines, [&](const Endpoint *one) {
         return !decodes(*one) || !room.isOpen(one->listed_.version_);
@@ -418,7 +422,7 @@
     // long gets few requests as far as this instance can tell.
     constexpr Duration MaxFullLoadAge = millis(2'000);
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
-    removeUnsuitable(engines, query.excluded_, query.version_);
+    removeUnsuitable(engines, query.excluded_, query.version_, now);
     return std::any_of(engines.begin(), engines.end(), [&](const Endpoint *engine) {
         const LoadSample &load = engine->load_;
         const bool full = engine->loadAt_ + MaxFullLoadAge > now && load.slots_ > 0
@@ -435,7 +439,7 @@
     // Calls are short: a tenth of the slots less load outweighs the longer way to another domain.
     constexpr double CrossDomainPenalty = 0.1;
     std::vector<const Endpoint *> endpoints = table.usable(service, now);
-    removeUnsuitable(endpoints, excluded, version);
+    removeUnsuitable(endpoints, excluded, version, now);
     const Endpoint *best = cheapest(endpoints, tieBreaker, [&](const Endpoint &one) {
         return utilization(one, now)
                + (one.listed_.domain_ == settings_.domain_ ? 0 : CrossDomainPenalty);
@@ -456,7 +460,7 @@
     std::vector<const Endpoint *> usableEngines = table.usable(service, now);
     std::erase_if(usableEngines, isPrefillOnly);
     const bool last = usableEngines.size() == 1 && listed.size() > 1;
-    removeUnsuitable(usableEngines, excluded, version);
+    removeUnsuitable(usableEngines, excluded, version, now);
     const Endpoint *best = cheapest(usableEngines, tieBreaker, [&](const Endpoint &one) {
         return decodeUtilization(one, now) * std::max(1, one.listed_.slots_);
     });
--- a/libs/gateway/tests/versiontest.cpp
+++ b/libs/gateway/tests/versiontest.cpp
@@ -143,4 +143,45 @@
     BOOST_TEST(table.hasVersion(Models, New));
 }
 
+/**
+ * Guards against the version of an old entry: an engine that ended and started anew under its id
+ * is reached before its new entry arrives.
+ */
+BOOST_AUTO_TEST_CASE(theVersionOfAnEngineThatWasAwayIsUnknownUntilItsEntryCanBeHere)
+{
+    for (const std::int64_t startedAt : {0, 1'000}) {
+        EndpointTable table;
+        for (const Stage stage : {Stage::Decode, Stage::Prefill}) {
+            ListedEndpoint listed = engineOf(static_cast<int>(stage), stage, Old);
+            listed.startedAtMillis_ = startedAt;
+            table.list(listed, at(0));
+        }
+        const bool isIdReused = startedAt != 0;
+        const EndpointId id = engine(static_cast<int>(Stage::Decode), Stage::Decode).id_;
+        table.onHealthSignal(id, HealthSignal::Unreachable, at(0));
+        table.onProbed(id, false, at(150));
+        table.onProbed(id, true, at(500));
+        DecodeQuery query;
+        query.service_ = Models;
+        query.version_ = Old;
+        const Placement placement({DomainId("a")});
+        const auto goesOn = [&](std::int64_t milliseconds) {
+            return placement.chooseDecodeEngine(table, query, 0, at(milliseconds)).has_value();
+        };
+        BOOST_TEST(goesOn(600) == !isIdReused);
+        BOOST_TEST(goesOn(4'000));
+        // New requests are taken all the while.
+        query.version_.reset();
+        BOOST_TEST(goesOn(600));
+        if (isIdReused) {
+            ListedEndpoint restarted =
+                engineOf(static_cast<int>(Stage::Decode), Stage::Decode, Old);
+            restarted.startedAtMillis_ = startedAt + 1;
+            table.list(restarted, at(700));
+            query.version_ = Old;
+            BOOST_TEST(goesOn(700));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
