--- a/benchmarks/streamorigins.cpp
+++ b/benchmarks/streamorigins.cpp
@@ -20,6 +20,7 @@
 std::vector<MeshMember> membersOf(int count)
 {
     std::vector<MeshMember> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         members.push_back({InstanceId("front-" + std::to_string(number)),
                            DomainId("domain-" + std::to_string(number % Domains))});
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -137,8 +137,7 @@
            || isSameVersion(attemptOrigin().version_, origin_->version_);
 }
 
-/** The endpoint was replaced since its entry was read, so the version that it now has is unknown.
- */
+/** The endpoint was replaced after its entry was read. */
 void ModelCall::onOtherVersion()
 {
     logEvent(LogLevel::Warning, "stream_version_differs",
