--- a/libs/gateway/tests/streamoriginstest.cpp
+++ b/libs/gateway/tests/streamoriginstest.cpp
@@ -54,8 +54,8 @@
     std::optional<StreamOrigin> resume(int instance, RequestKey stream, TimePoint now = at(10))
     {
         StreamOrigins &asks = instances_.at(idOf(instance));
-        if (const auto known = asks.find(stream, now)) {
-            return known;
+        if (asks.find(stream, now)) {
+            return asks.find(stream, now);
         }
         for (int attempt = 0; attempt < 2; ++attempt) {
             deliver(asks.ask(stream), now);
