A resume whose route has moved is refused with its origin set

refuse() asks whether the version may be listed elsewhere, which reads the origin; goOnAt() refused before it set one, so that an empty optional was read (undefined behaviour, found by reading the change). Now the origin is set first. What is refused, and how, stays as it was meant.

Test: aResumeIsRefusedForGoodWhenItsRouteHasMoved. It was not run on the code before, where its result would hang on what the memory held.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -183,11 +183,11 @@
     gateway_.metrics_.count(
         "streams_taken_up_total",
         observe::metricLabel("origin", originDeadline_ == TimePoint {} ? "known" : "asked"));
+    setOrigin(origin);
     if (!route().leadsTo(origin.service_)) {
         refuse(VersionGoneCause);
         return;
     }
-    setOrigin(origin);
     gateway_.addOrigin(streamKey(), origin); // Those that were told before may be gone.
     start();
 }
