--- a/libs/gateway/include/almondridge/gateway/retrybudget.h
+++ b/libs/gateway/include/almondridge/gateway/retrybudget.h
@@ -8,6 +8,7 @@
 #include "almondridge/base/time.h"
 
 #include <deque>
+#include <utility>
 
 namespace almondridge::gateway {
 
@@ -18,6 +19,21 @@
     std::int64_t windowMillis_ = 10'000; ///< Length of the sliding window.
 };
 
+/** What was sent since the last report. */
+struct RetryCounts
+{
+    int requests_ = 0;
+    int retries_ = 0;   ///< Taken from the budget.
+    int denied_ = 0;    ///< The budget had none left.
+    int notSent_ = 0;   ///< Further sends of requests that had not reached an endpoint.
+    int forwarded_ = 0; ///< Further sends through a peer that took nothing from the budget.
+
+    bool hasFurtherSends() const noexcept
+    {
+        return retries_ + denied_ + notSent_ + forwarded_ > 0;
+    }
+};
+
 class RetryBudget
 {
 public:
@@ -30,6 +46,11 @@
     bool take(TimePoint now);
     /** Retries that are left in the window that ends now. */
     double left(TimePoint now);
+    int instances() const noexcept { return instances_; }
+
+    void onNotSent() { ++counts_.notSent_; }
+    void onForwarded() { ++counts_.forwarded_; }
+    RetryCounts takeCounts() { return std::exchange(counts_, {}); }
 
 private:
     struct Slice
@@ -44,6 +65,7 @@
     RetryBudgetLimits limits_;
     int instances_ = 1;
     std::deque<Slice> slices_;
+    RetryCounts counts_;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -449,6 +449,9 @@
     if (!peer || sends_ >= maxSends_ || excludedPeers_.size() >= maxAsked) {
         return false;
     }
+    if (attempts_ > 0) {
+        gateway_.budget(context_.service_).onForwarded();
+    }
     ++sends_;
     attempt_ = {};
     attempt_.peer_ = peer->id_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -642,10 +642,34 @@
     }
 }
 
+void GatewayState::logRetries(TimePoint now)
+{
+    if (now < retriesLoggedAt_ + millis(settings_.retryBudget_.windowMillis_)) {
+        return;
+    }
+    retriesLoggedAt_ = now;
+    for (auto &[service, budget] : budgets_) {
+        const RetryCounts counts = budget.takeCounts();
+        if (counts.hasFurtherSends()) {
+            logEvent(LogLevel::Info, "retry_budget",
+                     {{"service", service.value()},
+                      {"instances", budget.instances()},
+                      {"age_ms", toMillis(now - startedAt_)},
+                      {"requests", counts.requests_},
+                      {"retries", counts.retries_},
+                      {"denied", counts.denied_},
+                      {"not_sent", counts.notSent_},
+                      {"forwarded", counts.forwarded_},
+                      {"left", budget.left(now)}});
+        }
+    }
+}
+
 void GatewayState::logOutliers()
 {
     const TimePoint now = BootClock::now();
     outlierTimer_.startAt(now + OutlierLogInterval, [this] { logOutliers(); });
+    logRetries(now);
     std::set<EndpointId> present;
     for (const Endpoint *endpoint : table_.outliers(now)) {
         const EndpointId &id = endpoint->listed_.id_;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -65,6 +65,8 @@
     void sampleEndpoints(TimePoint now);
     void onConnectResult(const EndpointId &id, bool connected);
     void onReachChanged(Reach before);
+    /** Logs, once in a window of the retry budget, what was sent beyond the first attempts. */
+    void logRetries(TimePoint now);
     /** Logs the endpoints that were ejected as outliers, or taken back, since the last call. */
     void logOutliers();
     /** Destroys a call from the event loop, as the caller is one of its functions. */
@@ -100,6 +102,8 @@
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
     async::Timer outlierTimer_;
+    TimePoint startedAt_ = BootClock::now();
+    TimePoint retriesLoggedAt_ = startedAt_;
     std::set<EndpointId> outliers_; ///< As of the last logOutliers().
     int instances_ = 1;             ///< That share budgets and connection limits.
 };
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -334,6 +334,7 @@
         giveUp("engine-unreachable");
         return;
     }
+    gateway_.budget(context_.service_).onNotSent();
     wasPrefill ? place() : continueElsewhere();
 }
 
--- a/libs/gateway/src/retrybudget.cpp
+++ b/libs/gateway/src/retrybudget.cpp
@@ -39,6 +39,7 @@
 void RetryBudget::onRequest(TimePoint now)
 {
     current(now).requests_ += 1;
+    ++counts_.requests_;
 }
 
 double RetryBudget::left(TimePoint now)
@@ -57,9 +58,11 @@
 bool RetryBudget::take(TimePoint now)
 {
     if (left(now) < 1) {
+        ++counts_.denied_;
         return false;
     }
     current(now).retries_ += 1;
+    ++counts_.retries_;
     return true;
 }
 
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -129,7 +129,12 @@
     if (failure == async::ExchangeFailure::NotSent) {
         --runs_;
         excludeEndpoint(HealthSignal::Unreachable);
-        canTryAnotherEndpoint() ? sendNext() : giveUp();
+        if (!canTryAnotherEndpoint()) {
+            giveUp();
+            return;
+        }
+        gateway_.budget(context_.service_).onNotSent();
+        sendNext();
         return;
     }
     reportExecutionStart(attempt_.sentAt_);
