Parts of the retry budget don't grow when instances leave

Instances that leave, or whose entries lapse, have spent their parts in the same window in which the others divide the constant by fewer. The constant is divided by the largest number of instances of the last ten to twenty minutes: longer than 2,000 instances take to write their entries again after all have lapsed (400 s). What it costs: a fleet that shrinks for good uses less of the constant for that time.

--- a/libs/gateway/include/almondridge/gateway/retrybudget.h
+++ b/libs/gateway/include/almondridge/gateway/retrybudget.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "almondridge/base/time.h"
+#include "almondridge/gateway/recentmaximum.h"
 
 #include <deque>
 #include <utility>
@@ -43,14 +44,19 @@
     /** startedAt: when the process of this instance started. */
     RetryBudget(const RetryBudgetLimits &limits, TimePoint startedAt);
 
-    /** Upper bound of the number of instances; the constant is divided by it. */
-    void setInstances(int count);
+    /**
+     * The number of instances, by which the constant is divided; until it is known, this instance
+     * has no part of it. A lower number takes effect late: instances that have left may be back
+     * soon.
+     */
+    void setInstances(int count, TimePoint now);
     void onRequest(TimePoint now);
     /** Spends one retry; false if none is left in the window that ends now. */
     bool take(TimePoint now);
     /** Retries that are left in the window that ends now. */
     double left(TimePoint now);
-    int instances() const noexcept { return instances_; }
+    /** The number that the constant is divided by; 0: unknown. */
+    int instances(TimePoint now) const { return instances_.at(now).value_or(0); }
 
     void onNotSent() { ++counts_.notSent_; }
     void onForwarded() { ++counts_.forwarded_; }
@@ -71,7 +77,7 @@
 
     RetryBudgetLimits limits_;
     TimePoint startedAt_;
-    int instances_ = 1;
+    RecentMaximum instances_;
     std::deque<Slice> slices_;
     RetryCounts counts_;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -303,7 +303,7 @@
     state_->instances_ = std::max(1, count);
     state_->table_.setInstances(state_->instances_);
     for (auto &[service, budget] : state_->budgets_) {
-        budget.setInstances(state_->instances_);
+        budget.setInstances(state_->instances_, BootClock::now());
     }
 }
 
@@ -317,7 +317,7 @@
     const auto [place, added] =
         budgets_.try_emplace(service, settings_.retryBudget_, settings_.startedAt_);
     if (added) {
-        place->second.setInstances(instances_);
+        place->second.setInstances(instances_, BootClock::now());
     }
     return place->second;
 }
@@ -654,7 +654,7 @@
         if (counts.hasFurtherSends()) {
             logEvent(LogLevel::Info, "retry_budget",
                      {{"service", service.value()},
-                      {"instances", budget.instances()},
+                      {"instances", budget.instances(now)},
                       {"age_ms", toMillis(now - settings_.startedAt_)},
                       {"requests", counts.requests_},
                       {"retries", counts.retries_},
--- a/libs/gateway/src/retrybudget.cpp
+++ b/libs/gateway/src/retrybudget.cpp
@@ -14,17 +14,23 @@
 constexpr double UsedShare = 0.75;
 /** Fraction that new processes spend, beside the ones before them. */
 constexpr double NewProcessShare = 0.15;
+/**
+ * After an outage of the store, entries of instances may all lapse at once, and take minutes to be
+ * written again.
+ */
+constexpr Duration InstanceCountPeriod = millis(600'000);
 
 } // namespace
 
 RetryBudget::RetryBudget(const RetryBudgetLimits &limits, TimePoint startedAt)
     : limits_(limits)
     , startedAt_(startedAt)
+    , instances_(InstanceCountPeriod)
 { }
 
-void RetryBudget::setInstances(int count)
+void RetryBudget::setInstances(int count, TimePoint now)
 {
-    instances_ = std::max(1, count);
+    instances_.add(std::max(1, count), now);
 }
 
 RetryBudget::Slice &RetryBudget::current(TimePoint now)
@@ -48,7 +54,8 @@
 /** A new process earns its part with time, so that a series of them earns no more than one. */
 double RetryBudget::partOfConstant(TimePoint now) const
 {
-    const double part = limits_.slack_ / instances_;
+    const auto instances = instances_.at(now);
+    const double part = instances ? limits_.slack_ / *instances : 0;
     return isNew(now) ? NewProcessShare * part * toSeconds(now - startedAt_) / toSeconds(window())
                       : UsedShare * part;
 }
--- a/libs/gateway/tests/decisiontest.cpp
+++ b/libs/gateway/tests/decisiontest.cpp
@@ -83,7 +83,7 @@
     double retries = 0;
     for (int instance = 0; instance < Instances; ++instance) {
         RetryBudget budget({0.2, 58, 10'000}, {});
-        budget.setInstances(Instances);
+        budget.setInstances(Instances, at(0));
         for (int request = 0; request < RequestsEach; ++request) {
             budget.onRequest(at(request * 100LL));
             retries += budget.take(at(request * 100LL)) ? 1 : 0;
@@ -97,6 +97,7 @@
 BOOST_AUTO_TEST_CASE(spentRetriesReturnAfterTheWindow)
 {
     RetryBudget budget({0, 4, 10'000}, {});
+    budget.setInstances(1, at(0));
     BOOST_TEST(budget.take(at(0)));
     BOOST_TEST(budget.take(at(0)));
     BOOST_TEST(budget.take(at(0)));
--- a/libs/gateway/tests/retrybudgettest.cpp
+++ b/libs/gateway/tests/retrybudgettest.cpp
@@ -176,7 +176,7 @@
     {
         constexpr double TicksPerSecond = 1'000.0 / TickMillis;
         Process &process = processes_[index];
-        process.budget_.setInstances(std::max(8, knownInstances(process, now)));
+        process.budget_.setInstances(std::max(8, knownInstances(process, now)), at(now));
         process.due_ += size_.requestsPerSecond_ / TicksPerSecond;
         for (; process.due_ >= 1; process.due_ -= 1) {
             process.budget_.onRequest(at(now));
