An instance has no part of the retry constant before it knows all instances

A process that had started took itself for one of eight, and a moment later for one of its own failure domain, whose entries come first: at 88 instances it had 20 and then 5 retries of a constant of 216, where its part is 1.8. Class: a number that holds while the fleet is small is used as one that holds always. Now the constant counts only once the whole list of instances has been read; the ratio of an instance's own requests counts from the start.

Elsewhere: connection limits of endpoints still use the least number of instances, which only costs connections that endpoints reset.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -75,8 +75,10 @@
     void listEndpoint(const ListedEndpoint &listed);
     /** An endpoint was removed from the endpoint list. */
     void unlistEndpoint(const EndpointId &id);
-    /** Number of instances that share the retry budget and the endpoints' connection limits. */
+    /** Number of known instances; they share the endpoints' connection limits. */
     void setInstances(int count);
+    /** Number of all instances, which share the retry budget; to be called once it is known. */
+    void setRetryBudgetInstances(int count);
     /** The known instances, this one included; they divide limits of endpoints among them. */
     void setMembers(const InstanceId &self, const std::vector<InstanceId> &members);
     /** Sets the instances to which requests can be forwarded; this one may be among them. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -302,8 +302,14 @@
 {
     state_->instances_ = std::max(1, count);
     state_->table_.setInstances(state_->instances_);
+}
+
+void Gateway::setRetryBudgetInstances(int count)
+{
+    const TimePoint now = BootClock::now();
+    state_->budgetInstances_ = count;
     for (auto &[service, budget] : state_->budgets_) {
-        budget.setInstances(state_->instances_, BootClock::now());
+        budget.setInstances(count, now);
     }
 }
 
@@ -316,8 +322,8 @@
 {
     const auto [place, added] =
         budgets_.try_emplace(service, settings_.retryBudget_, settings_.startedAt_);
-    if (added) {
-        place->second.setInstances(instances_, BootClock::now());
+    if (added && budgetInstances_) {
+        place->second.setInstances(*budgetInstances_, BootClock::now());
     }
     return place->second;
 }
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -104,7 +104,8 @@
     async::Timer outlierTimer_;
     TimePoint retriesLoggedAt_ = BootClock::now();
     std::set<EndpointId> outliers_; ///< As of the last logOutliers().
-    int instances_ = 1;             ///< That share budgets and connection limits.
+    int instances_ = 1;             ///< That share connection limits.
+    std::optional<int> budgetInstances_; ///< That share retry budgets.
 };
 
 } // namespace almondridge::gateway
