A prompt that may have been read takes from the retry budget when a peer reads it again

An instance that loses its paths after an engine has read a prompt forwards the request, and the peer has the prompt read anew: a second call of that kind counts as an arrival beyond the first, and took nothing; so did the second peer when the first one's stream broke. Only the first reading of a request is free, whoever asks for it.

--- a/libs/gateway/include/almondridge/gateway/retrybudget.h
+++ b/libs/gateway/include/almondridge/gateway/retrybudget.h
@@ -30,7 +30,7 @@
     int retries_ = 0;   ///< Taken from the budget.
     int denied_ = 0;    ///< The budget had none left.
     int notSent_ = 0;   ///< Further sends of requests that had not reached an endpoint.
-    int forwarded_ = 0; ///< Further sends through a peer that took nothing from the budget.
+    int forwarded_ = 0; ///< Further sends through a peer.
 
     bool hasFurtherSends() const noexcept
     {
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -396,9 +396,14 @@
     return !isFromPeer() && gateway_.reach_.state() != Reach::Connected;
 }
 
+bool Call::hasPeer() const
+{
+    return gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
+}
+
 bool Call::shouldForward() const
 {
-    return seemsCutOff() && gateway_.peers_.choose(excludedPeers_, BootClock::now()).has_value();
+    return seemsCutOff() && hasPeer();
 }
 
 StreamOrigin Call::attemptOrigin() const
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -99,7 +99,9 @@
     void send(const EndpointId &endpoint, DispatchOptions options, std::int64_t promptTokens);
     /** Whether this instance seems to reach no endpoint; a forwarded request isn't forwarded. */
     bool seemsCutOff() const;
-    /** The same, and there is a peer to ask. */
+    /** Whether there is a peer to which the request can be forwarded. */
+    bool hasPeer() const;
+    /** Both: it should be forwarded. */
     bool shouldForward() const;
     /** Whether a peer may have an endpoint for the request where this instance has none. */
     bool mayPeerReachMore() const;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -72,12 +72,18 @@
     }
 }
 
-/** The peer prefills as well; a handle of this instance's prefill expires by itself. */
+/**
+ * The peer prefills as well; a handle of this instance's prefill expires by itself. Only the first
+ * prefill of a request is free.
+ */
 bool ModelCall::forward()
 {
-    if (!sendToPeer(events_.lastEventId())) {
+    const bool isRetry = mayBePrefilled_;
+    if ((isRetry && (!hasPeer() || !acquireRetry())) || !sendToPeer(events_.lastEventId())) {
         return false;
     }
+    mayBePrefilled_ = true;
+    wasPrefilledBefore_ = isRetry;
     handle_.reset();
     phase_ = ModelPhase::Waiting;
     fetchesPrompt_ = false;
@@ -272,6 +278,7 @@
     }
     const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
     prefilledAt_ = BootClock::now();
+    mayBePrefilled_ = true;
     handle_ = PromptHandle {engine->listed_.address_, handle};
     const auto tookMillis = static_cast<double>(toMillis(prefilledAt_ - attempt_.sentAt_));
     if (cacheHitUnknown_) {
@@ -329,6 +336,9 @@
 {
     const bool wasPrefill = phase_ == ModelPhase::Prefilling;
     runs_ -= wasPrefill ? 0 : 1;
+    if (attempt_.peer_) {
+        mayBePrefilled_ = wasPrefilledBefore_;
+    }
     excludeEndpoint(HealthSignal::Unreachable);
     if (!canTryAnotherEndpoint()) {
         giveUp("engine-unreachable");
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -103,6 +103,8 @@
     std::int64_t queuedTokens_ = 0; ///< Queued before this prompt at the engine that prefills.
     bool cacheHitUnknown_ = false; ///< Whether that engine had the shared parts cached was a guess.
     bool fetchesPrompt_ = false;   ///< The attempt fetches a prompt that another engine prefilled.
+    bool mayBePrefilled_ = false;  ///< Some engine may have prefilled the prompt separately.
+    bool wasPrefilledBefore_ = false; ///< The same before the attempt at a peer.
     bool inPlaceOnly_ = false;     ///< The engine that decodes must also prefill.
     bool demandRecorded_ = false;
     bool stalled_ = false;  ///< The attempt's engine has sent nothing for too long.
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -223,6 +223,7 @@
 void ModelCall::onNotRun()
 {
     if (attempt_.peer_) {
+        mayBePrefilled_ = wasPrefilledBefore_;
         onPeerRefused() ? place() : giveUp("peers-refused");
         return;
     }
