A request that an endpoint of a peer has rejected is not forwarded to other peers

A peer whose one endpoint rejected a forwarded request, and that can't reach another one, answered that it is cut off: nothing was sent. The instance then offered the request to the next peer without taking anything from the retry budget, up to eight times. A peer says so only if no endpoint may have got the request; otherwise its refusal is final, with the time after which the caller may return.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -366,6 +366,7 @@
                 gateway_.peers_.onAnswered(*attempt_.peer_);
             }
         } else {
+            mayHaveArrived_ = true;
             gateway_.reach_.onHeard();
             if (!endpointRestarted()) {
                 onAnswerOfEndpoint();
@@ -384,6 +385,7 @@
         endpointTrace_ += ':';
         endpointTrace_ += nameOf(async::ExchangeFailureNames, failure);
         if (failure != async::ExchangeFailure::NotSent) {
+            mayHaveArrived_ = true;
             checkForCrash();
         }
         onAttemptFailed(failure);
@@ -679,9 +681,11 @@
     if (isFromPeer()) {
         const bool hasNone = cause == NoEngineCause || cause == NoEndpointCause;
         const bool isUnreachable =
-            gateway_.reach_.state() != Reach::Connected
-            || (hasNone && gateway_.table_.hasUnreachable(context_.service_));
-        const bool isListOld = cause == VersionGoneCause && !isVersionGone;
+            !mayHaveArrived_
+            && (gateway_.reach_.state() != Reach::Connected
+                || (hasNone && gateway_.table_.hasUnreachable(context_.service_)));
+        const bool isListOld =
+            !mayHaveArrived_ && cause == VersionGoneCause && !isVersionGone;
         response.headers_.push_back(refusalHeader(isUnreachable ? PeerRefusal::CutOff
                                                   : isListOld   ? PeerRefusal::Outdated
                                                                 : PeerRefusal::Final));
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -212,6 +212,7 @@
     int sends_ = 0;                         ///< All attempts that count toward maxSends_.
     int maxSends_ = MaxSends;
     bool mayHaveRun_ = false;                      ///< An attempt may have been executed.
+    bool mayHaveArrived_ = false; ///< An endpoint may have got the request, even if it refused.
     Suspicion suspicion_ = Suspicion::None;        ///< When the request was started.
     std::optional<std::int64_t> retryAfterMillis_; ///< For the caller, if it is refused.
     TimePoint firstByteAt_ {};                     ///< Start of the response stream to the caller.
