Logs: what requests whose connections broke have in common

Keys of the parts that a prompt shares, keyed hashes as those of requests, in a line for each broken connection. No change of decisions; the highest bit of a key now tells parts from requests, so keys of half of the requests differ from those of the version before, until all instances are replaced.

--- a/libs/gateway/include/almondridge/gateway/requestkey.h
+++ b/libs/gateway/include/almondridge/gateway/requestkey.h
@@ -1,6 +1,7 @@
 /**
- * Keyed hash of a request. Equal requests have equal keys, and a key reveals nothing about the
- * request's text, so that it can appear in logs and in messages between instances.
+ * Keyed hash of a request, or of a part of a prompt that requests share. Equal requests have equal
+ * keys, and a key reveals nothing about the request's text, so that it can appear in logs and in
+ * messages between instances.
  */
 #pragma once
 
@@ -22,9 +23,13 @@
     std::string_view account_ {}; ///< Client account; empty if the request has none.
 };
 
-/** HMAC-SHA-256 with the secret that all instances of a deployment share, truncated to 64 bits. */
+/** HMAC-SHA-256 with the secret that all instances of a deployment share, truncated to 63 bits. */
 RequestKey requestKey(std::string_view secret, const RequestIdentity &identity);
 
+/** Key of a part of prompts for a model; differs from the keys of all requests. */
+RequestKey partKey(std::string_view secret, std::string_view model, std::uint64_t part);
+bool isPartKey(RequestKey key);
+
 /** Sixteen hexadecimal digits. */
 std::string toString(RequestKey key);
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -27,6 +27,7 @@
 constexpr Duration HalfOpenSettleTime = millis(1'000);
 /** An endpoint that was silent for this long when the request ended may have crashed. */
 constexpr Duration CrashCheckSilence = millis(1'000);
+constexpr std::size_t MaxLoggedPartsBytes = 1'024;
 /** Interval of lease renewals for long executions; several may be lost before the lease expires. */
 constexpr Duration LeaseRenewalInterval = millis(9'000);
 /** Peers that one request is offered to when several of them are cut off, too. */
@@ -298,10 +299,27 @@
                           BootClock::now());
 }
 
+/** Shows what the requests at an endpoint that crashes have in common. */
+void Call::logBroken() const
+{
+    if (!gateway_.brokenLines_.take(BootClock::now())) {
+        return;
+    }
+    std::string parts;
+    for (const RequestKey part : partKeys()) {
+        parts += (parts.empty() ? "" : ",") + toString(part);
+    }
+    logEvent(LogLevel::Info, "connection_broken",
+             {{"endpoint", attempt_.endpoint_.value()},
+              {"key", toString(key())},
+              {"parts", parts.substr(0, MaxLoggedPartsBytes)}});
+}
+
 /** A broken connection alone doesn't prove a crash, so a new connection is tried. */
 void Call::checkForCrash()
 {
     if (attempt_.exchange_ != 0 && !attempt_.peer_) {
+        logBroken();
         gateway_.crashes_.onConnectionBroken(attempt_.endpoint_, attempt_.lifetime_, key());
     }
 }
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -26,6 +26,7 @@
     async::ServerCall request_;
     RequestInfo requestInfo_;
     RequestKey key_ {};                    ///< Equal for equal requests.
+    std::vector<RequestKey> partKeys_ {};  ///< Of the parts that its prompt shares with others.
     std::shared_ptr<const Config> config_; ///< In force when the request arrived; owns route_.
     const Route *route_ = nullptr;
     AccessResult access_ {};                ///< The account that made the request.
@@ -71,6 +72,7 @@
     virtual void onWritten() { }
 
     RequestKey key() const noexcept { return context_.key_; }
+    const std::vector<RequestKey> &partKeys() const noexcept { return context_.partKeys_; }
     /** Whether an attempt at this lifetime of the endpoint is in progress. */
     bool isRunningOn(const EndpointId &endpoint, std::uint64_t lifetime) const noexcept;
 
@@ -224,6 +226,7 @@
     std::string versionTrace_;  ///< Versions of these endpoints.
 
 private:
+    void logBroken() const;
     /** Makes the first attempt, or first finds out where the stream to be resumed began. */
     void begin();
     bool resumesStream() const;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -23,6 +23,9 @@
 /** Limits log lines on changed endpoints: a full list has thousands, and one log line in total. */
 constexpr int MaxEndpointLines = 200;
 constexpr Duration EndpointLogWindow = millis(10'000);
+/** Limits log lines on requests whose connections to endpoints broke. */
+constexpr int MaxBrokenLines = 100;
+constexpr Duration BrokenLogWindow = millis(10'000);
 constexpr std::size_t MaxIdlePeerConnections = 64;
 /** Requests that peers forward are taken up to this many, and this multiple of callers' own. */
 constexpr int MinPeerCalls = 64;
@@ -44,6 +47,7 @@
     , unknownKeysTimer_(loop)
     , denialLines_(MaxDenialLines, DenialLogWindow)
     , endpointLines_(MaxEndpointLines, EndpointLogWindow)
+    , brokenLines_(MaxBrokenLines, BrokenLogWindow)
     , traffic_(dialect, table_, metrics_)
     , random_(std::random_device {}())
     , probeTimer_(loop)
@@ -475,6 +479,21 @@
     }
 }
 
+/** The last part of a prompt belongs to the request alone. */
+std::vector<RequestKey> GatewayState::sharedPartKeys(const RequestInfo &request) const
+{
+    std::vector<RequestKey> keys;
+    if (request.prompt_ && !request.prompt_->parts_.empty()) {
+        const std::vector<PromptPart> &parts = request.prompt_->parts_;
+        keys.reserve(parts.size() - 1);
+        std::transform(parts.begin(), parts.end() - 1, std::back_inserter(keys),
+                       [&](const PromptPart &part) {
+                           return partKey(settings_.keySecret_, request.prompt_->model_, part.id_);
+                       });
+    }
+    return keys;
+}
+
 void GatewayState::startCall(async::ServerCall request, const Route &route, AccessResult result,
                              const Credentials &credentials)
 {
@@ -484,6 +503,7 @@
         requestKey(settings_.keySecret_,
                    {net::headerValue(request.head_.headers_, "Host"), request.head_.method_,
                     request.head_.target_, request.body_, result.account_.id_.value()});
+    context.partKeys_ = sharedPartKeys(context.requestInfo_);
     context.request_ = std::move(request);
     context.config_ = config_;
     context.route_ = &route;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -38,6 +38,7 @@
     void admit(async::ServerCall request, const Credentials &credentials);
     bool mayConfigBeStale(TimePoint now) const;
     void refuseUnrouted(const async::ServerCall &request);
+    std::vector<RequestKey> sharedPartKeys(const RequestInfo &request) const;
     /** Creates and starts the call of an admitted request. */
     void startCall(async::ServerCall request, const Route &route, AccessResult result,
                    const Credentials &credentials);
@@ -89,6 +90,7 @@
     async::Timer unknownKeysTimer_;
     LogRateLimiter denialLines_;
     LogRateLimiter endpointLines_;
+    LogRateLimiter brokenLines_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
--- a/libs/gateway/src/requestkey.cpp
+++ b/libs/gateway/src/requestkey.cpp
@@ -19,6 +19,20 @@
     text += field;
 }
 
+/** Set in the keys of parts alone. */
+constexpr std::uint64_t PartBit = std::uint64_t {1} << 63U;
+
+std::uint64_t keyedHash(std::string_view secret, std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned int size = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
+    std::uint64_t number = 0;
+    std::memcpy(&number, digest.data(), sizeof number);
+    return number;
+}
+
 } // namespace
 
 RequestKey requestKey(std::string_view secret, const RequestIdentity &identity)
@@ -31,13 +45,20 @@
     if (!identity.account_.empty()) {
         addField(text, identity.account_);
     }
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned int size = 0;
-    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-         reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
-    std::uint64_t number = 0;
-    std::memcpy(&number, digest.data(), sizeof number);
-    return static_cast<RequestKey>(number);
+    return static_cast<RequestKey>(keyedHash(secret, text) & ~PartBit);
+}
+
+RequestKey partKey(std::string_view secret, std::string_view model, std::uint64_t part)
+{
+    std::string text;
+    addField(text, model);
+    addField(text, std::to_string(part));
+    return static_cast<RequestKey>(keyedHash(secret, text) | PartBit);
+}
+
+bool isPartKey(RequestKey key)
+{
+    return (static_cast<std::uint64_t>(key) & PartBit) != 0;
 }
 
 std::string toString(RequestKey key)
--- a/libs/gateway/tests/retrybudgettest.cpp
+++ b/libs/gateway/tests/retrybudgettest.cpp
@@ -35,9 +35,9 @@
     {
         double worst = -slack;
         for (std::ptrdiff_t from = 0; from < static_cast<std::ptrdiff_t>(retries_.size()); ++from) {
-            const int requests = std::max({sum(requests_, from),
-                                           sum(requests_, from - WindowTicks / 2),
-                                           sum(requests_, from - WindowTicks)});
+            const int requests =
+                std::max({sum(requests_, from), sum(requests_, from - WindowTicks / 2),
+                          sum(requests_, from - WindowTicks)});
             worst = std::max(worst, sum(retries_, from) - Ratio * requests - slack);
         }
         return worst;
@@ -126,9 +126,9 @@
     Process process(std::int64_t now) const
     {
         // Those that run from the beginning have run before.
-        return {RetryBudget({Ratio, size_.slack_, WindowMillis},
-                            now > 0 ? at(now) : at(-WindowMillis)),
-                now};
+        return {
+            RetryBudget({Ratio, size_.slack_, WindowMillis}, now > 0 ? at(now) : at(-WindowMillis)),
+            now};
     }
 
     void start(std::int64_t now) { processes_.push_back(process(now)); }
@@ -140,7 +140,9 @@
         }
         if (restarts_ == Restarts::Left) {
             if (now == RefusedFrom + RestartInterval) {
-                processes_.erase(processes_.begin(), processes_.begin() + static_cast<std::ptrdiff_t>(processes_.size() / 2));
+                processes_.erase(processes_.begin(),
+                                 processes_.begin()
+                                     + static_cast<std::ptrdiff_t>(processes_.size() / 2));
             }
             return;
         }
@@ -166,8 +168,8 @@
         if (process.startedAt_ > 0 && age < AllKnownAfter) {
             return 0;
         }
-        const bool hasLeavers =
-            restarts_ == Restarts::Stopped && restartedAt_ > 0 && now < restartedAt_ + AllKnownAfter;
+        const bool hasLeavers = restarts_ == Restarts::Stopped && restartedAt_ > 0
+                                && now < restartedAt_ + AllKnownAfter;
         return hasLeavers ? all / 2 : all;
     }
 
@@ -212,8 +214,7 @@
     {9, 16, 58}, {88, 2.7, 216}, {985, 11, 2'000}, {2'000, 11, 4'000}};
 
 /** The same with so few requests that the constant is most of the budget. */
-const std::vector<FleetSize> QuietSizes {
-    {88, 1, 2'000}, {985, 1, 20'000}, {2'000, 1, 40'000}};
+const std::vector<FleetSize> QuietSizes {{88, 1, 2'000}, {985, 1, 20'000}, {2'000, 1, 40'000}};
 
 constexpr int MaxRetries = 4;
 /** Enough to use up the constant. */
@@ -253,7 +254,8 @@
     }
 }
 
-/** Guards against new instances that spend more than the others, which don't know them yet, leave. */
+/** Guards against new instances that spend more than the others, which don't know them yet, leave.
+ */
 BOOST_AUTO_TEST_CASE(instancesThatAreAddedKeepToTheCommonBudget)
 {
     for (const FleetSize &size : Sizes) {
