A part of prompts that crashes endpoints is blamed, whatever else a request holds

Callers lost their streams each time an engine crashed, and 24 engines crashed one after the other: requests that share one part, no two alike, were each held for new. Cause: crashes were held against single requests only; class: a query of death whose identity is not the request but what requests share.

Parts are held to account as requests are, with these differences. All crashes of one moment count as one, as a popular part is at most engines. Whole answers clear the parts that they hold; a prefill or an error answer clears none; a part that was sound in the last 30 s has to be seen at five crashes rather than three. A crash is held against the key that has the most, and then against no other; parts with the very same crashes are refused only together, so that requests with one of them tell them apart. A single crash of a part is reported to two instances, which tell everybody once there are two: all parts of long prompts would otherwise be told to all. A quarantine now doubles with each crash long after the one before, that is, of a trial run, rather than with each crash.

--- a/libs/gateway/include/almondridge/gateway/crashevidence.h
+++ b/libs/gateway/include/almondridge/gateway/crashevidence.h
@@ -1,13 +1,19 @@
 /**
- * Detects queries of death: requests that crash the endpoints that run them. Combines what this
- * instance and its peers observe. No I/O and no clock: crashes of endpoints, completed runs, peers'
- * updates and the current time are inputs.
+ * Detects queries of death: requests that crash the endpoints that run them, or parts of prompts
+ * that do so whatever else a request holds. Combines what this instance and its peers observe. No
+ * I/O and no clock: crashes of endpoints, completed runs, peers' updates and the current time are
+ * inputs.
  *
  * A crash cuts all requests on the endpoint, so a single crash says little about each of them. What
- * counts is the number of crashes at which a request was in flight without a completed run anywhere
- * since, each weighted by how unlikely the crash was without it: of eleven endpoints that do the
- * same work one seldom crashes alone, but if four crash at once, many requests are at one of them
- * by chance.
+ * counts is the number of crashes at which a key (a request's or a part's) was in flight without a
+ * completed run anywhere since, each weighted by how unlikely the crash was without it: of eleven
+ * endpoints that do the same work one seldom crashes alone, but if four crash at once, many
+ * requests are at one of them by chance. A popular part is at most endpoints, so for parts all
+ * crashes of one moment count as one.
+ *
+ * A crash is held against the key with the most crashes, and no longer against others that were in
+ * flight there. Of several parts with the same crashes it isn't known which one is to blame: only
+ * requests that have all of them are refused, and others soon tell the parts apart.
  */
 #pragma once
 
@@ -61,8 +67,9 @@
 struct Assessment
 {
     Suspicion level_ = Suspicion::None;
-    int crashes_ = 0;
-    double weight_ = 0; ///< Sum over these crashes; 1 for each that nothing else explains.
+    RequestKey key_ {}; ///< Of the request or part that is suspected; its lease allows a run.
+    int crashes_ = 0;   ///< For a part, moments with crashes.
+    double weight_ = 0; ///< Sum over these; 1 for each that nothing else explains.
     TimePoint firstCrashAt_ {};
     TimePoint lastCrashAt_ {};
     TimePoint quarantinedUntil_ {};
@@ -105,10 +112,17 @@
     bool empty() const noexcept { return crashes_.empty() && cleared_.empty() && leases_.empty(); }
 };
 
+/** A part was in flight at an endpoint that crashed. */
+struct PartReport
+{
+    RequestKey part_ {};
+    CrashUpdate::Crash crash_; ///< With the part in flight.
+};
+
 class CrashEvidence
 {
 public:
-    /** An endpoint crashed while these requests were in flight at it. */
+    /** An endpoint crashed while requests and parts with these keys were in flight at it. */
     void onCrash(const EndpointCrash &crash, const std::vector<RequestKey> &inFlight,
                  TimePoint now);
     /**
@@ -116,8 +130,12 @@
      * any.
      */
     bool onCompleted(RequestKey key, TimePoint now);
+    /** The same for all its keys. */
+    bool onCompleted(const RequestKeys &keys, TimePoint now);
     void onUpdate(const CrashUpdate &update, TimePoint now);
 
+    Assessment assess(const RequestKeys &request, TimePoint now) const;
+    /** The same for a request without shared parts. */
     Assessment assess(RequestKey key, TimePoint now) const;
 
     /**
@@ -135,6 +153,11 @@
 
     /** The update to send in this gossip round; each item is part of a few rounds. */
     CrashUpdate takeUpdate(TimePoint now);
+    /**
+     * Crashes that this instance has seen with parts in flight, for the instances that gather the
+     * reports on the part: it would take too long to tell all instances of every part.
+     */
+    std::vector<PartReport> takePartReports(TimePoint now);
     /** The most suspicious requests and their leases, for instances that missed updates. */
     CrashUpdate mostSuspicious(TimePoint now) const;
     /** All crashes at which this request was in flight. */
@@ -157,12 +180,29 @@
         EndpointCrash crash_;
         int roundsLeft_ = 0;
     };
-    /** A request was in flight at an endpoint that crashed. */
+    /** A key was in flight at an endpoint that crashed. */
     struct Occurrence
     {
         CrashKey crash_ {};
         TimePoint learnedAt_ {};
         int roundsLeft_ = 0;
+        int reportsLeft_ = 0; ///< For takePartReports().
+    };
+    /** Crashes that count against a key. */
+    struct Tally
+    {
+        std::vector<CrashKey> crashes_; ///< In their order in time.
+        int count_ = 0;                 ///< For a part, moments with crashes.
+        int afterPause_ = 0;            ///< Of these, how many came long after the one before.
+        double weight_ = 0;
+        TimePoint firstAt_ {};
+        TimePoint lastAt_ {};
+    };
+    /** Keys with the same crashes, which are held against them and no others. */
+    struct Blame
+    {
+        std::vector<RequestKey> keys_; ///< Sorted.
+        Tally tally_;
     };
     struct Suspect
     {
@@ -178,14 +218,29 @@
         int roundsLeft_ = 0;
     };
 
+    enum class Source {
+        Own,       ///< This instance has seen the crash.
+        Report,    ///< A peer's report on a part, sent to few instances.
+        Everybody, ///< Told to all instances.
+    };
+
     bool addCrash(const EndpointCrash &crash);
-    void addOccurrence(RequestKey key, CrashKey crash, TimePoint now);
+    void addOccurrence(RequestKey key, CrashKey crash, TimePoint now, Source source);
+    bool isCleared(RequestKey key, TimePoint crashedAt, Source source);
     void clear(RequestKey key, TimePoint at);
     double weightOf(const Suspect &suspect, const EndpointCrash &crash) const;
-    Assessment assess(const Suspect &suspect, TimePoint now) const;
+    /** Leaves out the crashes for which others are blamed. */
+    Tally tally(RequestKey key, const Suspect &suspect) const;
+    bool isBlamedOnOthers(CrashKey crash, RequestKey key) const;
+    bool isEnoughToBlame(RequestKey key, const Suspect &suspect, const Tally &tally) const;
+    void updateBlames();
+    const Blame *blameOf(RequestKey key) const;
+    static Assessment assessBlame(const Blame &blame, RequestKey key, TimePoint now);
+    /** Of one key alone. */
+    Assessment assessKey(RequestKey key, const Suspect &suspect, TimePoint now) const;
     bool isRenewed(const RunLease &known, const RunLease &received) const;
     bool isLive(const RunLease &lease, TimePoint now) const;
-    bool isWorthReporting(const Suspect &suspect, const Occurrence &occurrence,
+    bool isWorthReporting(RequestKey key, const Suspect &suspect, const Occurrence &occurrence,
                           TimePoint now) const;
     void reportOccurrences(Suspect &suspect, RequestKey key, TimePoint now, CrashUpdate &update);
     void reportCrash(const EndpointCrash &crash, std::optional<RequestKey> inFlight, TimePoint now,
@@ -198,6 +253,8 @@
     std::map<CrashKey, KnownCrash> crashes_;
     std::multimap<TimePoint, CrashKey> crashesByTime_;
     std::unordered_map<RequestKey, Suspect> suspects_;
+    std::vector<Blame> blames_;
+    std::map<CrashKey, std::size_t> blamed_; ///< Index in blames_ of the keys it is held against.
     std::map<RequestKey, KnownLease> leases_;
     std::vector<RequestKey> clearedKeys_; ///< For takeChanges().
     /** Recently completed runs: updates about crashes before them may arrive late. */
--- a/libs/gateway/include/almondridge/gateway/crashgossip.h
+++ b/libs/gateway/include/almondridge/gateway/crashgossip.h
@@ -5,6 +5,10 @@
  * Each item is sent in a few rounds: to all peers in a small fleet, and in a large one to a few
  * random peers per round, which forward it. An instance that misses all these rounds (network
  * partition, restart) catches up from the periodic updates on the most suspicious requests.
+ *
+ * Prompts have many parts, and most are seen at one crash by chance. So a single crash of a part is
+ * reported to two instances only, the same ones for all reports on this part, and everybody is told
+ * once these know of crashes at two moments.
  */
 #pragma once
 
@@ -42,6 +46,8 @@
                              std::vector<MeshDatagram> &out);
 
 private:
+    void sendPartReports(TimePoint now, std::vector<MeshDatagram> &out);
+
     CrashEvidence &evidence_;
     InstanceId self_;
     GossipPeers peers_;
--- a/libs/gateway/include/almondridge/gateway/gossippeers.h
+++ b/libs/gateway/include/almondridge/gateway/gossippeers.h
@@ -25,6 +25,11 @@
     bool empty() const noexcept { return peers_.empty(); }
     bool contains(const InstanceId &id) const;
 
+    /**
+     * At most that many peers, the same ones at all instances but for the instance itself: the
+     * first ones for the key by rendezvous hashing.
+     */
+    std::vector<InstanceId> firstFor(std::uint64_t key, std::size_t count) const;
     /** At most that many random peers. */
     std::vector<InstanceId> sample(std::size_t max);
     /** All peers of a small fleet, otherwise fanout random ones. */
@@ -34,6 +39,7 @@
     InstanceId self_;
     std::mt19937_64 random_;
     std::vector<InstanceId> peers_;
+    std::vector<std::uint64_t> hashes_; ///< Of the names of peers_.
 };
 
 /** Appends a datagram to each of the receivers. */
--- a/libs/gateway/include/almondridge/gateway/requestkey.h
+++ b/libs/gateway/include/almondridge/gateway/requestkey.h
@@ -8,11 +8,19 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace almondridge::gateway {
 
 enum class RequestKey : std::uint64_t {};
 
+/** What a request has in common with others. */
+struct RequestKeys
+{
+    RequestKey own_ {};
+    std::vector<RequestKey> parts_ {}; ///< Of the parts that its prompt shares with others.
+};
+
 /** The fields that make two requests equal: the bytes for the endpoint and the client account. */
 struct RequestIdentity
 {
--- a/libs/gateway/include/almondridge/gateway/retrybudget.h
+++ b/libs/gateway/include/almondridge/gateway/retrybudget.h
@@ -32,10 +32,7 @@
     int notSent_ = 0;   ///< Further sends of requests that had not reached an endpoint.
     int forwarded_ = 0; ///< Further sends through a peer.
 
-    bool hasFurtherSends() const noexcept
-    {
-        return retries_ + denied_ + notSent_ + forwarded_ > 0;
-    }
+    bool hasFurtherSends() const noexcept { return retries_ + denied_ + notSent_ + forwarded_ > 0; }
 };
 
 class RetryBudget
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -38,6 +38,7 @@
 constexpr Duration OriginQueryInterval = millis(50);
 /** A caller abandons a stream after seconds without events; a refusal lets it try elsewhere. */
 constexpr Duration OriginQueryTime = millis(250);
+constexpr int FirstNotSuccess = 300;
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
 
@@ -91,7 +92,7 @@
         begin();
         return;
     }
-    const Assessment assessment = gateway_.crashes_.assess(key());
+    const Assessment assessment = gateway_.crashes_.assess(keys());
     switch (assessment.level_) {
     case Suspicion::Quarantined:
         refuseQuarantined(assessment);
@@ -207,10 +208,11 @@
 {
     const TimePoint now = BootClock::now();
     const bool halfOpen = assessment.level_ == Suspicion::HalfOpen;
-    if (leaseSettledAt_ == TimePoint {} && gateway_.crashes_.acquireLease(key())) {
+    if (leaseSettledAt_ == TimePoint {} && gateway_.crashes_.acquireLease(assessment.key_)) {
+        leaseKey_ = assessment.key_;
         leaseSettledAt_ = now + (halfOpen ? HalfOpenSettleTime : LeaseSettleTime);
     } else if (leaseSettledAt_ != TimePoint {} && now >= leaseSettledAt_) {
-        if (gateway_.crashes_.holdsLease(key())) {
+        if (gateway_.crashes_.holdsLease(leaseKey_)) {
             suspicion_ = Suspicion::Strong;
             scheduleLeaseRenewal();
             begin();
@@ -227,7 +229,7 @@
 
 void Call::scheduleLeaseRenewal()
 {
-    gateway_.crashes_.renewLease(key());
+    gateway_.crashes_.renewLease(leaseKey_);
     startRetryTimer_.startAt(BootClock::now() + LeaseRenewalInterval,
                              [this] { scheduleLeaseRenewal(); });
 }
@@ -250,7 +252,7 @@
     const TimePoint now = BootClock::now();
     logEvent(LogLevel::Warning, "request_quarantined",
              {{"id", requestInfo().requestId_},
-              {"key", toString(key())},
+              {"key", toString(assessment.key_)},
               {"crashes", assessment.crashes_},
               {"weight", assessment.weight_},
               {"first_crash_ms", toMillis(now - assessment.firstCrashAt_)},
@@ -267,7 +269,7 @@
 
 bool Call::isQuarantined() const
 {
-    const Suspicion level = gateway_.crashes_.assess(key()).level_;
+    const Suspicion level = gateway_.crashes_.assess(keys()).level_;
     return level == Suspicion::Quarantined || (level == Suspicion::HalfOpen && !started_);
 }
 
@@ -306,7 +308,7 @@
         return;
     }
     std::string parts;
-    for (const RequestKey part : partKeys()) {
+    for (const RequestKey part : keys().parts_) {
         parts += (parts.empty() ? "" : ",") + toString(part);
     }
     logEvent(LogLevel::Info, "connection_broken",
@@ -320,7 +322,7 @@
 {
     if (attempt_.exchange_ != 0 && !attempt_.peer_) {
         logBroken();
-        gateway_.crashes_.onConnectionBroken(attempt_.endpoint_, attempt_.lifetime_, key());
+        gateway_.crashes_.onConnectionBroken(attempt_.endpoint_, attempt_.lifetime_, keys());
     }
 }
 
@@ -702,8 +704,7 @@
             !mayHaveArrived_
             && (gateway_.reach_.state() != Reach::Connected
                 || (hasNone && gateway_.table_.hasUnreachable(context_.service_)));
-        const bool isListOld =
-            !mayHaveArrived_ && cause == VersionGoneCause && !isVersionGone;
+        const bool isListOld = !mayHaveArrived_ && cause == VersionGoneCause && !isVersionGone;
         response.headers_.push_back(refusalHeader(isUnreachable ? PeerRefusal::CutOff
                                                   : isListOld   ? PeerRefusal::Outdated
                                                                 : PeerRefusal::Final));
@@ -737,6 +738,12 @@
     finish(Outcome::Failed, status, cause);
 }
 
+/** An error says nothing about the parts of the prompt: it needn't have been read. */
+RequestKeys Call::answeredKeys(int status) const
+{
+    return status < FirstNotSuccess ? keys() : RequestKeys {key(), {}};
+}
+
 void Call::finish(Outcome outcome, int status, std::string_view cause)
 {
     if (finished_) {
@@ -747,16 +754,16 @@
     attemptTimer_.stop();
     startRetryTimer_.stop();
     if (outcome == Outcome::Answered && status < FirstServerError) {
-        gateway_.crashes_.onCompleted(key());
+        gateway_.crashes_.onCompleted(answeredKeys(status));
     } else if (leaseSettledAt_ != TimePoint {} && (outcome == Outcome::Refused || !started_)) {
-        gateway_.crashes_.releaseLease(key());
+        gateway_.crashes_.releaseLease(leaseKey_);
     }
     const TimePoint now = BootClock::now();
     const TimePoint arrivedAt = context_.request_.startedAt_;
     const LogLevel level = outcome == Outcome::Answered ? LogLevel::Info : LogLevel::Warning;
     logEvent(level, "request",
              {{"id", requestInfo().requestId_},
-              {"key", toString(context_.key_)},
+              {"key", toString(key())},
               {"account", context_.access_.account_.id_.value()},
               {"route", route().name_},
               {"service", context_.service_.value()},
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -25,8 +25,7 @@
 {
     async::ServerCall request_;
     RequestInfo requestInfo_;
-    RequestKey key_ {};                    ///< Equal for equal requests.
-    std::vector<RequestKey> partKeys_ {};  ///< Of the parts that its prompt shares with others.
+    RequestKeys keys_ {};
     std::shared_ptr<const Config> config_; ///< In force when the request arrived; owns route_.
     const Route *route_ = nullptr;
     AccessResult access_ {};                ///< The account that made the request.
@@ -71,8 +70,8 @@
     /** Bytes of a streamed response were written to the caller. */
     virtual void onWritten() { }
 
-    RequestKey key() const noexcept { return context_.key_; }
-    const std::vector<RequestKey> &partKeys() const noexcept { return context_.partKeys_; }
+    RequestKey key() const noexcept { return context_.keys_.own_; }
+    const RequestKeys &keys() const noexcept { return context_.keys_; }
     /** Whether an attempt at this lifetime of the endpoint is in progress. */
     bool isRunningOn(const EndpointId &endpoint, std::uint64_t lifetime) const noexcept;
 
@@ -157,7 +156,7 @@
     void checkForCrash();
     /** The same if the endpoint has been silent for long when the request ends. */
     void checkForCrashIfSilent();
-    /** Whether equal requests have crashed too many endpoints for another attempt. */
+    /** Whether equal requests, or others with its parts, have crashed too many endpoints. */
     bool isQuarantined() const;
     /**
      * The endpoint where a crash caused by this request would affect the fewest other requests.
@@ -213,7 +212,7 @@
     int runs_ = 0;                          ///< Attempts that may have been executed.
     int sends_ = 0;                         ///< All attempts that count toward maxSends_.
     int maxSends_ = MaxSends;
-    bool mayHaveRun_ = false;                      ///< An attempt may have been executed.
+    bool mayHaveRun_ = false;     ///< An attempt may have been executed.
     bool mayHaveArrived_ = false; ///< An endpoint may have got the request, even if it refused.
     Suspicion suspicion_ = Suspicion::None;        ///< When the request was started.
     std::optional<std::int64_t> retryAfterMillis_; ///< For the caller, if it is refused.
@@ -227,6 +226,8 @@
 
 private:
     void logBroken() const;
+    /** The keys for which an answer with that status shows that they crash no endpoint. */
+    RequestKeys answeredKeys(int status) const;
     /** Makes the first attempt, or first finds out where the stream to be resumed began. */
     void begin();
     bool resumesStream() const;
@@ -258,6 +259,7 @@
     async::Timer deadlineTimer_;
     async::Timer attemptTimer_;
     async::Timer startRetryTimer_; ///< Next call of tryStart(), or next renewal of the lease.
+    RequestKey leaseKey_ {};       ///< Of the lease to run, if there is one.
     TimePoint leaseSettledAt_ {};  ///< Competing claims for the run lease are known by then.
     int attempts_ = 0;
     bool started_ = false;        ///< begin() was called.
--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -11,6 +11,9 @@
 constexpr int CrashesToQuarantine = 3;
 /** Low enough for three crashes even if other crashes coincide with some of them. */
 constexpr double WeightToQuarantine = 2.0;
+/** A part that was sound shortly before has to be seen more often. */
+constexpr int CrashesToBlameSoundPart = 5;
+constexpr Duration SoundPartMemory = millis(30'000);
 constexpr int CrashesToSuspect = 2;
 constexpr double WeightToSuspect = 1.3;
 /** A request with one crash of less weight is neither suspected nor reported to peers. */
@@ -31,16 +34,20 @@
 constexpr Duration LeaseLifetime = millis(30'000);
 /** Upper bound of the time that an update takes, by which derived crash times may be late. */
 constexpr Duration MessageDelay = millis(500);
-constexpr Duration CompletedRetention = millis(10'000);
+constexpr Duration CompletedRetention = SoundPartMemory;
+/** A crash so long after the one before was that of a trial run after a quarantine. */
+constexpr Duration PauseBeforeTrial = FirstQuarantine / 2;
 
 constexpr std::size_t MaxSuspects = 4'096;
 constexpr std::size_t MaxCrashes = 4'096;
-constexpr std::size_t MaxOccurrences = 8; ///< Per request.
+constexpr std::size_t MaxOccurrences = 32; ///< Per key.
 constexpr std::size_t MaxCompleted = 4'096;
 constexpr std::size_t MaxLeases = 256;
 
 /** Gossip rounds in which an item is sent to some peers. */
 constexpr int GossipRounds = 4;
+/** Times that a report on a part is sent, as a datagram may be lost. */
+constexpr int PartReportRounds = 2;
 /** Numbers in one update, so that it fits into one packet. */
 constexpr std::size_t MaxNumbersPerUpdate = 90;
 
@@ -81,19 +88,38 @@
     return false;
 }
 
-void CrashEvidence::addOccurrence(RequestKey key, CrashKey crash, TimePoint now)
+/** Whether a run that completed since, or just before, shows that the key isn't to blame. */
+bool CrashEvidence::isCleared(RequestKey key, TimePoint crashedAt, Source source)
 {
-    const TimePoint crashedAt = crashes_.at(crash).crash_.at_;
     const auto completed = completed_.find(key);
-    if (completed != completed_.end() && crashedAt <= completed->second + MessageDelay) {
+    const auto known = suspects_.find(key);
+    const bool here =
+        completed != completed_.end() && crashedAt <= completed->second + MessageDelay;
+    const bool anywhere = known != suspects_.end() && known->second.clearedAt_ != TimePoint {}
+                          && crashedAt <= known->second.clearedAt_ + MessageDelay;
+    if (isPartKey(key) && source != Source::Everybody) {
+        return here || anywhere; // Nobody else has this crash of the part.
+    }
+    if (here) {
         clear(key, completed->second);
+    }
+    if (here || anywhere) {
         suspects_[key].clearedRoundsLeft_ = GossipRounds; // Tells the sender about the run.
+    }
+    return here || anywhere;
+}
+
+void CrashEvidence::addOccurrence(RequestKey key, CrashKey crash, TimePoint now, Source source)
+{
+    const TimePoint crashedAt = crashes_.at(crash).crash_.at_;
+    if (isCleared(key, crashedAt, source)) {
         return;
     }
     Suspect &suspect = suspects_[key];
-    if (suspect.clearedAt_ != TimePoint {} && crashedAt <= suspect.clearedAt_ + MessageDelay) {
-        suspect.clearedRoundsLeft_ = GossipRounds;
-        return;
+    const auto completed = completed_.find(key);
+    if (isPartKey(key) && completed != completed_.end() && completed->second > suspect.clearedAt_) {
+        suspect.clearedAt_ = completed->second;
+        suspect.clearedRoundsLeft_ = source == Source::Everybody ? GossipRounds : 0;
     }
     const bool known = std::any_of(suspect.occurrences_.begin(), suspect.occurrences_.end(),
                                    [&](const Occurrence &one) { return one.crash_ == crash; });
@@ -103,7 +129,8 @@
     if (suspect.occurrences_.size() >= MaxOccurrences) {
         suspect.occurrences_.erase(suspect.occurrences_.begin());
     }
-    suspect.occurrences_.push_back({crash, now, GossipRounds});
+    const bool isReported = isPartKey(key) && source == Source::Own;
+    suspect.occurrences_.push_back({crash, now, GossipRounds, isReported ? PartReportRounds : 0});
     const auto lease = leases_.find(key);
     if (lease != leases_.end() && lease->second.lease_.at_ <= crashedAt) {
         leases_.erase(lease); // The run under this lease crashed an endpoint.
@@ -115,13 +142,14 @@
 {
     addCrash(crash);
     for (const RequestKey key : inFlight) {
-        addOccurrence(key, crash.key_, now);
+        addOccurrence(key, crash.key_, now, Source::Own);
         const auto suspect = suspects_.find(key);
         if (suspect != suspects_.end()) {
             suspect->second.seenHere_ = true;
         }
     }
     enforceLimits(now);
+    updateBlames();
 }
 
 void CrashEvidence::clear(RequestKey key, TimePoint at)
@@ -161,19 +189,36 @@
         return false;
     }
     clear(key, now);
+    updateBlames();
     return true;
 }
 
+bool CrashEvidence::onCompleted(const RequestKeys &keys, TimePoint now)
+{
+    bool cleared = onCompleted(keys.own_, now);
+    for (const RequestKey part : keys.parts_) {
+        cleared = onCompleted(part, now) || cleared;
+    }
+    return cleared;
+}
+
 void CrashEvidence::onUpdate(const CrashUpdate &update, TimePoint now)
 {
     for (const CrashUpdate::Cleared &cleared : update.cleared_) {
         clear(cleared.key_, now - millis(cleared.ageMillis_));
     }
+    std::map<RequestKey, int> crashesOfParts;
     for (const CrashUpdate::Crash &received : update.crashes_) {
         addCrash({received.key_, received.group_, received.groupSize_,
                   now - millis(received.ageMillis_)});
         for (const RequestKey key : received.inFlight_) {
-            addOccurrence(key, received.key_, now);
+            crashesOfParts[key] += isPartKey(key) ? 1 : 0;
+        }
+    }
+    for (const CrashUpdate::Crash &received : update.crashes_) {
+        for (const RequestKey key : received.inFlight_) {
+            const bool isReport = isPartKey(key) && crashesOfParts[key] == 1;
+            addOccurrence(key, received.key_, now, isReport ? Source::Report : Source::Everybody);
         }
     }
     for (const CrashUpdate::Lease &received : update.leases_) {
@@ -187,6 +232,7 @@
         }
     }
     enforceLimits(now);
+    updateBlames();
 }
 
 /** 1 if nothing else explains the crash; 0 if all endpoints of the group crashed at that time. */
@@ -210,38 +256,171 @@
     return std::clamp(std::log(size / (1 + others)) / std::log(size), 0.0, 1.0);
 }
 
-Assessment CrashEvidence::assess(const Suspect &suspect, TimePoint now) const
+bool CrashEvidence::isBlamedOnOthers(CrashKey crash, RequestKey key) const
 {
-    Assessment result;
+    const auto blamed = blamed_.find(crash);
+    if (blamed == blamed_.end()) {
+        return false;
+    }
+    const std::vector<RequestKey> &keys = blames_.at(blamed->second).keys_;
+    return !std::binary_search(keys.begin(), keys.end(), key);
+}
+
+CrashEvidence::Tally CrashEvidence::tally(RequestKey key, const Suspect &suspect) const
+{
+    std::vector<const EndpointCrash *> crashes;
     for (const Occurrence &occurrence : suspect.occurrences_) {
         const auto known = crashes_.find(occurrence.crash_);
-        if (known == crashes_.end()) {
-            continue;
+        if (known != crashes_.end() && !isBlamedOnOthers(occurrence.crash_, key)) {
+            crashes.push_back(&known->second.crash_);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(), [](const auto *left, const auto *right) {
+        return std::tuple(left->at_, left->key_) < std::tuple(right->at_, right->key_);
+    });
+    Tally result;
+    TimePoint momentEnd {};
+    double momentWeight = 0;
+    for (const EndpointCrash *crash : crashes) {
+        const bool isNewMoment = !isPartKey(key) || crash->at_ >= momentEnd;
+        if (isNewMoment) {
+            const bool afterPause =
+                result.count_ > 0 && crash->at_ >= result.lastAt_ + PauseBeforeTrial;
+            ++result.count_;
+            result.afterPause_ += afterPause ? 1 : 0;
+            momentEnd = crash->at_ + CoincidenceWindow;
+            momentWeight = 0;
+        }
+        const double weight = std::max(momentWeight, weightOf(suspect, *crash));
+        result.weight_ += weight - momentWeight;
+        momentWeight = weight;
+        result.crashes_.push_back(crash->key_);
+        result.lastAt_ = crash->at_;
+    }
+    result.firstAt_ = crashes.empty() ? TimePoint {} : crashes.front()->at_;
+    return result;
+}
+
+bool CrashEvidence::isEnoughToBlame(RequestKey key, const Suspect &suspect,
+                                    const Tally &tally) const
+{
+    const bool wasSound = isPartKey(key) && suspect.clearedAt_ != TimePoint {}
+                          && tally.firstAt_ <= suspect.clearedAt_ + SoundPartMemory;
+    const int crashes = wasSound ? CrashesToBlameSoundPart : CrashesToQuarantine;
+    return tally.count_ >= crashes
+           && tally.weight_ >= WeightToQuarantine * crashes / CrashesToQuarantine;
+}
+
+/** Blames those with the most crashes first, then others by the crashes that are left. */
+void CrashEvidence::updateBlames()
+{
+    blames_.clear();
+    blamed_.clear();
+    std::vector<RequestKey> candidates;
+    for (const auto &[key, suspect] : suspects_) {
+        if (suspect.occurrences_.size() >= CrashesToQuarantine) {
+            candidates.push_back(key);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    while (!candidates.empty()) {
+        std::vector<std::pair<RequestKey, Tally>> tallies;
+        const std::pair<RequestKey, Tally> *most = nullptr;
+        tallies.reserve(candidates.size());
+        for (const RequestKey key : candidates) {
+            const Suspect &suspect = suspects_.at(key);
+            tallies.emplace_back(key, tally(key, suspect));
+            const Tally &last = tallies.back().second;
+            const bool isMore = most == nullptr
+                                || std::tuple(last.crashes_.size(), last.count_) > std::tuple(
+                                       most->second.crashes_.size(), most->second.count_);
+            most = isEnoughToBlame(key, suspect, last) && isMore ? &tallies.back() : most;
         }
-        const EndpointCrash &crash = known->second.crash_;
-        ++result.crashes_;
-        result.weight_ += weightOf(suspect, crash);
-        result.lastCrashAt_ = std::max(result.lastCrashAt_, crash.at_);
-        const bool first = result.firstCrashAt_ == TimePoint {} || crash.at_ < result.firstCrashAt_;
-        result.firstCrashAt_ = first ? crash.at_ : result.firstCrashAt_;
-    }
-    if (result.crashes_ >= CrashesToQuarantine && result.weight_ >= WeightToQuarantine) {
-        const int doublings = std::min(result.crashes_ - CrashesToQuarantine, MaxDoublings);
-        result.quarantinedUntil_ = result.lastCrashAt_ + FirstQuarantine * (1 << doublings);
-        result.level_ =
-            now < result.quarantinedUntil_ ? Suspicion::Quarantined : Suspicion::HalfOpen;
-    } else if (result.crashes_ >= CrashesToSuspect && result.weight_ >= WeightToSuspect) {
+        if (most == nullptr) {
+            return;
+        }
+        Blame blame {{}, most->second};
+        for (const auto &[key, tally] : tallies) {
+            if (tally.crashes_ == blame.tally_.crashes_) {
+                blame.keys_.push_back(key);
+            }
+        }
+        std::erase_if(candidates, [&](RequestKey key) {
+            return std::binary_search(blame.keys_.begin(), blame.keys_.end(), key);
+        });
+        for (const CrashKey crash : blame.tally_.crashes_) {
+            blamed_[crash] = blames_.size();
+        }
+        blames_.push_back(std::move(blame));
+    }
+}
+
+const CrashEvidence::Blame *CrashEvidence::blameOf(RequestKey key) const
+{
+    const auto found = std::find_if(blames_.begin(), blames_.end(), [&](const Blame &blame) {
+        return std::binary_search(blame.keys_.begin(), blame.keys_.end(), key);
+    });
+    return found != blames_.end() ? &*found : nullptr;
+}
+
+Assessment CrashEvidence::assessBlame(const Blame &blame, RequestKey key, TimePoint now)
+{
+    const Tally &tally = blame.tally_;
+    const int doublings = std::min(tally.afterPause_, MaxDoublings);
+    const TimePoint until = tally.lastAt_ + FirstQuarantine * (1 << doublings);
+    return {now < until ? Suspicion::Quarantined : Suspicion::HalfOpen,
+            key,
+            tally.count_,
+            tally.weight_,
+            tally.firstAt_,
+            tally.lastAt_,
+            until};
+}
+
+Assessment CrashEvidence::assessKey(RequestKey key, const Suspect &suspect, TimePoint now) const
+{
+    if (const Blame *blame = blameOf(key)) {
+        return assessBlame(*blame, key, now);
+    }
+    const Tally known = tally(key, suspect);
+    Assessment result {Suspicion::None, key, known.count_, known.weight_, known.firstAt_,
+                       known.lastAt_,   {}};
+    if (known.count_ >= CrashesToSuspect && known.weight_ >= WeightToSuspect) {
         result.level_ = Suspicion::Strong;
-    } else if (result.weight_ >= MinWeight) {
+    } else if (known.weight_ >= MinWeight) {
         result.level_ = Suspicion::Weak;
     }
     return result;
 }
 
+/** Parts that aren't blamed say nothing against a request: the others with them go on. */
+Assessment CrashEvidence::assess(const RequestKeys &request, TimePoint now) const
+{
+    std::optional<Assessment> blamed;
+    for (const Blame &blame : blames_) {
+        const bool isOwn = std::binary_search(blame.keys_.begin(), blame.keys_.end(), request.own_);
+        const bool hasAll =
+            std::all_of(blame.keys_.begin(), blame.keys_.end(), [&](RequestKey key) {
+                return std::find(request.parts_.begin(), request.parts_.end(), key)
+                       != request.parts_.end();
+            });
+        if (isOwn || hasAll) {
+            const Assessment one =
+                assessBlame(blame, isOwn ? request.own_ : blame.keys_.front(), now);
+            const bool isWorse = !blamed || one.quarantinedUntil_ > blamed->quarantinedUntil_;
+            blamed = isWorse ? one : blamed;
+        }
+    }
+    if (blamed) {
+        return *blamed;
+    }
+    const auto found = suspects_.find(request.own_);
+    return found != suspects_.end() ? assessKey(request.own_, found->second, now) : Assessment {};
+}
+
 Assessment CrashEvidence::assess(RequestKey key, TimePoint now) const
 {
-    const auto found = suspects_.find(key);
-    return found != suspects_.end() ? assess(found->second, now) : Assessment {};
+    return assess(RequestKeys {key, {}}, now);
 }
 
 /** Whether the received lease is newer by more than messages differ in their delay. */
@@ -291,9 +470,12 @@
 }
 
 /** A request at one of many concurrent crashes is reported only after a second crash. */
-bool CrashEvidence::isWorthReporting(const Suspect &suspect, const Occurrence &occurrence,
-                                     TimePoint now) const
+bool CrashEvidence::isWorthReporting(RequestKey key, const Suspect &suspect,
+                                     const Occurrence &occurrence, TimePoint now) const
 {
+    if (isPartKey(key)) {
+        return tally(key, suspect).count_ >= CrashesToSuspect;
+    }
     if (suspect.occurrences_.size() > 1) {
         return true;
     }
@@ -324,7 +506,7 @@
     for (Occurrence &occurrence : suspect.occurrences_) {
         const auto crash = crashes_.find(occurrence.crash_);
         if (crash != crashes_.end() && occurrence.roundsLeft_ > 0 && hasRoom(update)
-            && isWorthReporting(suspect, occurrence, now)) {
+            && isWorthReporting(key, suspect, occurrence, now)) {
             --occurrence.roundsLeft_;
             reportCrash(crash->second.crash_, key, now, update);
         }
@@ -363,12 +545,30 @@
     return update;
 }
 
+std::vector<PartReport> CrashEvidence::takePartReports(TimePoint now)
+{
+    std::vector<PartReport> reports;
+    for (auto &[key, suspect] : suspects_) {
+        for (Occurrence &occurrence : suspect.occurrences_) {
+            const auto crash = crashes_.find(occurrence.crash_);
+            if (occurrence.reportsLeft_ > 0 && crash != crashes_.end()) {
+                --occurrence.reportsLeft_;
+                CrashUpdate update;
+                reportCrash(crash->second.crash_, key, now, update);
+                reports.push_back({key, std::move(update.crashes_.front())});
+            }
+        }
+    }
+    return reports;
+}
+
 std::vector<RequestKey> CrashEvidence::rankedSuspects(TimePoint now) const
 {
     std::vector<std::tuple<double, TimePoint, RequestKey>> ranked;
     for (const auto &[key, suspect] : suspects_) {
-        const Assessment known = assess(suspect, now);
-        if (known.weight_ >= MinWeight) {
+        const Assessment known = assessKey(key, suspect, now);
+        const bool isTold = !isPartKey(key) || known.crashes_ >= CrashesToSuspect;
+        if (known.weight_ >= MinWeight && isTold) {
             ranked.emplace_back(known.weight_ + known.crashes_, known.lastCrashAt_, key);
         }
     }
@@ -421,8 +621,9 @@
     std::vector<RequestKey> changed = std::exchange(clearedKeys_, {});
     for (auto &[key, suspect] : suspects_) {
         const std::size_t crashes = suspect.occurrences_.size();
+        const Suspicion least = isPartKey(key) ? Suspicion::Quarantined : Suspicion::Strong;
         if (suspect.seenHere_ && crashes > suspect.persistedCrashes_
-            && assess(suspect, now).level_ >= Suspicion::Strong) {
+            && assessKey(key, suspect, now).level_ >= least) {
             suspect.persistedCrashes_ = crashes;
             changed.push_back(key);
         }
@@ -435,7 +636,7 @@
     std::vector<std::pair<double, RequestKey>> ranked;
     ranked.reserve(suspects_.size());
     for (const auto &[key, suspect] : suspects_) {
-        const Assessment known = assess(suspect, now);
+        const Assessment known = assessKey(key, suspect, now);
         ranked.emplace_back(known.weight_ + known.crashes_, key);
     }
     constexpr std::size_t Kept = MaxSuspects * 3 / 4;
@@ -468,8 +669,8 @@
 {
     enforceLimits(now);
     std::erase_if(suspects_, [&](const auto &entry) {
-        const Suspect &suspect = entry.second;
-        const Assessment known = assess(suspect, now);
+        const auto &[key, suspect] = entry;
+        const Assessment known = assessKey(key, suspect, now);
         // After the quarantine the crashes are kept for the same time again, so that the next crash
         // adds to them.
         const TimePoint quarantined =
@@ -479,6 +680,7 @@
         return until < now;
     });
     std::erase_if(leases_, [&](const auto &entry) { return !isLive(entry.second.lease_, now); });
+    updateBlames();
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/crashgossip.cpp
+++ b/libs/gateway/src/crashgossip.cpp
@@ -3,6 +3,8 @@
 #include "almondridge/base/cbor.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace almondridge::gateway {
 namespace {
@@ -21,6 +23,10 @@
 constexpr Duration SnapshotRequestPeriod = millis(5'000);
 constexpr std::size_t UpdateFanout = 3;
 constexpr std::size_t RepeatFanout = 2;
+/** Instances that gather the reports on a part; each one misses those whose datagrams are lost. */
+constexpr std::size_t GatheringInstances = 2;
+/** Crashes in one datagram of reports, so that it fits into one packet. */
+constexpr std::size_t MaxReportsPerDatagram = 20;
 
 enum class Field { Sender, RequestsSnapshot, Crashes, Cleared, Leases, Count };
 
@@ -190,6 +196,7 @@
     }
     if (now >= updateAt_) {
         updateAt_ = now + UpdateInterval;
+        sendPartReports(now, out);
         const CrashUpdate update = evidence_.takeUpdate(now);
         if (!update.empty()) {
             appendDatagrams(encodeCrashMessage({self_, false, update}),
@@ -208,6 +215,30 @@
     return out;
 }
 
+void CrashGossip::sendPartReports(TimePoint now, std::vector<MeshDatagram> &out)
+{
+    std::map<InstanceId, CrashUpdate> updates;
+    const auto flush = [&](const InstanceId &receiver, CrashUpdate &update) {
+        appendDatagrams(encodeCrashMessage({self_, false, std::exchange(update, {})}), {receiver},
+                        out);
+    };
+    for (const PartReport &report : evidence_.takePartReports(now)) {
+        const auto part = static_cast<std::uint64_t>(report.part_);
+        for (const InstanceId &receiver : peers_.firstFor(part, GatheringInstances)) {
+            CrashUpdate &update = updates[receiver];
+            update.crashes_.push_back(report.crash_);
+            if (update.crashes_.size() >= MaxReportsPerDatagram) {
+                flush(receiver, update);
+            }
+        }
+    }
+    for (auto &[receiver, update] : updates) {
+        if (!update.empty()) {
+            flush(receiver, update);
+        }
+    }
+}
+
 ReceiveResult CrashGossip::onDatagram(std::string_view datagram, TimePoint now,
                                       std::vector<MeshDatagram> &out)
 {
--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -33,6 +33,12 @@
     return endpoint != nullptr && endpoint->isListed_ && !endpoint->isDraining();
 }
 
+void insertAll(const RequestKeys &keys, std::set<RequestKey> &into)
+{
+    into.insert(keys.own_);
+    into.insert(keys.parts_.begin(), keys.parts_.end());
+}
+
 } // namespace
 
 CrashGuard::CrashGuard(GatewayState &gateway)
@@ -40,19 +46,22 @@
     , leaseHolder_(std::random_device {}())
 { }
 
-void CrashGuard::onConnectionBroken(const EndpointId &id, std::uint64_t lifetime, RequestKey key)
+void CrashGuard::onConnectionBroken(const EndpointId &id, std::uint64_t lifetime,
+                                    const RequestKeys &keys)
 {
     const Endpoint *endpoint = gateway_.table_.find(id);
     if (!isExpectedToServe(endpoint) || endpoint->lifetime_ != lifetime) {
         return;
     }
     if (knownCrashes_.contains(crashKeyOf(endpoint->listed_))) {
-        onCrashed(*endpoint, {key});
+        std::set<RequestKey> inFlight;
+        insertAll(keys, inFlight);
+        onCrashed(*endpoint, std::move(inFlight));
         return;
     }
     const bool probeRunning = pendingProbes_.contains(id);
     pendingProbes_[id].lifetime_ = lifetime;
-    pendingProbes_[id].inFlight_.insert(key);
+    insertAll(keys, pendingProbes_[id].inFlight_);
     if (!probeRunning) {
         const TimePoint connectDeadline =
             BootClock::now() + millis(gateway_.settings_.connectTimeoutMillis_);
@@ -81,12 +90,12 @@
     }
 }
 
-std::set<RequestKey> CrashGuard::requestsOn(const Endpoint &endpoint) const
+std::set<RequestKey> CrashGuard::keysOn(const Endpoint &endpoint) const
 {
     std::set<RequestKey> running;
     for (const auto &[number, call] : gateway_.calls_) {
         if (call->isRunningOn(endpoint.listed_.id_, endpoint.lifetime_)) {
-            running.insert(call->key());
+            insertAll(call->keys(), running);
         }
     }
     return running;
@@ -102,7 +111,7 @@
     if (gateway_.reach_.state() == Reach::Cut) {
         return;
     }
-    inFlight.merge(requestsOn(endpoint));
+    inFlight.merge(keysOn(endpoint));
     UnprovenCrash &crash = unproven_[id];
     if (crash.lifetime_ != endpoint.lifetime_ || crash.at_ + ProofTime < now) {
         crash = {endpoint.lifetime_, now, {}};
@@ -127,7 +136,7 @@
 {
     const EndpointId &id = endpoint.listed_.id_;
     const TimePoint now = BootClock::now();
-    inFlight.merge(requestsOn(endpoint));
+    inFlight.merge(keysOn(endpoint));
     std::erase_if(knownCrashes_,
                   [&](const auto &entry) { return entry.second.at_ + CrashRetention < now; });
     const CrashKey key = crashKeyOf(endpoint.listed_);
@@ -138,7 +147,8 @@
         gateway_.metrics_.count("endpoints_crashed_total");
         logEvent(LogLevel::Warning, "endpoint_crashed",
                  {{"endpoint", id.value()},
-                  {"requests", inFlight.size()},
+                  {"requests", std::count_if(inFlight.begin(), inFlight.end(),
+                                             [](RequestKey one) { return !isPartKey(one); })},
                   {"like_it", place->second.groupSize_}});
     }
 }
@@ -152,16 +162,16 @@
         }));
 }
 
-void CrashGuard::onCompleted(RequestKey key)
+void CrashGuard::onCompleted(const RequestKeys &keys)
 {
-    if (evidence_.onCompleted(key, BootClock::now())) {
-        logEvent(LogLevel::Info, "request_cleared", {{"key", toString(key)}});
+    if (evidence_.onCompleted(keys, BootClock::now())) {
+        logEvent(LogLevel::Info, "request_cleared", {{"key", toString(keys.own_)}});
     }
 }
 
-Assessment CrashGuard::assess(RequestKey key) const
+Assessment CrashGuard::assess(const RequestKeys &request) const
 {
-    return evidence_.assess(key, BootClock::now());
+    return evidence_.assess(request, BootClock::now());
 }
 
 bool CrashGuard::acquireLease(RequestKey key)
--- a/libs/gateway/src/crashguard.h
+++ b/libs/gateway/src/crashguard.h
@@ -21,7 +21,7 @@
     explicit CrashGuard(GatewayState &gateway);
 
     /** A request's connection to an endpoint broke, or got no data until the request ended. */
-    void onConnectionBroken(const EndpointId &id, std::uint64_t lifetime, RequestKey key);
+    void onConnectionBroken(const EndpointId &id, std::uint64_t lifetime, const RequestKeys &keys);
     /** A connection to the endpoint failed. */
     void onConnectFailed(const EndpointId &id);
     /** A new connection to the endpoint was established. */
@@ -29,9 +29,9 @@
     /** This instance is cut off: what it could not reach has not crashed. */
     void onCutOff() { unproven_.clear(); }
     /** The request got a complete response. */
-    void onCompleted(RequestKey key);
+    void onCompleted(const RequestKeys &keys);
 
-    Assessment assess(RequestKey key) const;
+    Assessment assess(const RequestKeys &request) const;
     bool acquireLease(RequestKey key);
     void renewLease(RequestKey key);
     bool holdsLease(RequestKey key) const;
@@ -56,8 +56,8 @@
     };
 
     void onProbed(const EndpointId &id, bool reached);
-    /** Requests of this instance that are running on the endpoint. */
-    std::set<RequestKey> requestsOn(const Endpoint &endpoint) const;
+    /** Keys of this instance's requests that are running on the endpoint, and of their parts. */
+    std::set<RequestKey> keysOn(const Endpoint &endpoint) const;
     void onUnreachable(const Endpoint &endpoint, std::set<RequestKey> inFlight);
     void onCrashed(const Endpoint &endpoint, std::set<RequestKey> inFlight);
     int groupSize(const Endpoint &endpoint) const;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -499,11 +499,11 @@
 {
     CallContext context;
     context.requestInfo_ = dialect_.parseRequest(request.head_);
-    context.key_ =
+    context.keys_.own_ =
         requestKey(settings_.keySecret_,
                    {net::headerValue(request.head_.headers_, "Host"), request.head_.method_,
                     request.head_.target_, request.body_, result.account_.id_.value()});
-    context.partKeys_ = sharedPartKeys(context.requestInfo_);
+    context.keys_.parts_ = sharedPartKeys(context.requestInfo_);
     context.request_ = std::move(request);
     context.config_ = config_;
     context.route_ = &route;
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -105,8 +105,8 @@
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
     async::Timer outlierTimer_;
     TimePoint retriesLoggedAt_ = BootClock::now();
-    std::set<EndpointId> outliers_; ///< As of the last logOutliers().
-    int instances_ = 1;             ///< That share connection limits.
+    std::set<EndpointId> outliers_;      ///< As of the last logOutliers().
+    int instances_ = 1;                  ///< That share connection limits.
     std::optional<int> budgetInstances_; ///< That share retry budgets.
 };
 
--- a/libs/gateway/src/gossippeers.cpp
+++ b/libs/gateway/src/gossippeers.cpp
@@ -1,6 +1,9 @@
 #include "almondridge/gateway/gossippeers.h"
 
+#include "almondridge/gateway/promptcacheindex.h"
+
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -21,6 +24,27 @@
 {
     peers_ = std::move(peers);
     std::erase(peers_, self_);
+    hashes_.clear();
+    std::transform(peers_.begin(), peers_.end(), std::back_inserter(hashes_),
+                   [](const InstanceId &peer) { return nameHash(peer.value()); });
+}
+
+std::vector<InstanceId> GossipPeers::firstFor(std::uint64_t key, std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+    ranked.reserve(peers_.size());
+    for (std::size_t index = 0; index < peers_.size(); ++index) {
+        ranked.emplace_back(rendezvousWeight(hashes_[index], key), index);
+    }
+    const std::size_t size = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(size),
+                      ranked.end(), std::greater<> {});
+    std::vector<InstanceId> first;
+    first.reserve(size);
+    for (std::size_t index = 0; index < size; ++index) {
+        first.push_back(peers_[ranked[index].second]);
+    }
+    return first;
 }
 
 bool GossipPeers::contains(const InstanceId &id) const
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -105,7 +105,7 @@
     bool fetchesPrompt_ = false;   ///< The attempt fetches a prompt that another engine prefilled.
     bool mayBePrefilled_ = false;  ///< Some engine may have prefilled the prompt separately.
     bool wasPrefilledBefore_ = false; ///< The same before the attempt at a peer.
-    bool inPlaceOnly_ = false;     ///< The engine that decodes must also prefill.
+    bool inPlaceOnly_ = false;        ///< The engine that decodes must also prefill.
     bool demandRecorded_ = false;
     bool stalled_ = false;  ///< The attempt's engine has sent nothing for too long.
     bool headSent_ = false; ///< The head of the response was sent to the caller.
