One trial in the whole fleet after a quarantine, by a claim in the store

The trial was kept apart by messages among instances alone: instances that are cut off from each other each ran one, and with a part of prompts every machine has another request at hand at that moment. A trial now needs a claim, a record that is appended to the store only if nobody has appended since it was read; without the store there is none, and the quarantine goes on. The instances' own lease still comes first, so that few ask the store.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -45,6 +45,15 @@
     TimePoint startedAt_ {}; ///< When this process started.
 };
 
+/** Decides in the whole fleet which instance makes the single trial run after a quarantine. */
+struct TrialClaims
+{
+    /** Calls done with whether the trial for the key is this instance's; at most one is. */
+    std::function<void(RequestKey key, std::function<void(bool)> done)> claim_;
+    /** The trial was inconclusive, or the key is cleared: another one may be claimed. */
+    std::function<void(RequestKey key)> release_;
+};
+
 class Gateway
 {
 public:
@@ -89,6 +98,8 @@
      */
     using SendDatagrams = std::function<void(const std::vector<MeshDatagram> &datagrams)>;
     void setSendDatagrams(SendDatagrams sendDatagrams);
+    /** Without them, the instances' own messages alone keep trials apart. */
+    void setTrialClaims(TrialClaims claims);
     /** Processes such a datagram; it begins with OriginDatagramMark. */
     ReceiveResult onOriginDatagram(std::string_view datagram, TimePoint now);
     /** Whether this instance holds itself cut off from all endpoints. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -213,9 +213,11 @@
         leaseSettledAt_ = now + (halfOpen ? HalfOpenSettleTime : LeaseSettleTime);
     } else if (leaseSettledAt_ != TimePoint {} && now >= leaseSettledAt_) {
         if (gateway_.crashes_.holdsLease(leaseKey_)) {
-            suspicion_ = Suspicion::Strong;
-            scheduleLeaseRenewal();
-            begin();
+            if (!halfOpen) {
+                runAlone();
+            } else if (!std::exchange(trialAsked_, true)) {
+                gateway_.claimTrial(leaseKey_, context_.request_.id_.call_);
+            }
             return;
         }
         leaseSettledAt_ = {};
@@ -227,6 +229,25 @@
     scheduleStartRetry();
 }
 
+void Call::runAlone()
+{
+    suspicion_ = Suspicion::Strong;
+    scheduleLeaseRenewal();
+    begin();
+}
+
+void Call::onTrialClaimed(bool granted)
+{
+    if (finished_ || started_) {
+        return;
+    }
+    trialGranted_ = granted;
+    const Assessment assessment = gateway_.crashes_.assess(keys());
+    const bool mayRun = granted && assessment.level_ != Suspicion::Quarantined
+                        && gateway_.crashes_.holdsLease(leaseKey_);
+    mayRun ? runAlone() : refuseQuarantined(assessment);
+}
+
 void Call::scheduleLeaseRenewal()
 {
     gateway_.crashes_.renewLease(leaseKey_);
@@ -758,6 +779,11 @@
     } else if (leaseSettledAt_ != TimePoint {} && (outcome == Outcome::Refused || !started_)) {
         gateway_.crashes_.releaseLease(leaseKey_);
     }
+    const bool isInconclusive = outcome == Outcome::Refused || !started_;
+    if (trialGranted_ && (isInconclusive || outcome == Outcome::Answered)
+        && gateway_.trialClaims_.release_) {
+        gateway_.trialClaims_.release_(leaseKey_);
+    }
     const TimePoint now = BootClock::now();
     const TimePoint arrivedAt = context_.request_.startedAt_;
     const LogLevel level = outcome == Outcome::Answered ? LogLevel::Info : LogLevel::Warning;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -67,6 +67,8 @@
     virtual void onCutOff() { }
     /** Other instances have answered where a stream began. */
     void onOriginAnswer(const OriginAnswer &answer);
+    /** The trial after a quarantine, for which the call has asked, is its own or another's. */
+    void onTrialClaimed(bool granted);
     /** Bytes of a streamed response were written to the caller. */
     virtual void onWritten() { }
 
@@ -246,6 +248,7 @@
                        const async::RequestHead &head, const DispatchOptions &options);
     async::ExchangeEvents attemptEvents();
     void startWithLease(const Assessment &assessment);
+    void runAlone();
     void scheduleStartRetry();
     void scheduleLeaseRenewal();
     bool isEqualRequestRunning() const;
@@ -262,7 +265,9 @@
     RequestKey leaseKey_ {};       ///< Of the lease to run, if there is one.
     TimePoint leaseSettledAt_ {};  ///< Competing claims for the run lease are known by then.
     int attempts_ = 0;
-    bool started_ = false;        ///< begin() was called.
+    bool started_ = false; ///< begin() was called.
+    bool trialAsked_ = false;
+    bool trialGranted_ = false;
     TimePoint originDeadline_ {}; ///< Until then instances are asked where the stream began.
     bool executionReported_ = false;
     bool finished_ = false;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -196,6 +196,11 @@
     state_->sendDatagrams_ = std::move(sendDatagrams);
 }
 
+void Gateway::setTrialClaims(TrialClaims claims)
+{
+    state_->trialClaims_ = std::move(claims);
+}
+
 ReceiveResult Gateway::onOriginDatagram(std::string_view datagram, TimePoint now)
 {
     std::vector<MeshDatagram> out;
@@ -337,6 +342,19 @@
     return requestKey(settings_.keySecret_, {"", "stream", requestId, "", account.value()});
 }
 
+void GatewayState::claimTrial(RequestKey key, std::uint64_t call)
+{
+    const auto onClaimed = [this, key, call](bool granted) {
+        const auto found = calls_.find(call);
+        if (found != calls_.end()) {
+            found->second->onTrialClaimed(granted);
+        } else if (granted && trialClaims_.release_) {
+            trialClaims_.release_(key);
+        }
+    };
+    trialClaims_.claim_ ? trialClaims_.claim_(key, onClaimed) : onClaimed(true);
+}
+
 void GatewayState::addOrigin(RequestKey stream, const StreamOrigin &origin)
 {
     const std::vector<MeshDatagram> datagrams = origins_.add(stream, origin, BootClock::now());
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -55,6 +55,8 @@
     RetryBudget &budget(const ServiceId &service);
     /** Key of the stream that a request of the account began. */
     RequestKey streamKey(std::string_view requestId, const AccountId &account) const;
+    /** Claims the trial for the key on behalf of a call, which is told. */
+    void claimTrial(RequestKey key, std::uint64_t call);
     /** Keeps the origin of a stream, also at other instances. */
     void addOrigin(RequestKey stream, const StreamOrigin &origin);
     /** Asks other instances for an origin; false: there are none. The answer goes to the calls. */
@@ -100,6 +102,7 @@
     PeerSelector peers_;
     StreamOrigins origins_;
     Gateway::SendDatagrams sendDatagrams_;
+    TrialClaims trialClaims_;
     int peerCalls_ = 0; ///< Requests in progress that peers have forwarded.
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
