An instance that has just started waits for the quarantines before it sends requests

Between its start and the first news a process ran what all others refuse. It now holds requests until the quarantines in the store, or those of the peer that it follows, have been read, for two seconds after its start at most.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -100,6 +100,8 @@
     void setSendDatagrams(SendDatagrams sendDatagrams);
     /** Without them, the instances' own messages alone keep trials apart. */
     void setTrialClaims(TrialClaims claims);
+    /** The quarantines that the store has are known: until then requests wait for a short while. */
+    void setQuarantinesKnown();
     /** Processes such a datagram; it begins with OriginDatagramMark. */
     ReceiveResult onOriginDatagram(std::string_view datagram, TimePoint now);
     /** Whether this instance holds itself cut off from all endpoints. */
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -92,6 +92,10 @@
         begin();
         return;
     }
+    if (!gateway_.knowsQuarantines(BootClock::now())) {
+        scheduleStartRetry();
+        return;
+    }
     const Assessment assessment = gateway_.crashes_.assess(keys());
     switch (assessment.level_) {
     case Suspicion::Quarantined:
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -26,6 +26,11 @@
 /** Limits log lines on requests whose connections to endpoints broke. */
 constexpr int MaxBrokenLines = 100;
 constexpr Duration BrokenLogWindow = millis(10'000);
+/**
+ * A new process waits so long at most for the quarantines in the store; when it can't be read,
+ * peers have told the newest ones by then.
+ */
+constexpr Duration QuarantineReadTime = millis(2'000);
 constexpr std::size_t MaxIdlePeerConnections = 64;
 /** Requests that peers forward are taken up to this many, and this multiple of callers' own. */
 constexpr int MinPeerCalls = 64;
@@ -201,6 +206,11 @@
     state_->trialClaims_ = std::move(claims);
 }
 
+void Gateway::setQuarantinesKnown()
+{
+    state_->quarantinesKnown_ = true;
+}
+
 ReceiveResult Gateway::onOriginDatagram(std::string_view datagram, TimePoint now)
 {
     std::vector<MeshDatagram> out;
@@ -342,6 +352,11 @@
     return requestKey(settings_.keySecret_, {"", "stream", requestId, "", account.value()});
 }
 
+bool GatewayState::knowsQuarantines(TimePoint now) const
+{
+    return quarantinesKnown_ || now >= settings_.startedAt_ + QuarantineReadTime;
+}
+
 void GatewayState::claimTrial(RequestKey key, std::uint64_t call)
 {
     const auto onClaimed = [this, key, call](bool granted) {
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -55,6 +55,8 @@
     RetryBudget &budget(const ServiceId &service);
     /** Key of the stream that a request of the account began. */
     RequestKey streamKey(std::string_view requestId, const AccountId &account) const;
+    /** Whether a request may be sent before the quarantines are known. */
+    bool knowsQuarantines(TimePoint now) const;
     /** Claims the trial for the key on behalf of a call, which is told. */
     void claimTrial(RequestKey key, std::uint64_t call);
     /** Keeps the origin of a stream, also at other instances. */
@@ -103,6 +105,7 @@
     StreamOrigins origins_;
     Gateway::SendDatagrams sendDatagrams_;
     TrialClaims trialClaims_;
+    bool quarantinesKnown_ = false;
     int peerCalls_ = 0; ///< Requests in progress that peers have forwarded.
     std::mt19937_64 random_;
     async::Timer probeTimer_; ///< Next call of probeEndpoints().
