--- a/libs/async/tests/httpservertest.cpp
+++ b/libs/async/tests/httpservertest.cpp
@@ -76,6 +76,23 @@
     }
 }
 
+/** Guards against unread requests when a balancer hands most new connections to one instance. */
+BOOST_AUTO_TEST_CASE(aBurstOfNewConnectionsIsRead)
+{
+    constexpr int Connections = 400;
+    EchoServer echo;
+    std::list<RawClient> callers;
+    for (int index = 0; index < Connections; ++index) {
+        callers.emplace_back(echo.loop_, echo.server_.port());
+        callers.back().send("GET /one HTTP/1.1\r\n\r\n");
+    }
+    runUntil(echo.loop_, [&] {
+        return std::all_of(callers.begin(), callers.end(),
+                           [](const RawClient &one) { return one.has("/one"); });
+    });
+    BOOST_TEST(echo.calls_ == Connections);
+}
+
 BOOST_AUTO_TEST_CASE(aRequestThatNeverEndsGets408AndAnIdleConnectionIsClosed)
 {
     EchoServer echo({{}, 30, 60});
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int PatienceMillis = 4'000;
+/** Parts that prompts share, as their first one. */
+constexpr std::uint64_t SharedParts = 20;
 constexpr Duration ConnectTime = millis(1'000);
 /** What cut a stream is known to instances by then. */
 constexpr Duration RepeatAfter = millis(300);
@@ -62,6 +64,19 @@
 }
 
 void Callers::sendCrashing()
+{
+    sendToCrash("crash", "5:700,6:200", std::string(CrashingBody));
+}
+
+void Callers::sendCrashingPart()
+{
+    const std::string parts =
+        fmt::format("{:x}:500,{}:40,{:x}:200", random_() % SharedParts, CrashingPart, random_());
+    sendToCrash("part", parts, fmt::format("body {}", next_));
+}
+
+void Callers::sendToCrash(std::string_view target, const std::string &parts,
+                          const std::string &body)
 {
     const std::vector<InstanceProcess *> ready = readyInstances();
     if (ready.empty()) {
@@ -71,11 +86,10 @@
     async::ExchangeRequest request;
     request.peer_ = fmt::format("{}.{}", instance.name(), instance.lifetime());
     request.address_ = instance.callers();
-    request.text_ =
-        fmt::format("POST /stream/crash HTTP/1.1\r\nHost: h\r\nX-Request-Id: {:x}-c{}\r\n"
-                    "X-Deadline-Ms: {}\r\nX-Model: m\r\nX-Token-Count: 900,8\r\n"
-                    "X-Prefix-Hash: 5:700,6:200\r\nContent-Length: {}\r\n\r\n{}",
-                    seed_, next_++, PatienceMillis, CrashingBody.size(), CrashingBody);
+    request.text_ = fmt::format("POST /stream/{} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {:x}-c{}\r\n"
+                                "X-Deadline-Ms: {}\r\nX-Model: m\r\nX-Token-Count: 900,8\r\n"
+                                "X-Prefix-Hash: {}\r\nContent-Length: {}\r\n\r\n{}",
+                                target, seed_, next_++, PatienceMillis, parts, body.size(), body);
     request.connectBy_ = BootClock::now() + ConnectTime;
     // Whatever becomes of it: the endpoints tell where it went.
     client_.start(std::move(request), async::gatherAnswer([](const async::ExchangeResult &) {}));
@@ -108,7 +122,7 @@
     if (prompt) {
         asked->prompt_ = fmt::format("X-Model: m\r\nX-Token-Count: 900,8\r\n"
                                      "X-Prefix-Hash: {:x}:700,{:x}:200\r\n",
-                                     random_() % 20, random_());
+                                     random_() % SharedParts, random_());
     }
     send(asked, "");
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -20,6 +20,8 @@
 
     /** Sends one request of each kind, each to an instance that is ready. */
     void sendRound();
+    /** Sends a request, no two alike, whose prompt has the part that crashes endpoints. */
+    void sendCrashingPart();
     /** Sends the request that crashes endpoints, always the same but for its id. */
     void sendCrashing();
     /** Asks an instance directly for the route that configuration `version` added. */
@@ -29,6 +31,7 @@
     void setCalm(bool calm) { calm_ = calm; }
 
 private:
+    void sendToCrash(std::string_view target, const std::string &parts, const std::string &body);
     struct Asked;
 
     std::vector<InstanceProcess *> readyInstances() const;
--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -297,8 +297,10 @@
         refuse(call.id_, 503);
         return;
     }
-    if (call.body_ == CrashingBody) {
-        ledger_.onCrash(id_);
+    const bool hasCrashingPart =
+        net::headerValue(headers, "X-Prefix-Hash").find(CrashingPart) != std::string_view::npos;
+    if (call.body_ == CrashingBody || hasCrashingPart) {
+        ledger_.onCrash(id_, hasCrashingPart ? CrashCause::Part : CrashCause::Request);
         crash();
         return;
     }
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -36,6 +36,8 @@
 inline constexpr int EventsOfAStream = 8;
 /** The body of a request that crashes each endpoint that begins to run it. */
 inline constexpr std::string_view CrashingBody = "ends endpoints";
+/** A part of a prompt that crashes each endpoint that begins to answer it. */
+inline constexpr std::string_view CrashingPart = "bad0";
 
 class EndpointStandIn
 {
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -37,20 +37,23 @@
     }
 }
 
-void Ledger::onCrash(const std::string &endpoint)
+void Ledger::onCrash(const std::string &endpoint, CrashCause cause)
 {
-    constexpr int CrashesUntilKnown = 3;
     constexpr int AllowedRetries = 3;
     constexpr Duration KnownWithin = millis(3'000);
+    const bool isPart = cause == CrashCause::Part;
+    const int crashesUntilKnown = isPart ? 5 : 3;
     const TimePoint now = BootClock::now();
-    if (++crashes_ == CrashesUntilKnown) {
-        knownFrom_ = now + KnownWithin;
+    Crashes &crashes = crashes_[cause];
+    if (++crashes.count_ == crashesUntilKnown) {
+        crashes.knownFrom_ = now + KnownWithin;
     }
-    const bool late = crashes_ > CrashesUntilKnown && now > knownFrom_ && inTouch_;
-    lateCrashes_ += late ? 1 : 0;
-    if (late && lateCrashes_ > AllowedRetries) {
-        violate(Promise::FewCrashes, "the same request crashed " + endpoint + ", the "
-                                         + std::to_string(crashes_) + "th endpoint");
+    const bool late = crashes.count_ > crashesUntilKnown && now > crashes.knownFrom_ && inTouch_;
+    crashes.late_ += late ? 1 : 0;
+    if (late && crashes.late_ > AllowedRetries) {
+        violate(isPart ? Promise::FewPartCrashes : Promise::FewCrashes,
+                (isPart ? "the same part crashed " : "the same request crashed ") + endpoint
+                    + ", the " + std::to_string(crashes.count_) + "th endpoint");
     }
 }
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -37,12 +37,13 @@
     Recovers,        ///< After the last fault requests are served again.
     StaysUp,         ///< No instance ends by itself.
     FewCrashes,      ///< A request that has crashed three endpoints reaches few more.
+    FewPartCrashes,  ///< Requests with a part under which five endpoints crashed reach few more.
     InnocentsServed, ///< Nobody else is refused for these crashes.
     LimitKept,       ///< An endpoint that names a limit gets little more, all instances together.
     BackoffKept,     ///< An endpoint that asks for a backoff gets few requests of each instance.
 };
 
-inline constexpr std::array<EnumName<Promise>, 16> PromiseNames {{
+inline constexpr std::array<EnumName<Promise>, 17> PromiseNames {{
     {Promise::OwnAnswer, "own-answer"},
     {Promise::AtMostOnce, "at-most-once"},
     {Promise::TruthfulNotRun, "truthful-not-run"},
@@ -56,6 +57,7 @@
     {Promise::Recovers, "recovers"},
     {Promise::StaysUp, "stays-up"},
     {Promise::FewCrashes, "few-crashes"},
+    {Promise::FewPartCrashes, "few-part-crashes"},
     {Promise::InnocentsServed, "innocents-served"},
     {Promise::LimitKept, "limit-kept"},
     {Promise::BackoffKept, "backoff-kept"},
@@ -67,17 +69,24 @@
     std::string what_;
 };
 
+/** What crashes endpoints. */
+enum class CrashCause { Request, Part };
+
 class Ledger
 {
 public:
     void onSent(const std::string &id, Kind kind);
     /** An endpoint began to work on the request. */
     void onRun(const std::string &id, const std::string &endpoint);
-    /** The one request that crashes endpoints began to run at one. */
-    void onCrash(const std::string &endpoint);
+    /** A request that crashes endpoints began to run at one. */
+    void onCrash(const std::string &endpoint, CrashCause cause);
     /** Whether nothing else disturbs instances, so that they must know of each other's crashes. */
     void setInTouch(bool inTouch) { inTouch_ = inTouch; }
-    int crashes() const noexcept { return crashes_; }
+    int crashes(CrashCause cause) const
+    {
+        const auto found = crashes_.find(cause);
+        return found != crashes_.end() ? found->second.count_ : 0;
+    }
     /** The caller was told that the request has not run and never will. */
     void onNotRunTold(const std::string &id);
     void onServed(const std::string &id);
@@ -107,6 +116,13 @@
         bool notRunTold_ = false;
     };
 
+    struct Crashes
+    {
+        int count_ = 0;
+        int late_ = 0;
+        TimePoint knownFrom_ {}; ///< All instances in touch know the cause then.
+    };
+
     std::map<std::string, Entry> entries_;
     std::map<std::string, std::uint64_t> fences_;  ///< The highest that each engine saw.
     std::map<std::uint64_t, std::string> holders_; ///< Who used a fence first.
@@ -116,9 +132,7 @@
     std::uint64_t notRun_ = 0;
     std::uint64_t takenUp_ = 0;
     std::uint64_t wentOn_ = 0;
-    int crashes_ = 0;
-    int lateCrashes_ = 0;
-    TimePoint knownFrom_ {}; ///< All instances in touch know the request then.
+    std::map<CrashCause, Crashes> crashes_;
     bool inTouch_ = true;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -278,6 +278,7 @@
     crashing_.startAt(BootClock::now() + CrashingInterval, [this] { crashingRound(); });
     ledger_.setInTouch(BootClock::now() > disturbedUntil_);
     callers_.sendCrashing();
+    callers_.sendCrashingPart();
 }
 
 void Soak::watchInstances()
@@ -565,10 +566,11 @@
 {
     ledger_.checkTakenUp();
     fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={} crashes={} "
+               "part_crashes={} "
                "taken_up={} went_on={}\n",
                options_.seed_, options_.seconds_, options_.instances_, ledger_.sent(),
-               ledger_.served(), ledger_.notRun(), ledger_.crashes(), ledger_.takenUp(),
-               ledger_.wentOn());
+               ledger_.served(), ledger_.notRun(), ledger_.crashes(CrashCause::Request),
+               ledger_.crashes(CrashCause::Part), ledger_.takenUp(), ledger_.wentOn());
     for (const auto &[name, count] : struck_) {
         fmt::print("  {:24} {}\n", name, count);
     }
