A report on a part does not stop the news of a whole answer

A single report that came while an instance was telling others of a whole answer set the rounds that were left to zero. Found by reading; the test fails before (none of the rounds left).

--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -102,7 +102,9 @@
     const auto completed = completed_.find(key);
     if (isPartKey(key) && completed != completed_.end() && completed->second > suspect.clearedAt_) {
         suspect.clearedAt_ = completed->second;
-        suspect.clearedRoundsLeft_ = source == Source::Everybody ? GossipRounds : 0;
+        if (source == Source::Everybody) {
+            suspect.clearedRoundsLeft_ = GossipRounds;
+        }
     }
     const bool known = std::any_of(suspect.occurrences_.begin(), suspect.occurrences_.end(),
                                    [&](const Occurrence &one) { return one.crash_ == crash; });
--- a/libs/gateway/tests/crashpartstest.cpp
+++ b/libs/gateway/tests/crashpartstest.cpp
@@ -124,6 +124,22 @@
     BOOST_TEST(isRefused(evidence, {Crashing}, Start + millis(5'000)));
 }
 
+/** Guards against a whole answer that others are never told of, as a new report comes just then. */
+BOOST_AUTO_TEST_CASE(aReportDoesNotStopTheNewsOfAWholeAnswer)
+{
+    const auto crashAt = [](std::uint64_t number, std::int64_t ageMillis) {
+        return CrashUpdate::Crash {
+            static_cast<CrashKey>(number), static_cast<CrashGroup>(1), 12, ageMillis, {Subject}};
+    };
+    CrashEvidence evidence;
+    evidence.onUpdate({{crashAt(1, 2'000), crashAt(2, 1'000)}, {}, {}}, Start);
+    evidence.onCompleted(requestWith({Subject}), Start);
+    evidence.onCompleted(requestWith({Subject}), Start + millis(100));
+    const TimePoint now = Start + millis(1'000);
+    evidence.onUpdate({{crashAt(3, 0)}, {}, {}}, now);
+    BOOST_TEST(evidence.takeUpdate(now).cleared_.size() == 1U);
+}
+
 /**
  * Guards against refusing sound requests while many endpoints crash by chance: one a second for two
  * minutes, of four or of 140, with parts that are asked for often and seldom.
