--- a/libs/gateway/tests/crashpartstest.cpp
+++ b/libs/gateway/tests/crashpartstest.cpp
@@ -155,7 +155,7 @@
             CrashEvidence evidence;
             int refused = 0;
             for (int second = 0; second < 120; ++second) {
-                const TimePoint now = Start + millis(second * 1'000);
+                const TimePoint now = Start + millis(second * 1'000LL);
                 std::vector<RequestKey> inFlight;
                 for (int index = 0; index < Parts; ++index) {
                     const double perSecond = 30.0 / (index + 1);
