--- a/libs/gateway/src/crashevidence.cpp
+++ b/libs/gateway/src/crashevidence.cpp
@@ -158,7 +158,10 @@
 
 bool CrashEvidence::isTold(RequestKey key, const Suspect &suspect) const
 {
-    return !isPartKey(key) || tally(key, suspect).count_ >= CrashesToSuspect;
+    // Most parts have one crash: these are told apart without weighing it in each round.
+    return !isPartKey(key)
+           || (suspect.occurrences_.size() >= CrashesToSuspect
+               && tally(key, suspect).count_ >= CrashesToSuspect);
 }
 
 bool CrashEvidence::onCompleted(RequestKey key, TimePoint now)
