Records of writers that number them are ordered by their numbers, also from a copy

Positions alone would let a restored store take back what was known: at its first read in the new era the copy's older records have higher positions. Callers would reach endpoints that drain or left in the lost seconds, and instances started on the copy would serve by its configuration though their peers have a newer one.

The configuration's version and the endpoints' heartbeat numbers now go with their records, also to peers (field revisions); a record replaces only one with a lower number, a removal stands against all up to the last one known, and positions order the rest. Where a copy shows an older record, the newer one is kept and passed on at that position, because peers may know the copy's. Endpoints that a copy lacks stay in use for the time in which they register again, as after an outage.

Weighed: comparing offsets within the copy's prefix (its end is not known), and asking peers after each restore (calls at size, and an answer that may be of another era).

--- a/libs/replication/include/almondridge/replication/topicreplica.h
+++ b/libs/replication/include/almondridge/replication/topicreplica.h
@@ -3,7 +3,9 @@
  * each change, so that a follower can be sent only what changed. Does no I/O and reads no clock.
  *
  * Changes may come from the store or from any peer, and in any order. Each value carries the offset
- * of its record in the store's log, and a record replaces only records with lower offsets.
+ * of its record in the store's log, and a record replaces only records with lower offsets. A store
+ * that was restored from an older copy shows older records at higher offsets; so where the writers
+ * of a topic number their records, these revisions order them, and offsets only equal revisions.
  */
 #pragma once
 
@@ -37,6 +39,8 @@
      * thus means that the key had no other value in between.
      */
     bool isContiguous_ = false;
+    /** Rises with each record that the key's writer writes; nullopt: it doesn't number them. */
+    std::optional<std::uint64_t> revision_ {};
 };
 
 /** How much of a topic is known, and how recent that is. */
@@ -136,6 +140,10 @@
     /** Applies changes that a peer sent. */
     void apply(const ChangeSet &set);
     bool has(Topic topic, const std::string &key) const;
+    /** The key's value; empty: it doesn't exist. */
+    const std::string &value(Topic topic, const std::string &key) const;
+    /** Offset of the newest record of the key, also of its removal; nullopt: none is known. */
+    std::optional<LogOffset> offset(Topic topic, const std::string &key) const;
     std::vector<std::string> keys(Topic topic) const;
 
 private:
@@ -143,7 +151,8 @@
     {
         std::string value_;
         std::uint64_t sequence_ = 0;
-        LogOffset offset_ = 0;     ///< Of the newest record with this value.
+        LogOffset offset_ = 0;                     ///< Of the newest record with this value.
+        std::optional<std::uint64_t> revision_ {}; ///< Of a removal: that of the removed value.
         LogOffset valueSince_ = 0; ///< The key has had this value at least since this record.
         /** Applied after later records, so a peer's end offset doesn't imply that it has this. */
         bool arrivedOutOfOrder_ = false;
@@ -151,7 +160,10 @@
     using Key = std::pair<Topic, std::string>;
     using Entries = std::map<Key, Entry>;
 
+    static bool isOlder(const Change &change, const Entry &entry);
     bool isSuperseded(const Change &change) const;
+    void keepBeyond(Entries::iterator entry, LogOffset offset);
+    static Change changeOf(const Key &key, const Entry &entry);
     void assignSequence(Entries::iterator entry);
     void discardTombstones();
     ChangeSet emptySet() const;
--- a/libs/replication/src/protocol.cpp
+++ b/libs/replication/src/protocol.cpp
@@ -77,6 +77,16 @@
             change.value_.size()};
 }
 
+/** nullopt: the record has none, or the peer's version doesn't send it. */
+std::optional<std::uint64_t> readRevision(const Json &json, std::size_t index)
+{
+    const auto revisions = json.find("revisions");
+    if (revisions == json.end() || revisions->at(index).is_null()) {
+        return std::nullopt;
+    }
+    return revisions->at(index).get<std::uint64_t>();
+}
+
 /** nullopt: the topic is unknown, or the compressed value is invalid. */
 std::optional<Change> decodeChange(const Json &json)
 {
@@ -106,8 +116,10 @@
                           TimePoint now, TimePoint requestedAt, CompressedValueCache *compressed)
 {
     Json changes = Json::array();
+    Json revisions = Json::array();
     for (const Change &change : set.changes_) {
         changes.push_back(encodeChange(change, compressed));
+        revisions.push_back(change.revision_ ? Json(*change.revision_) : Json(nullptr));
     }
     Json ages = Json::array();
     Json ends = Json::array();
@@ -118,10 +130,10 @@
         proofs.push_back(topic.asOf_ ? Json(toMillis(requestedAt - *topic.asOf_) + 1)
                                      : Json(nullptr));
     }
-    const Json json {{"lifetime", lifetime},      {"lost", storeLost}, {"whole", set.isSnapshot_},
-                     {"first", set.isFirstPart_}, {"more", set.more_}, {"next", set.nextSequence_},
-                     {"base", set.historyStart_}, {"ages", ages},      {"ends", ends},
-                     {"proofs", proofs},          {"changes", changes}};
+    const Json json {{"lifetime", lifetime},      {"lost", storeLost},  {"whole", set.isSnapshot_},
+                     {"first", set.isFirstPart_}, {"more", set.more_},  {"next", set.nextSequence_},
+                     {"base", set.historyStart_}, {"ages", ages},       {"ends", ends},
+                     {"proofs", proofs},          {"changes", changes}, {"revisions", revisions}};
     std::string body;
     Json::to_cbor(json, body);
     return body;
@@ -153,6 +165,7 @@
             if (!change) {
                 return std::nullopt;
             }
+            change->revision_ = readRevision(json, received.set_.changes_.size());
             received.set_.changes_.push_back(std::move(*change));
         }
         return received;
--- a/libs/replication/src/topicreplica.cpp
+++ b/libs/replication/src/topicreplica.cpp
@@ -34,6 +34,20 @@
     : onChange_(std::move(onChange))
 { }
 
+/** Whether the entry has a newer record of the key than the change. */
+bool TopicReplica::isOlder(const Change &change, const Entry &entry)
+{
+    if (!change.value_.empty() && change.revision_ && entry.revision_) {
+        if (*change.revision_ != *entry.revision_) {
+            return *change.revision_ < *entry.revision_;
+        }
+        if (entry.value_.empty()) {
+            return true; // The key was removed after this record.
+        }
+    }
+    return change.offset_ < entry.offset_;
+}
+
 /**
  * A reader that was disconnected from the store, or that delays removals, has an old list. Without
  * this check a follower of it would take back endpoints that it knew to be removed, and send
@@ -42,22 +56,42 @@
 bool TopicReplica::isSuperseded(const Change &change) const
 {
     const auto found = entries_.find({change.topic_, change.key_});
-    if (found != entries_.end() && change.offset_ < found->second.offset_) {
+    if (found != entries_.end() && isOlder(change, found->second)) {
         return true;
     }
+    const bool isNumbered = found != entries_.end() && change.revision_ && found->second.revision_;
     const bool listed = found != entries_.end() && !found->second.value_.empty();
     // All records below the end are known, and the key doesn't exist by these: it was removed,
     // possibly added and removed again since this instance received its removal.
-    return !listed && change.offset_ < topics_[indexOf(change.topic_)].end_;
+    return !listed && !isNumbered && change.offset_ < topics_[indexOf(change.topic_)].end_;
+}
+
+/**
+ * Keeps an entry although a record at a higher offset was read, which is older: the store was
+ * restored from a copy. Peers may know that record, so they are sent the entry at its offset.
+ */
+void TopicReplica::keepBeyond(Entries::iterator entry, LogOffset offset)
+{
+    if (offset > entry->second.offset_) {
+        entry->second.offset_ = offset;
+        entry->second.arrivedOutOfOrder_ = true;
+        assignSequence(entry);
+    }
 }
 
 void TopicReplica::put(const Change &change)
 {
     if (isSuperseded(change)) {
+        const auto known = entries_.find({change.topic_, change.key_});
+        if (known != entries_.end() && isOlder(change, known->second)) {
+            keepBeyond(known, change.offset_);
+        }
         return;
     }
     const auto [iterator, added] = entries_.try_emplace({change.topic_, change.key_});
     Entry &entry = iterator->second;
+    entry.revision_ =
+        change.value_.empty() ? std::max(entry.revision_, change.revision_) : change.revision_;
     const bool isSame = entry.value_ == change.value_;
     const bool isRemoval = change.value_.empty();
     const bool isLater = added || change.offset_ > entry.offset_;
@@ -151,6 +185,11 @@
     return topics_[indexOf(topic)].readAt_;
 }
 
+Change TopicReplica::changeOf(const Key &key, const Entry &entry)
+{
+    return {key.first, key.second, entry.value_, entry.offset_, false, entry.revision_};
+}
+
 ChangeSet TopicReplica::emptySet() const
 {
     ChangeSet set;
@@ -187,7 +226,7 @@
             set.nextSequence_ = change->first;
             break;
         }
-        set.changes_.push_back({key.first, key.second, entry.value_, entry.offset_});
+        set.changes_.push_back(changeOf(key, entry));
     }
     return set;
 }
@@ -209,7 +248,7 @@
         if (set.changes_.size() >= maxChanges) {
             return std::nullopt;
         }
-        set.changes_.push_back({key.first, key.second, entry.value_, entry.offset_});
+        set.changes_.push_back(changeOf(key, entry));
     }
     return set;
 }
@@ -268,6 +307,19 @@
     return found != entries_.end() && !found->second.value_.empty();
 }
 
+const std::string &TopicReplica::value(Topic topic, const std::string &key) const
+{
+    static const std::string none;
+    const auto found = entries_.find({topic, key});
+    return found != entries_.end() ? found->second.value_ : none;
+}
+
+std::optional<LogOffset> TopicReplica::offset(Topic topic, const std::string &key) const
+{
+    const auto found = entries_.find({topic, key});
+    return found != entries_.end() ? std::optional(found->second.offset_) : std::nullopt;
+}
+
 std::vector<std::string> TopicReplica::keys(Topic topic) const
 {
     std::vector<std::string> found;
