Usage reports that the log has lost are appended again, and a log that expired is read on

A window is reported once because every reporter sends the first record of the window in the log. After a restore the copy lacks the last reports: the next reporter would compose and send them again, with other counts where an instance has left. A reporter now appends the reports that it knows again, before it sends anything else. A reporter that keeps its lease notices by the position of its next append.

The same gap stood in the way of every new reporter once the log's oldest records had expired: it read from offset 0 for ever, got 410, and reported nothing. It now reads on at the first record there is. Test: aReportThatTheLogLostIsAppendedAgainBeforeAnythingElse (does not build on the code before).

--- a/libs/usage/include/almondridge/usage/usagereporter.h
+++ b/libs/usage/include/almondridge/usage/usagereporter.h
@@ -30,6 +30,7 @@
 enum class ReportStep {
     ReadLog, ///< Read the log from from_ to its end.
     Append,  ///< Append the report of window_ to the log, if its counts are complete.
+    Restore, ///< Append counts_ as the report of window_ again, which the log has lost.
     Send,    ///< Send counts_ as the report of window_.
 };
 
@@ -38,7 +39,7 @@
     ReportStep step_ = ReportStep::ReadLog;
     LogOffset from_ = 0; ///< For ReadLog.
     Window window_ = 0;
-    AccountCounts counts_ {}; ///< For Send.
+    AccountCounts counts_ {}; ///< For Send and Restore.
 };
 
 /** A record in the log of reports. */
@@ -66,6 +67,11 @@
     /** isLast: the log ended at `end`. */
     void onLogRead(const std::vector<ReportRecord> &records, LogOffset end, bool isLast,
                    std::int64_t nowMillis);
+    /**
+     * The log doesn't have the record to read next: records were deleted, or the log came back from
+     * an older copy. It goes on at offset `first`.
+     */
+    void onLogGap(LogOffset first);
     /** The report of the window was appended at that offset. */
     void onAppended(Window window, const AccountCounts &counts, LogOffset offset);
     /** The report was accepted. */
@@ -89,7 +95,8 @@
     std::int64_t knownSince_ = 0;
     std::map<Window, AccountCounts> reports_; ///< First record of each window in the log.
     std::set<Window> sent_;
-    int failures_ = 0; ///< Consecutive.
+    std::set<Window> lost_; ///< Reports that weren't found in the log since its last gap.
+    int failures_ = 0;      ///< Consecutive.
     std::int64_t retryAt_ = 0;
 };
 
--- a/libs/usage/src/usagereporter.cpp
+++ b/libs/usage/src/usagereporter.cpp
@@ -62,6 +62,7 @@
     const Window first = firstReportable(nowMillis);
     reports_.erase(reports_.begin(), reports_.lower_bound(first));
     sent_.erase(sent_.begin(), sent_.lower_bound(first));
+    lost_.erase(lost_.begin(), lost_.lower_bound(first));
 }
 
 std::optional<ReportAction> UsageReporter::next(std::int64_t nowMillis)
@@ -74,6 +75,11 @@
     if (!logRead_) {
         return ReportAction {ReportStep::ReadLog, next_, 0, {}};
     }
+    if (!lost_.empty()) {
+        // Before it is sent: the next reporter finds it in the log.
+        const Window window = *lost_.begin();
+        return ReportAction {ReportStep::Restore, 0, window, reports_.at(window)};
+    }
     for (const auto &[window, counts] : reports_) {
         if (!sent_.contains(window)) {
             return ReportAction {ReportStep::Send, 0, window, counts};
@@ -96,10 +102,21 @@
     next_ = std::max(next_, end);
     for (const ReportRecord &record : records) {
         reports_.try_emplace(record.window_, record.counts_);
+        lost_.erase(record.window_);
     }
     dropExpired(nowMillis);
 }
 
+void UsageReporter::onLogGap(LogOffset first)
+{
+    busy_ = false;
+    logRead_ = false;
+    next_ = first;
+    for (const auto &[window, counts] : reports_) {
+        lost_.insert(window);
+    }
+}
+
 void UsageReporter::onAppended(Window window, const AccountCounts &counts, LogOffset offset)
 {
     busy_ = false;
@@ -111,6 +128,7 @@
         return;
     }
     ++next_;
+    lost_.erase(window);
     reports_.try_emplace(window, counts);
 }
 
@@ -125,7 +143,7 @@
 {
     busy_ = false;
     // The record may have been appended nevertheless; reading the log finds it.
-    logRead_ = logRead_ && step != ReportStep::Append;
+    logRead_ = logRead_ && step != ReportStep::Append && step != ReportStep::Restore;
     retryAt_ = nowMillis
                + std::min(InitialRetryMillis << std::min(failures_, MaxDoublings), MaxRetryMillis);
     ++failures_;
--- a/libs/usage/tests/usagereportertest.cpp
+++ b/libs/usage/tests/usagereportertest.cpp
@@ -160,4 +160,42 @@
     }
 }
 
+// Guards against a second report of a window with other counts: the log came back from a copy that
+// lacks the first one, and the next reporter would compose the window anew.
+BOOST_AUTO_TEST_CASE(aReportThatTheLogLostIsAppendedAgainBeforeAnythingElse)
+{
+    constexpr LogOffset RestoredAt = 1'000'000;
+    UsageReporter reporter(Settings);
+    reporter.setKnownSince(Epoch - 1);
+    reporter.setFence(1);
+    reporter.next(Epoch + 7'000);
+    reporter.onLogRead({}, 0, true, Epoch + 7'000);
+    reporter.next(Epoch + 7'000);
+    reporter.onAppended(First, counted(3), 0);
+    reporter.next(Epoch + 7'000);
+    reporter.onSent(First);
+
+    auto action = reporter.next(Epoch + 12'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::Append));
+    reporter.onAppended(First + 1, counted(5), RestoredAt); // In the restored log.
+    action = reporter.next(Epoch + 12'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::ReadLog));
+    reporter.onLogGap(RestoredAt);
+    action = reporter.next(Epoch + 12'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::ReadLog));
+    BOOST_TEST(action->from_ == RestoredAt);
+    reporter.onLogRead({{First + 1, counted(5), RestoredAt}}, RestoredAt + 1, true, Epoch + 12'000);
+
+    action = reporter.next(Epoch + 12'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::Restore));
+    BOOST_TEST(action->window_ == First);
+    BOOST_TEST((action->counts_ == counted(3)));
+    reporter.onAppended(First, counted(3), RestoredAt + 1);
+    action = reporter.next(Epoch + 12'000);
+    BOOST_REQUIRE((action && action->step_ == ReportStep::Send));
+    BOOST_TEST(action->window_ == First + 1);
+    reporter.onSent(First + 1);
+    BOOST_TEST(!reporter.next(Epoch + 12'000).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
