Answers without end are given up by the client

Bytes that are no answer may come without end, until the caller closes. The client kept them: in a chunk's head, its extension or trailers (the parser waits for their end), in interim answers and answers to other requests (skipped, but collected), and in bodies that a caller gathers. Now more than 64 KiB that the parser can't take, more than 1 MiB of answers to skip, or a body longer than the request allows end the exchange.

--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -64,6 +64,8 @@
     std::string requestId_ {};
     bool fresh_ = false;    ///< Always use a new connection.
     bool bodyless_ = false; ///< A HEAD request.
+    /** Fails with Truncated when the body gets longer; 0: the receiver bounds what it keeps. */
+    std::size_t maxBodyBytes_ = 0;
     TimePoint connectBy_ {};
 };
 
@@ -101,6 +103,8 @@
               const std::function<void(bool)> &done);
     /** Closes the connection of the exchange, so that the peer stops. No event follows. */
     void cancel(ExchangeId id);
+    /** Gives up an exchange whose receiver can keep no more of its response, with that failure. */
+    void fail(ExchangeId id, ExchangeFailure failure);
     /** Stops reading the response until resume(). */
     void pause(ExchangeId id);
     void resume(ExchangeId id);
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -17,6 +17,11 @@
  */
 constexpr Duration IdleTimeoutMargin = millis(700);
 
+/** More bytes of a head, of a chunk's head or of trailers than this are no answer. */
+constexpr std::size_t MaxUnparsedBytes = 65'536;
+/** Interim answers and answers to other requests: more bytes of them are no such answers. */
+constexpr std::size_t MaxSkippedBytes = 1'048'576;
+
 /** The timeout parameter of a Keep-Alive header, in seconds; 0 if there is none. */
 int keepAliveTimeoutSeconds(std::string_view keepAlive)
 {
@@ -71,6 +76,8 @@
     TimePoint keepUntil_ {};
     bool headReported_ = false;
     bool skipping_ = false;
+    std::size_t skippedBytes_ = 0;
+    std::size_t bodyBytes_ = 0;
     bool paused_ = false;
 };
 
@@ -257,9 +264,13 @@
         return;
     }
     const std::shared_ptr<Exchange> exchange = found->second;
+    std::string &input = exchange->connection_->input();
     for (;;) {
-        const ParseStatus status = exchange->parser_.feed(exchange->connection_->input());
-        if (status != ParseStatus::Done && status != ParseStatus::NeedMore) {
+        const std::size_t before = input.size();
+        const ParseStatus status = exchange->parser_.feed(input);
+        const std::size_t parsed = before - input.size();
+        const bool isEndless = status == ParseStatus::NeedMore && input.size() > MaxUnparsedBytes;
+        if (isEndless || (status != ParseStatus::Done && status != ParseStatus::NeedMore)) {
             failExchange(id, exchange->headReported_ ? ExchangeFailure::Truncated
                                                      : ExchangeFailure::Garbled);
             return;
@@ -275,6 +286,12 @@
             }
         }
         if (exchange->skipping_) {
+            exchange->parser_.takeBody();
+            exchange->skippedBytes_ += parsed;
+            if (exchange->skippedBytes_ > MaxSkippedBytes) {
+                failExchange(id, ExchangeFailure::Garbled);
+                return;
+            }
             if (status != ParseStatus::Done) {
                 return;
             }
@@ -287,6 +304,12 @@
             return;
         }
         std::string body = exchange->parser_.takeBody();
+        exchange->bodyBytes_ += body.size();
+        const std::size_t maxBytes = exchange->request_.maxBodyBytes_;
+        if (maxBytes > 0 && exchange->bodyBytes_ > maxBytes) {
+            fail(id, ExchangeFailure::Truncated);
+            return;
+        }
         if (!body.empty()) {
             exchange->bodyEnd_->onBytes(body);
             exchange->events_.onBody_(std::move(body));
@@ -352,6 +375,19 @@
     failExchange(id, ExchangeFailure::Truncated);
 }
 
+void HttpClient::fail(ExchangeId id, ExchangeFailure failure)
+{
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "answer_too_long",
+             {{"peer", found->second->request_.peer_},
+              {"id", found->second->request_.requestId_},
+              {"body_bytes", found->second->bodyBytes_}});
+    failExchange(id, failure);
+}
+
 void HttpClient::failExchange(ExchangeId id, ExchangeFailure failure)
 {
     const std::shared_ptr<Exchange> exchange = exchanges_.at(id);
