Answers that are kept until they are complete share a bounded memory

A plain answer, a prefill's answer and an event that isn't complete are kept whole. One endpoint that sends without end took an instance's memory, and with it all its callers: the process is ended at its limit. All such answers of an instance together now have 24 MiB; beyond that the largest is given up as broken off (502, or another attempt where the request may be repeated).

Weighed: a limit for each answer (the sum of many still has no bound), and forwarding plain answers as they arrive (no second attempt after the first byte).

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -1,5 +1,7 @@
 #include "call.h"
 
+#include "answerbuffers.h"
+
 #include "almondridge/base/log.h"
 
 #include <algorithm>
@@ -438,6 +440,24 @@
     return events;
 }
 
+void Call::bufferAnswer(std::string_view bytes)
+{
+    attempt_.body_ += bytes;
+    limitBufferedAnswers();
+}
+
+void Call::limitBufferedAnswers()
+{
+    if (bufferedBytes() > SmallAnswerBytes) {
+        gateway_.limitBufferedAnswers();
+    }
+}
+
+void Call::giveUpAnswer()
+{
+    attemptClient().fail(attempt_.exchange_, async::ExchangeFailure::Truncated);
+}
+
 bool Call::seemsCutOff() const
 {
     return !isFromPeer() && gateway_.reach_.state() != Reach::Connected;
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -72,6 +72,14 @@
     /** Bytes of a streamed response were written to the caller. */
     virtual void onWritten() { }
 
+    /** Bytes of the answer that are kept until it, or its next event, is complete. */
+    std::size_t bufferedBytes() const noexcept
+    {
+        return attempt_.exchange_ != 0 ? attempt_.body_.size() + partialEventBytes() : 0;
+    }
+    /** The answer takes too much memory. */
+    void giveUpAnswer();
+
     RequestKey key() const noexcept { return context_.keys_.own_; }
     const RequestKeys &keys() const noexcept { return context_.keys_; }
     /** Whether an attempt at this lifetime of the endpoint is in progress. */
@@ -124,7 +132,12 @@
     /** A peer refused the request. True if another one may take it. */
     bool onPeerRefused();
     virtual void onAttemptHead() { }
-    virtual void onAttemptBody(std::string bytes) { attempt_.body_ += bytes; }
+    virtual void onAttemptBody(std::string bytes) { bufferAnswer(bytes); }
+    void bufferAnswer(std::string_view bytes);
+    /** Bytes of an event that isn't complete. */
+    virtual std::size_t partialEventBytes() const noexcept { return 0; }
+    /** Gives up the largest answer of this instance if all together take too much memory. */
+    void limitBufferedAnswers();
     virtual void onAttemptEnd() = 0;
     virtual void onAttemptFailed(async::ExchangeFailure failure) = 0;
     /** The timer of startAttemptTimer() has fired. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/gateway/gateway.h"
 
 #include "almondridge/base/log.h"
+#include "answerbuffers.h"
 #include "call.h"
 #include "gatewaystate.h"
 
@@ -598,6 +599,18 @@
     }
 }
 
+void GatewayState::limitBufferedAnswers()
+{
+    std::vector<BufferedAnswer> answers;
+    answers.reserve(calls_.size());
+    for (const auto &[number, call] : calls_) {
+        answers.push_back({number, call->bufferedBytes()});
+    }
+    if (const auto largest = answerToGiveUp(answers, MaxBufferedAnswerBytes)) {
+        calls_.at(*largest)->giveUpAnswer();
+    }
+}
+
 void GatewayState::onWritten(const async::CallId &id)
 {
     const auto found = calls_.find(id.call_);
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 /** A prefill times out after this many times its estimate, plus the time below. */
+/** An answer to the release of a handle says nothing that is needed. */
+constexpr std::size_t MaxReleaseAnswerBytes = 4'096;
 constexpr double PrefillTimeoutEstimates = 3;
 constexpr Duration PrefillTimeoutBase = millis(1'500);
 /** Until an interrupted stream is retried when no engine took it; some slots are free by then. */
@@ -425,6 +427,7 @@
     request.address_ = handle.source_;
     request.text_ = gateway_.dialect_.serializeHandleRelease(handle.source_, handle.handle_);
     request.connectBy_ = now + millis(gateway_.settings_.connectTimeoutMillis_);
+    request.maxBodyBytes_ = MaxReleaseAnswerBytes;
     // The result doesn't matter, since the handle expires by itself.
     gateway_.client_.start(
         std::move(request),
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -55,6 +55,10 @@
     bool canRetryLater() const;
     void onAttemptHead() override;
     void onAttemptBody(std::string bytes) override;
+    std::size_t partialEventBytes() const noexcept override
+    {
+        return events_.partialEvent().size();
+    }
     void onAttemptEnd() override;
     void onAttemptFailed(async::ExchangeFailure failure) override;
     void onAttemptTimeout() override;
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -122,13 +122,15 @@
 void ModelCall::onAttemptBody(std::string bytes)
 {
     if (phase_ == ModelPhase::Prefilling || !isStream()) {
-        attempt_.body_ += bytes;
+        bufferAnswer(bytes);
         return;
     }
     const std::string complete = events_.feed(bytes);
     if (!complete.empty()) {
         fitsStream() ? forwardEvents(complete) : onOtherVersion();
+        return;
     }
+    limitBufferedAnswers();
 }
 
 bool ModelCall::fitsStream() const
--- a/libs/gateway/src/stagecontroller.cpp
+++ b/libs/gateway/src/stagecontroller.cpp
@@ -12,6 +12,7 @@
  * right to give the order.
  */
 constexpr std::int64_t OrderConnectMillis = 300;
+constexpr std::size_t MaxAnswerBytes = 65'536;
 constexpr int Accepted = 202;
 constexpr int StaleFence = 412;
 constexpr int Conflict = 409;
@@ -93,6 +94,7 @@
     request.address_ = gateway_.endpoints().find(engine)->listed_.address_;
     request.text_ = std::move(text);
     request.connectBy_ = BootClock::now() + millis(OrderConnectMillis);
+    request.maxBodyBytes_ = MaxAnswerBytes;
     const auto onResult = [done](const async::ExchangeResult &result) {
         done(result.failure_ ? 0 : result.status_, result.body_);
     };
--- a/libs/replication/src/protocol.cpp
+++ b/libs/replication/src/protocol.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view AcceptsCompressedFlag = "&unpacks";
 /** Fields of a change: topic, key, value, offset, and, if compressed, the value's size. */
 constexpr std::size_t CompressedChangeFields = 5;
+/** Of MaxChangesPerResponse changes, each with a record of the largest size that is in use. */
+constexpr std::size_t MaxAnswerBytes = 16 * 1'024 * 1'024;
 constexpr std::int64_t ConnectTimeoutMillis = 250;
 /** Pending polls are answered when the read time has advanced by this since their last data. */
 constexpr Duration MinConfirmationStep = millis(300);
@@ -376,6 +378,7 @@
     request.peer_ = net::toString(*peer_);
     request.address_ = *peer_;
     request.connectBy_ = now + millis(ConnectTimeoutMillis);
+    request.maxBodyBytes_ = MaxAnswerBytes;
     request.text_ = fmt::format(
         "GET /news?lifetime={}&from={}&base={}&listing={}&ends={}{}{} HTTP/1.1\r\nHost: {}\r\n\r\n",
         lifetime_, cursor_.nextSequence_, cursor_.historyStart_, cursor_.inSnapshot_ ? 1 : 0,
