--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -74,7 +74,7 @@
     Json entry {{"service", service_}, {"address", net::toString(proxy_->address())},
                 {"zone", "z"},         {"version", version_},
                 {"slots", 16},         {"state", draining() ? "draining" : "ready"},
-                {"seq", random_()}};
+                {"seq", ++heartbeats_}};
     if (!stage_.empty()) {
         entry["stage"] = stage_;
     }
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -106,6 +106,7 @@
     std::string version_;
     async::HttpServer server_;
     std::unique_ptr<Proxy> proxy_;
+    std::uint64_t heartbeats_ = 0;
     std::mt19937_64 random_;
     EndpointFault fault_ = EndpointFault::None;
     bool calm_ = true;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -59,7 +59,7 @@
         void (Soak::*strike_)();
         bool planned_; ///< Operators do it: every promise holds meanwhile, with its bound.
     };
-    static const std::array<FaultKind, 15> FaultKinds;
+    static const std::array<FaultKind, 16> FaultKinds;
 
     void startEndpoints();
     void writeConfig();
@@ -85,6 +85,7 @@
     void limitEndpoint();
     void makeEndpointBackOff();
     void dropHistory();
+    void restoreStore();
     void changeConfig();
     void stopAndKill();
 
@@ -132,7 +133,7 @@
     std::uint64_t servedBeforeEnd_ = 0;
 };
 
-const std::array<Soak::FaultKind, 15> Soak::FaultKinds {{
+const std::array<Soak::FaultKind, 16> Soak::FaultKinds {{
     {"kill one", &Soak::killOne, false},
     {"kill most", &Soak::killMost, false},
     {"planned stop", &Soak::stopOne, true},
@@ -144,6 +145,7 @@
     {"endpoint link", &Soak::cutEndpointLink, false},
     {"endpoint replaced", &Soak::replaceEndpoint, true},
     {"history dropped", &Soak::dropHistory, true},
+    {"store restored", &Soak::restoreStore, false},
     {"configuration", &Soak::changeConfig, true},
     {"stop, then kill another", &Soak::stopAndKill, false},
     {"endpoint limit", &Soak::limitEndpoint, true},
@@ -520,6 +522,29 @@
     store_.dropHistory();
 }
 
+/**
+ * The store is away for a moment and comes back from an older copy. The versions written just
+ * before are lost, so that the next ones have offsets that were assigned before.
+ */
+void Soak::restoreStore()
+{
+    constexpr int LostVersions = 3;
+    constexpr Duration Aftermath = millis(5'200);
+    const Duration length = span(200, 1'500);
+    const Duration age = span(300, 4'000);
+    const bool regrown = random_() % 2 == 0;
+    disturbed(length);
+    for (int lost = 0; lost < LostVersions; ++lost) {
+        writeConfig();
+    }
+    store_.setFault(random_() % 2 == 0 ? StoreFault::Silent : StoreFault::Reset);
+    later(loop_, length, [this, age, regrown] {
+        store_.restoreCopy(age, regrown);
+        store_.setFault(StoreFault::None);
+    });
+    later(loop_, length + Aftermath, [this] { changeConfig(); });
+}
+
 void Soak::changeConfig()
 {
     writeConfig();
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -17,6 +17,8 @@
 /** Every so many answers one is lost, while the store loses answers. */
 constexpr std::uint64_t LostEvery = 3;
 constexpr std::size_t LengthBytes = 4;
+constexpr Duration CopyInterval = millis(250);
+constexpr std::size_t CopiesKept = 24;
 
 bool isKeyed(const std::string &topic)
 {
@@ -38,6 +40,54 @@
     answerWaiting();
 }
 
+void StoreStandIn::respond(const async::CallId &id, net::Response response)
+{
+    response.headers_.emplace_back("Store-Era", std::to_string(era_));
+    server_.respond(id, response);
+}
+
+void StoreStandIn::makeCopy()
+{
+    copies_.push_back({BootClock::now(), logs_, newest_, generation_});
+    if (copies_.size() > CopiesKept) {
+        copies_.pop_front();
+    }
+}
+
+void StoreStandIn::restoreCopy(Duration age, bool regrown)
+{
+    makeCopy();
+    const TimePoint madeBefore = BootClock::now() - age;
+    auto copy = copies_.begin();
+    while (std::next(copy) != copies_.end() && std::next(copy)->madeAt_ <= madeBefore) {
+        ++copy;
+    }
+    std::map<std::string, LogOffset> endsBefore;
+    for (const auto &[topic, log] : logs_) {
+        endsBefore[topic] = log.first_ + log.records_.size();
+    }
+    const Newest before = newest_;
+    logs_ = copy->logs_;
+    newest_ = copy->newest_;
+    generation_ = copy->generation_;
+    members_.clear();
+    copies_.clear();
+    ++era_;
+    for (const char *topic : {"keyed.op", "keyed.servers"}) {
+        const auto written = before.find(topic);
+        for (const auto &[key, entry] :
+             written != before.end() ? written->second : Newest::mapped_type {}) {
+            const bool isLost = newest_[topic][key].first != entry.first;
+            if (isLost && (entry.first.empty() || std::string_view(topic) == "keyed.op")) {
+                put(topic, key, entry.first);
+            }
+        }
+        while (regrown && logs_[topic].first_ + logs_[topic].records_.size() <= endsBefore[topic]) {
+            put(topic, "filler", std::to_string(era_));
+        }
+    }
+}
+
 void StoreStandIn::setFault(StoreFault fault)
 {
     fault_ = fault;
@@ -57,7 +107,7 @@
     case StoreFault::Silent:
         return;
     case StoreFault::Busy:
-        server_.respond(call.id_, {503, {}, ""});
+        respond(call.id_, {503, {}, ""});
         return;
     case StoreFault::Reset:
         server_.abort(call.id_);
@@ -85,22 +135,22 @@
     const std::string &target = call.head_.target_;
     const std::string topic = queryParameter(target, "topic");
     if (target.starts_with("/almondridge/log-append")) {
-        server_.respond(call.id_, append(topic, call.body_));
+        respond(call.id_, append(topic, call.body_));
     } else if (target.starts_with("/almondridge/log-newest")) {
-        server_.respond(call.id_, newest(topic));
+        respond(call.id_, newest(topic));
     } else if (target.starts_with("/almondridge/log-join")) {
-        server_.respond(call.id_, join(call.body_));
+        respond(call.id_, join(call.body_));
     } else if (target.starts_with("/almondridge/log-read")) {
         const LogOffset from = numberOf(queryParameter(target, "from"));
         const Log &log = logs_[topic];
-        if (from < log.first_ || from < log.first_ + log.records_.size()) {
-            server_.respond(call.id_, records(log, from));
+        if (from != log.first_ + log.records_.size()) {
+            respond(call.id_, records(log, from));
             return;
         }
         const auto wait = static_cast<std::int64_t>(numberOf(queryParameter(target, "wait-ms")));
         waiting_.push_back({call.id_, topic, from, BootClock::now() + millis(wait)});
     } else {
-        server_.respond(call.id_, {200, {}, "{}"});
+        respond(call.id_, {200, {}, "{}"});
     }
 }
 
@@ -108,11 +158,14 @@
 {
     const TimePoint now = BootClock::now();
     tick_.startAt(now + TickInterval, [this] { answerWaiting(); });
+    if (copies_.empty() || copies_.back().madeAt_ + CopyInterval <= now) {
+        makeCopy();
+    }
     for (auto one = waiting_.begin(); one != waiting_.end();) {
         const Log &log = logs_[one->topic_];
-        const bool due = one->until_ <= now || one->from_ < log.first_ + log.records_.size();
+        const bool due = one->until_ <= now || one->from_ != log.first_ + log.records_.size();
         if (due) {
-            server_.respond(one->id_, records(log, one->from_));
+            respond(one->id_, records(log, one->from_));
         }
         one = due ? waiting_.erase(one) : std::next(one);
     }
@@ -124,6 +177,9 @@
         return {410, {}, Json {{"first", log.first_}}.dump()};
     }
     const LogOffset end = log.first_ + log.records_.size();
+    if (from > end) {
+        return {410, {}, Json {{"first", log.first_}}.dump()};
+    }
     std::string body = readHeader(end, log.first_);
     for (LogOffset offset = from; offset < end; ++offset) {
         body += framedRecord(log.records_[offset - log.first_]);
--- a/soak/storestandin.h
+++ b/soak/storestandin.h
@@ -7,6 +7,7 @@
 #include "almondridge/async/httpserver.h"
 #include "almondridge/base/ids.h"
 
+#include <deque>
 #include <list>
 #include <map>
 #include <string>
@@ -34,6 +35,13 @@
     void setFault(StoreFault fault);
     /** Drops all records but the newest of each key. */
     void dropHistory();
+    /**
+     * Comes back from a copy of that age: what was written since is gone, offsets are assigned
+     * again, and the era rises. The newest configuration and the removals of endpoints are written
+     * again; endpoints that live do so with their next heartbeat. regrown: they wrote so much
+     * meanwhile that the logs are longer than they were.
+     */
+    void restoreCopy(Duration age, bool regrown);
     /** Writes as the operator or an endpoint; an empty value removes the key. */
     void put(const std::string &topic, const std::string &key, const std::string &value);
 
@@ -43,6 +51,14 @@
         LogOffset first_ = 0;
         std::vector<std::string> records_;
     };
+    using Newest = std::map<std::string, std::map<std::string, std::pair<std::string, LogOffset>>>;
+    struct Copy
+    {
+        TimePoint madeAt_ {};
+        std::map<std::string, Log> logs_;
+        Newest newest_;
+        std::uint64_t generation_ = 0;
+    };
     struct Waiting
     {
         async::CallId id_;
@@ -63,13 +79,17 @@
     net::Response join(const std::string &body);
     net::Response records(const Log &log, LogOffset from) const;
     void answerWaiting();
+    void makeCopy();
+    void respond(const async::CallId &id, net::Response response);
 
     async::EventLoop &loop_;
     async::HttpServer server_;
     StoreFault fault_ = StoreFault::None;
     std::uint64_t calls_ = 0;
     std::map<std::string, Log> logs_;
-    std::map<std::string, std::map<std::string, std::pair<std::string, LogOffset>>> newest_;
+    Newest newest_;
+    std::deque<Copy> copies_; ///< Oldest first.
+    std::uint64_t era_ = 1;
     std::list<Waiting> waiting_;
     std::list<GroupMember> members_; ///< The first one holds the group's partition.
     std::uint64_t generation_ = 0;
