--- a/libs/replication/include/almondridge/replication/topicreplica.h
+++ b/libs/replication/include/almondridge/replication/topicreplica.h
@@ -167,6 +167,7 @@
     void assignSequence(Entries::iterator entry);
     void discardTombstones();
     ChangeSet emptySet() const;
+    void addConfigAhead(ChangeSet &set) const;
     void applySnapshotKeys(const ChangeSet &set);
 
     OnChange onChange_;
--- a/libs/replication/src/topicreplica.cpp
+++ b/libs/replication/src/topicreplica.cpp
@@ -228,9 +228,29 @@
         }
         set.changes_.push_back(changeOf(key, entry));
     }
+    if (set.isSnapshot_ && set.more_) {
+        addConfigAhead(set);
+    }
     return set;
 }
 
+/**
+ * A follower puts a configuration in force with the first part of a snapshot, and one that is newer
+ * than the snapshot with the next part: all parts can take longer than the bound of a
+ * configuration.
+ */
+void TopicReplica::addConfigAhead(ChangeSet &set) const
+{
+    const std::uint64_t from =
+        set.isFirstPart_ ? set.nextSequence_ : std::max(set.nextSequence_, historyStart_);
+    for (auto entry = entries_.lower_bound({Topic::Config, ""});
+         entry != entries_.end() && entry->first.first == Topic::Config; ++entry) {
+        if (entry->second.sequence_ >= from) {
+            set.changes_.push_back(changeOf(entry->first, entry->second));
+        }
+    }
+}
+
 std::optional<ChangeSet> TopicReplica::changesBeyond(const TopicEnds &ends,
                                                      std::size_t maxChanges) const
 {
--- a/libs/replication/tests/topicreplicatest.cpp
+++ b/libs/replication/tests/topicreplicatest.cpp
@@ -192,4 +192,36 @@
     }
 }
 
+// Guards against a configuration that comes in force late at followers: after a restore of the
+// store it waits behind all parts of a long list of endpoints.
+BOOST_AUTO_TEST_CASE(aConfigurationComesBeforeTheRestOfASnapshot)
+{
+    constexpr int Endpoints = 50;
+    constexpr std::size_t PartSize = 10;
+    CountingReplica reader;
+    CountingReplica follower;
+    LogOffset end = 0;
+    for (int number = 0; number < Endpoints; ++number) {
+        reader.replica_.put({Topic::Endpoints, "e" + std::to_string(number), "1", end++});
+    }
+    reader.replica_.onRecordsSkipped(Topic::Endpoints, end);
+    reader.replica_.put({Topic::Config, "config", "1", 0});
+    ChangeSet part = reader.replica_.after({}, PartSize);
+    follower.replica_.apply(part);
+    BOOST_TEST(part.more_);
+    BOOST_TEST(follower.replica_.value(Topic::Config, "config") == "1");
+
+    reader.replica_.put({Topic::Config, "config", "2", 1});
+    part = reader.replica_.after(part.cursor(), PartSize);
+    follower.replica_.apply(part);
+    BOOST_TEST(part.more_);
+    BOOST_TEST(follower.replica_.value(Topic::Config, "config") == "2");
+    while (part.more_) {
+        part = reader.replica_.after(part.cursor(), PartSize);
+        follower.replica_.apply(part);
+    }
+    BOOST_TEST(follower.replica_.keys(Topic::Endpoints).size() == std::size_t {Endpoints});
+    BOOST_TEST(follower.replica_.value(Topic::Config, "config") == "2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
