--- a/libs/gateway/include/almondridge/gateway/leaderelection.h
+++ b/libs/gateway/include/almondridge/gateway/leaderelection.h
@@ -20,8 +20,8 @@
 
     /** Queries whether this instance is the leader; nullopt: no reply. */
     virtual void queryLeader(const std::function<void(std::optional<bool>)> &done) = 0;
-    /** Appends a claim to the log and passes on its offset; nullopt: unknown whether appended. */
-    virtual void claimFence(const std::function<void(std::optional<LogOffset>)> &done) = 0;
+    /** Appends a claim to the log and passes it on; nullopt: unknown whether appended. */
+    virtual void claimFence(const std::function<void(std::optional<FenceClaim>)> &done) = 0;
 };
 
 class LeaderElection
--- a/libs/gateway/include/almondridge/gateway/leaderstate.h
+++ b/libs/gateway/include/almondridge/gateway/leaderstate.h
@@ -28,6 +28,13 @@
     bool fencesAreChecked_ = false;
 };
 
+/** A claim of a fencing number that was appended to the log of claims. */
+struct FenceClaim
+{
+    LogOffset offset_ = 0;
+    bool isFirst_ = false; ///< There never was another claim, so there is no previous leader.
+};
+
 /** The right to give orders, until a point in time. */
 struct LeaderLease
 {
@@ -44,8 +51,8 @@
     void onLeaderReply(bool isNamed, TimePoint askedAt, TimePoint now);
     /** Whether this instance is the leader but has no fencing number yet. */
     bool needsFence(TimePoint now) const;
-    /** The claim of a fencing number was appended to the log of claims at this offset. */
-    void onFenceClaimed(LogOffset offset, TimePoint now);
+    /** The claim of a fencing number was appended. */
+    void onFenceClaimed(const FenceClaim &claim, TimePoint now);
     /** A receiver has seen a higher fencing number: another instance has become the leader. */
     void onHigherFenceSeen(TimePoint now);
 
--- a/libs/gateway/src/leaderelection.cpp
+++ b/libs/gateway/src/leaderelection.cpp
@@ -64,13 +64,14 @@
         return;
     }
     claiming_ = true;
-    store_.claimFence([this](std::optional<LogOffset> offset) {
+    store_.claimFence([this](const std::optional<FenceClaim> &claim) {
         claiming_ = false;
-        if (!offset) {
+        if (!claim) {
             return;
         }
-        state_.onFenceClaimed(*offset, BootClock::now());
-        logEvent(LogLevel::Info, "fence_claimed", {{"offset", *offset}});
+        state_.onFenceClaimed(*claim, BootClock::now());
+        logEvent(LogLevel::Info, "fence_claimed",
+                 {{"offset", claim->offset_}, {"first", claim->isFirst_ ? "yes" : "no"}});
     });
 }
 
--- a/libs/gateway/src/leaderstate.cpp
+++ b/libs/gateway/src/leaderstate.cpp
@@ -40,14 +40,13 @@
     return named_ && leaseUntil_ > now && !fence_;
 }
 
-void LeaderState::onFenceClaimed(LogOffset offset, TimePoint now)
+void LeaderState::onFenceClaimed(const FenceClaim &claim, TimePoint now)
 {
     if (!needsFence(now)) {
         return;
     }
-    fence_ = offset + 1;
-    // The first claim in the log has no previous leader to wait for.
-    ordersAllowedAt_ = offset == 0 ? now : firstOrderAt(now);
+    fence_ = claim.offset_ + 1;
+    ordersAllowedAt_ = claim.isFirst_ ? now : firstOrderAt(now);
 }
 
 void LeaderState::onHigherFenceSeen(TimePoint now)
--- a/libs/gateway/tests/decisiontest.cpp
+++ b/libs/gateway/tests/decisiontest.cpp
@@ -111,7 +111,7 @@
     leader.onLeaderReply(true, at(0), at(10));
     BOOST_TEST(leader.needsFence(at(10)));
     BOOST_TEST(!leader.lease(at(10)));
-    leader.onFenceClaimed(0, at(20));
+    leader.onFenceClaimed({0, true}, at(20));
     BOOST_REQUIRE(leader.lease(at(20)).has_value());
     BOOST_TEST(leader.lease(at(20))->fence_ == 1U);
 }
@@ -124,10 +124,10 @@
 {
     LeaderState before({3'000, 1'000, 500}, at(0));
     before.onLeaderReply(true, at(0), at(5));
-    before.onFenceClaimed(0, at(10));
+    before.onFenceClaimed({0, true}, at(10));
     LeaderState after({3'000, 1'000, 500}, at(0));
     after.onLeaderReply(true, at(100), at(105));
-    after.onFenceClaimed(1, at(110));
+    after.onFenceClaimed({1}, at(110));
     for (std::int64_t now = 150; now < 10'000; now += 50) {
         if (now % 1'000 == 0) {
             after.onLeaderReply(true, at(now), at(now));
@@ -145,7 +145,7 @@
 {
     LeaderState leader({3'000, 1'000, 500}, at(0));
     leader.onLeaderReply(true, at(0), at(5));
-    leader.onFenceClaimed(0, at(10));
+    leader.onFenceClaimed({0, true}, at(10));
     BOOST_TEST(!leader.lease(at(2'600)).has_value());
     leader.onLeaderReply(true, at(9'000), at(9'005));
     BOOST_TEST(leader.needsFence(at(9'005)));
@@ -157,7 +157,7 @@
 {
     LeaderState after({3'000, 1'000, 500, true}, at(0));
     after.onLeaderReply(true, at(60'000), at(60'005));
-    after.onFenceClaimed(7, at(60'010));
+    after.onFenceClaimed({7}, at(60'010));
     BOOST_TEST(after.lease(at(60'010)).has_value());
 }
 
@@ -167,10 +167,10 @@
 {
     LeaderState turns({3'000, 1'000, 500, true}, at(0));
     turns.onLeaderReply(true, at(60'000), at(60'005));
-    turns.onFenceClaimed(7, at(60'010));
+    turns.onFenceClaimed({7}, at(60'010));
     turns.onLeaderReply(false, at(61'000), at(61'005));
     turns.onLeaderReply(true, at(62'000), at(62'005));
-    turns.onFenceClaimed(9, at(62'010));
+    turns.onFenceClaimed({9}, at(62'010));
     BOOST_TEST(!turns.lease(at(62'010)).has_value());
     for (std::int64_t now = 63'000; now <= 66'000; now += 1'000) {
         turns.onLeaderReply(true, at(now), at(now));
@@ -183,7 +183,7 @@
 {
     LeaderState restarted({3'000, 1'000, 500, true}, at(60'000));
     restarted.onLeaderReply(true, at(62'500), at(62'505));
-    restarted.onFenceClaimed(9, at(62'510));
+    restarted.onFenceClaimed({9}, at(62'510));
     BOOST_TEST(!restarted.lease(at(62'510)).has_value());
     restarted.onLeaderReply(true, at(64'000), at(64'005));
     BOOST_TEST(restarted.lease(at(64'600)).has_value());
@@ -193,7 +193,7 @@
 {
     LeaderState leader({3'000, 1'000, 500}, at(0));
     leader.onLeaderReply(true, at(0), at(5));
-    leader.onFenceClaimed(0, at(10));
+    leader.onFenceClaimed({0, true}, at(10));
     leader.onHigherFenceSeen(at(20));
     BOOST_TEST(!leader.lease(at(20)).has_value());
     BOOST_TEST(!leader.needsFence(at(20)));
