Instances of earlier versions read the store instead of following

An earlier version takes positions for offsets: having followed an instance of this version, it would find all records of its own reads superseded. Polls now say that their sender knows eras; others are answered as by a peer that has lost the store, so they read for themselves during a rolling upgrade. By reading; the parser of polls has no test of its own.

--- a/libs/replication/include/almondridge/replication/protocol.h
+++ b/libs/replication/include/almondridge/replication/protocol.h
@@ -78,6 +78,7 @@
         TopicEnds ends_ {};
         TimePoint requestedAt_ {};
         bool acceptsCompressed_ = false; ///< False for instances of earlier versions.
+        bool knowsEras_ = false;         ///< The same.
     };
     struct PendingPoll
     {
@@ -88,6 +89,8 @@
 
     PollRequest readPollRequest(const async::ServerCall &call) const;
     ChangeSet changesFor(const PollRequest &pollRequest) const;
+    /** A peer that takes positions for plain offsets can't follow: it is to read the store. */
+    bool hasNoDataFor(const PollRequest &pollRequest) const;
     void respond(const PollRequest &pollRequest);
     void respondToExpired();
     bool isFresh(TimePoint now) const;
--- a/libs/replication/src/protocol.cpp
+++ b/libs/replication/src/protocol.cpp
@@ -14,6 +14,8 @@
 constexpr std::string_view RequestPath = "/news?";
 constexpr std::string_view WaitForLostStoreFlag = "&patient";
 constexpr std::string_view AcceptsCompressedFlag = "&unpacks";
+/** Offsets are positions across restores of the store. */
+constexpr std::string_view KnowsErasFlag = "&eras";
 /** Fields of a change: topic, key, value, offset, and, if compressed, the value's size. */
 constexpr std::size_t CompressedChangeFields = 5;
 /** Of MaxChangesPerResponse changes, each with a record of the largest size that is in use. */
@@ -197,7 +199,8 @@
                              {},
                              endsParameter(target, "ends="),
                              call.startedAt_,
-                             target.find(AcceptsCompressedFlag) != std::string::npos};
+                             target.find(AcceptsCompressedFlag) != std::string::npos,
+                             target.find(KnowsErasFlag) != std::string::npos};
     if (numberParameter(target, "lifetime=") == lifetime_) {
         pollRequest.cursor_ = {numberParameter(target, "from="), numberParameter(target, "base="),
                                numberParameter(target, "listing=") != 0};
@@ -217,7 +220,7 @@
         return;
     }
     const bool waitsForLostStore = call.head_.target_.ends_with(WaitForLostStoreFlag);
-    if (storeLost_ && !waitsForLostStore) {
+    if (hasNoDataFor(pollRequest) && !waitsForLostStore) {
         respond(pollRequest);
         return;
     }
@@ -227,10 +230,15 @@
     }
 }
 
+bool ReplicationServer::hasNoDataFor(const PollRequest &pollRequest) const
+{
+    return storeLost_ || !pollRequest.knowsEras_;
+}
+
 ChangeSet ReplicationServer::changesFor(const PollRequest &pollRequest) const
 {
     const bool hasAllTopics = oldestReadAge(replica_.topics(), BootClock::now()).has_value();
-    if (storeLost_ || !hasAllTopics) {
+    if (hasNoDataFor(pollRequest) || !hasAllTopics) {
         // No usable data, or not yet: an incomplete list isn't sent.
         ChangeSet empty;
         empty.nextSequence_ = pollRequest.cursor_.nextSequence_;
@@ -250,7 +258,7 @@
     server_->respond(pollRequest.id_,
                      {200,
                       {},
-                      encodeChanges(changesFor(pollRequest), lifetime_, storeLost_,
+                      encodeChanges(changesFor(pollRequest), lifetime_, hasNoDataFor(pollRequest),
                                     BootClock::now(), pollRequest.requestedAt_, compressed)});
 }
 
@@ -380,10 +388,11 @@
     request.connectBy_ = now + millis(ConnectTimeoutMillis);
     request.maxBodyBytes_ = MaxAnswerBytes;
     request.text_ = fmt::format(
-        "GET /news?lifetime={}&from={}&base={}&listing={}&ends={}{}{} HTTP/1.1\r\nHost: {}\r\n\r\n",
+        "GET /news?lifetime={}&from={}&base={}&listing={}&ends={}{}{}{} HTTP/1.1\r\nHost: "
+        "{}\r\n\r\n",
         lifetime_, cursor_.nextSequence_, cursor_.historyStart_, cursor_.inSnapshot_ ? 1 : 0,
         formatEnds(events_.ends_ ? events_.ends_() : TopicEnds {}), AcceptsCompressedFlag,
-        waitsForLostStore_ ? WaitForLostStoreFlag : "", net::toString(*peer_));
+        KnowsErasFlag, waitsForLostStore_ ? WaitForLostStoreFlag : "", net::toString(*peer_));
     async::ExchangeEvents answer = async::gatherAnswer([this](const async::ExchangeResult &result) {
         onAnswer(result.failure_ ? 0 : result.status_, result.body_);
     });
