A version of a configuration that is written again with another text is taken

After a restore the operator may give a lost version's number to another text. The replica takes the later record; the gateway ignored an equal version, so instances that knew the lost one differed from the others until the next version. Lower versions are ignored as before.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -249,7 +249,7 @@
 
 void Gateway::setConfig(std::shared_ptr<const Config> config)
 {
-    if (state_->config_ != nullptr && config->version() <= state_->config_->version()) {
+    if (state_->config_ != nullptr && config->version() < state_->config_->version()) {
         return;
     }
     const CallerLimits &limits = config->limits();
