Heartbeat numbers count within a start of their endpoint

An endpoint that crashed may start again under its id and number its heartbeats from the beginning: ordered by these numbers alone its entry would be ignored until they exceed the earlier ones. A revision now is the start of the writer, where an entry tells it, and the number.

--- a/libs/gateway/src/answerbuffers.h
+++ b/libs/gateway/src/answerbuffers.h
@@ -11,9 +11,9 @@
 namespace almondridge::gateway {
 
 /** Of all answers of an instance together. */
-inline constexpr std::size_t MaxBufferedAnswerBytes = 24 * 1'024 * 1'024;
+inline constexpr std::size_t MaxBufferedAnswerBytes = 25'165'824;
 /** Answers up to this size cause no check. */
-inline constexpr std::size_t SmallAnswerBytes = 64 * 1'024;
+inline constexpr std::size_t SmallAnswerBytes = 65'536;
 
 struct BufferedAnswer
 {
--- a/libs/net/src/httpcall.cpp
+++ b/libs/net/src/httpcall.cpp
@@ -7,7 +7,7 @@
 namespace almondridge::net {
 namespace {
 
-constexpr std::size_t MaxAnswerBytes = 16 * 1'024 * 1'024;
+constexpr std::size_t MaxAnswerBytes = 16'777'216;
 
 struct ConnectionCloser
 {
--- a/libs/replication/include/almondridge/replication/topicreplica.h
+++ b/libs/replication/include/almondridge/replication/topicreplica.h
@@ -13,6 +13,7 @@
 #include "almondridge/base/time.h"
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,6 +28,15 @@
 
 inline constexpr std::size_t TopicCount = 4;
 
+/** Orders the records of one key by their writer's own count. */
+struct RecordRevision
+{
+    std::uint64_t incarnation_ = 0; ///< Rises when the writer starts anew under the same key.
+    std::uint64_t number_ = 0;      ///< Rises with each record of the incarnation.
+
+    friend auto operator<=>(const RecordRevision &, const RecordRevision &) = default;
+};
+
 /** A key's new value, or its removal. */
 struct Change
 {
@@ -39,8 +49,7 @@
      * thus means that the key had no other value in between.
      */
     bool isContiguous_ = false;
-    /** Rises with each record that the key's writer writes; nullopt: it doesn't number them. */
-    std::optional<std::uint64_t> revision_ {};
+    std::optional<RecordRevision> revision_ {}; ///< nullopt: the writer doesn't number records.
 };
 
 /** How much of a topic is known, and how recent that is. */
@@ -151,8 +160,8 @@
     {
         std::string value_;
         std::uint64_t sequence_ = 0;
-        LogOffset offset_ = 0;                     ///< Of the newest record with this value.
-        std::optional<std::uint64_t> revision_ {}; ///< Of a removal: that of the removed value.
+        LogOffset offset_ = 0;                      ///< Of the newest record with this value.
+        std::optional<RecordRevision> revision_ {}; ///< Of a removal: that of the removed value.
         LogOffset valueSince_ = 0; ///< The key has had this value at least since this record.
         /** Applied after later records, so a peer's end offset doesn't imply that it has this. */
         bool arrivedOutOfOrder_ = false;
--- a/libs/replication/src/protocol.cpp
+++ b/libs/replication/src/protocol.cpp
@@ -19,7 +19,7 @@
 /** Fields of a change: topic, key, value, offset, and, if compressed, the value's size. */
 constexpr std::size_t CompressedChangeFields = 5;
 /** Of MaxChangesPerResponse changes, each with a record of the largest size that is in use. */
-constexpr std::size_t MaxAnswerBytes = 16 * 1'024 * 1'024;
+constexpr std::size_t MaxAnswerBytes = 16'777'216;
 constexpr std::int64_t ConnectTimeoutMillis = 250;
 /** Pending polls are answered when the read time has advanced by this since their last data. */
 constexpr Duration MinConfirmationStep = millis(300);
@@ -82,13 +82,15 @@
 }
 
 /** nullopt: the record has none, or the peer's version doesn't send it. */
-std::optional<std::uint64_t> readRevision(const Json &json, std::size_t index)
+std::optional<RecordRevision> readRevision(const Json &json, std::size_t index)
 {
     const auto revisions = json.find("revisions");
     if (revisions == json.end() || revisions->at(index).is_null()) {
         return std::nullopt;
     }
-    return revisions->at(index).get<std::uint64_t>();
+    const Json &revision = revisions->at(index);
+    return RecordRevision {revision.at(0).get<std::uint64_t>(),
+                           revision.at(1).get<std::uint64_t>()};
 }
 
 /** nullopt: the topic is unknown, or the compressed value is invalid. */
@@ -123,7 +125,9 @@
     Json revisions = Json::array();
     for (const Change &change : set.changes_) {
         changes.push_back(encodeChange(change, compressed));
-        revisions.push_back(change.revision_ ? Json(*change.revision_) : Json(nullptr));
+        revisions.push_back(change.revision_ ? Json::array(
+                                {change.revision_->incarnation_, change.revision_->number_})
+                                             : Json(nullptr));
     }
     Json ages = Json::array();
     Json ends = Json::array();
--- a/libs/replication/tests/restoredstoretest.cpp
+++ b/libs/replication/tests/restoredstoretest.cpp
@@ -86,7 +86,7 @@
         const Written &written = writers_[key];
         Change record {Topic::Endpoints, key, written.value_, 0};
         if (!written.value_.empty()) {
-            record.revision_ = written.revision_;
+            record.revision_ = {0, written.revision_};
         }
         records_.push_back(record);
     }
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -42,7 +42,7 @@
 
 void StoreStandIn::respond(const async::CallId &id, net::Response response)
 {
-    response.headers_.emplace_back("Store-Era", std::to_string(era_));
+    response.headers_.push_back({"Store-Era", std::to_string(era_)});
     server_.respond(id, response);
 }
 
