--- a/libs/gateway/src/answerbuffers.cpp
+++ b/libs/gateway/src/answerbuffers.cpp
@@ -11,7 +11,7 @@
     for (const BufferedAnswer &answer : answers) {
         total += answer.bytes_;
     }
-    if (total <= maxBytes || answers.empty()) {
+    if (total <= maxBytes) {
         return std::nullopt;
     }
     const auto largest = std::max_element(
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -48,7 +48,7 @@
     void resolveUnknownKeys();
     void onCallerGone(const async::CallId &id);
     void onWritten(const async::CallId &id);
-    /** Gives up the largest answers until those that are kept fit into their memory. */
+    /** Gives up the largest answer if those that are kept don't fit into their memory. */
     void limitBufferedAnswers();
     /** Responds with an error before a call exists. */
     void refuse(const async::CallId &id, int status, std::string_view reason);
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -8,9 +8,9 @@
 namespace almondridge::gateway {
 namespace {
 
-/** A prefill times out after this many times its estimate, plus the time below. */
 /** An answer to the release of a handle says nothing that is needed. */
 constexpr std::size_t MaxReleaseAnswerBytes = 4'096;
+/** A prefill times out after this many times its estimate, plus the time below. */
 constexpr double PrefillTimeoutEstimates = 3;
 constexpr Duration PrefillTimeoutBase = millis(1'500);
 /** Until an interrupted stream is retried when no engine took it; some slots are free by then. */
