Sizes follow the demand: SizeDemand, and SizePlan with followsDemand

The baseline of a service follows the peak of the fleet's demand at a utilization of 0.3 instead of the number found at the start.

Samples that do not cover the fleet only raise the need: LoadMesh::isDemandComplete().

--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -41,6 +41,10 @@
     }
     /** Returns the demand of this instance and its peers, in busy engines. */
     StageDemand demand(const ServiceId &service) const;
+    /**
+     * Whether demand() covers nearly the whole fleet; an instance that is cut off knows too little.
+     */
+    bool isDemandComplete() const { return !gateway_.isCutOff() && mesh_.isDemandComplete(); }
     /**
      * An engine carries out an order of this instance until about that time; peers are told at
      * once.
--- a/libs/gateway/include/almondridge/gateway/loadmesh.h
+++ b/libs/gateway/include/almondridge/gateway/loadmesh.h
@@ -76,6 +76,11 @@
     bool isPreferredLeader() const;
     /** Returns the demand of all other instances. */
     StageDemand demand(const ServiceId &service) const;
+    /**
+     * Returns whether demand() covers nearly all other instances. An instance that follows a relay
+     * knows only that the relay is heard.
+     */
+    bool isDemandComplete() const;
 
     bool isRelay() const noexcept { return relaySelector_.isRelay(); }
     /** Returns the primary relays of all failure domains. */
--- a/libs/gateway/include/almondridge/gateway/sizecontroller.h
+++ b/libs/gateway/include/almondridge/gateway/sizecontroller.h
@@ -6,6 +6,7 @@
 
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/leaderelection.h"
+#include "almondridge/gateway/sizedemand.h"
 #include "almondridge/gateway/sizeplan.h"
 
 #include <functional>
@@ -38,11 +39,14 @@
                        std::function<void(OrderOutcome)> done) = 0;
 };
 
+/** Returns the demand on a service from the callers of all instances. */
+using FleetDemandSource = std::function<FleetDemand(const ServiceId &service)>;
+
 class SizeController
 {
 public:
     SizeController(async::EventLoop &loop, Gateway &gateway, LeaderElection &leaderElection,
-                   SizeApi &api, SizePlanSettings settings);
+                   SizeApi &api, SizePlanSettings settings, FleetDemandSource demand = {});
 
     void start() { planAll(); }
     void stop() { timer_.stop(); }
@@ -52,6 +56,7 @@
 private:
     void planAll();
     SizePlan &planOf(const ServiceId &service);
+    void observe(const ServiceTraits &service, TimePoint now);
     void planService(const ServiceTraits &service, const LeaderLease &lease, TimePoint now);
     void sendOrder(const LeaderLease &lease, const ServiceId &service, const SizeOrder &order);
 
@@ -59,7 +64,9 @@
     LeaderElection &leaderElection_;
     SizeApi &api_;
     SizePlanSettings settings_;
+    FleetDemandSource demandSource_; ///< Used if the settings say followsDemand_.
     std::map<ServiceId, SizePlan> plans_;
+    std::map<ServiceId, SizeDemand> demands_;
     async::Timer timer_;
     Fence fence_ = 0; ///< Fencing token of the latest orders.
 };
--- a/libs/gateway/include/almondridge/gateway/sizeplan.h
+++ b/libs/gateway/include/almondridge/gateway/sizeplan.h
@@ -16,6 +16,7 @@
 #include "almondridge/gateway/endpoints.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -32,6 +33,8 @@
      * If fewer endpoints than this share of the baseline are left, on-demand endpoints are added.
      */
     double floorShare_ = 0.6;
+    /** Whether baselines follow the demand; false: they stay as found at the start. */
+    bool followsDemand_ = false;
 };
 
 /** The mix of on-demand and spot endpoints of a service. */
@@ -48,6 +51,19 @@
 SizeMix cheapestMix(const SizeLimits &limits, const std::map<DomainId, int> &baseline,
                     int toleratedLosses);
 
+/** Listed endpoints of a failure domain. */
+struct SizeCounts
+{
+    int onDemand_ = 0;
+    int spot_ = 0;
+};
+
+/**
+ * Returns the mix that a list with spot endpoints shows, which is the result of an earlier plan;
+ * nullopt: no failure domain has more spot than on-demand endpoints, so no plan was completed.
+ */
+std::optional<SizeMix> listedMix(const std::map<DomainId, SizeCounts> &counts, int toleratedLosses);
+
 /** The number of endpoints of one kind that a failure domain should have. */
 struct SizeOrder
 {
@@ -68,6 +84,16 @@
      * while this instance is not entitled to give orders.
      */
     void observe(const EndpointTable &table, const ServiceTraits &service, TimePoint now);
+    /**
+     * Sets how many endpoints the demand requires, without the allowance for spot losses. They are
+     * spread over the failure domains in proportion to the baselines found at the start. Ignored
+     * unless the settings say followsDemand_.
+     */
+    void setNeed(int endpoints);
+    /** Endpoints found at the start, over all failure domains; 0: the list is not complete yet. */
+    int found() const;
+    /** Number of failure domains in which endpoints were found at the start. */
+    int domains() const;
     /** Whether on-demand endpoints of the failure domain are being released or will be soon. */
     bool isReleasing(const DomainId &domain) const;
     /** Returns the orders to give now; each is pending until onAnswer() is called for it. */
@@ -85,11 +111,6 @@
     void resetOrders() { orders_.clear(); }
 
 private:
-    struct Counts
-    {
-        int onDemand_ = 0; ///< Listed on-demand endpoints.
-        int spot_ = 0;
-    };
     struct Key
     {
         DomainId domain_;
@@ -106,7 +127,11 @@
         int refusals_ = 0;     ///< Consecutive refusals.
     };
 
-    static std::map<DomainId, Counts> count(const EndpointTable &table, const ServiceId &service);
+    static std::map<DomainId, SizeCounts> count(const EndpointTable &table,
+                                                const ServiceId &service);
+    void updateBaselines();
+    /** Returns the endpoints per failure domain that have to remain after tolerated losses. */
+    std::map<DomainId, int> required(const SizeLimits &limits) const;
     int totalOf(int baseline, const SizeLimits &limits) const;
     int onDemandOf(int total, const SizeLimits &limits) const;
     int shortfallToFloor(const SizeLimits &limits) const;
@@ -115,9 +140,11 @@
 
     SizePlanSettings settings_;
     SizeMix mix_;
+    std::optional<SizeMix> listedMix_; ///< Found at the start; only if sizes follow the demand.
     /** Endpoints per failure domain that the service started with. */
     std::map<DomainId, int> baseline_;
-    std::map<DomainId, Counts> counts_;
+    std::optional<int> need_; ///< Endpoints that the demand requires; nullopt: not known.
+    std::map<DomainId, SizeCounts> counts_;
     std::set<DomainId> releasing_;
     bool listComplete_ = false; ///< The list has been complete at least once since the start.
     std::map<Key, OrderState> orders_;
--- a/libs/gateway/src/loadmesh.cpp
+++ b/libs/gateway/src/loadmesh.cpp
@@ -26,6 +26,10 @@
 constexpr std::size_t MaxPartsPerReport = 32;
 /** No stage change takes longer; larger values from relays are reduced to this. */
 constexpr std::int64_t MaxChangeMillis = 10'000;
+/**
+ * The demand is complete with reports from this share of the others; some may be restarting.
+ */
+constexpr double CompleteShare = 0.85;
 
 } // namespace
 
@@ -344,4 +348,20 @@
     return sum;
 }
 
+bool LoadMesh::isDemandComplete() const
+{
+    if (!isDirect() && !isRelay()) {
+        return std::any_of(ownDomainStreams_.begin(), ownDomainStreams_.end(),
+                           [](const auto &entry) { return entry.second.isInUse(); });
+    }
+    std::size_t heard = peerLoads_.peers().size();
+    for (const auto &[relay, stream] : remoteDomainStreams_) {
+        if (stream.isInUse()) {
+            // The relay itself and the others of its failure domain.
+            heard += 1 + static_cast<std::size_t>(std::max(0, stream.newest().members_));
+        }
+    }
+    return static_cast<double>(heard) >= CompleteShare * static_cast<double>(members_.size());
+}
+
 } // namespace almondridge::gateway
--- a/libs/gateway/src/sizecontroller.cpp
+++ b/libs/gateway/src/sizecontroller.cpp
@@ -2,6 +2,9 @@
 
 #include "almondridge/base/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace almondridge::gateway {
 namespace {
 
@@ -9,16 +12,22 @@
  * Interval between two evaluations of the plan; a fraction of the notice that spot endpoints get.
  */
 constexpr Duration PlanInterval = millis(250);
+/**
+ * Endpoints that a service keeps in each failure domain where it was found: one for each stage, so
+ * that an isolated domain can continue on its own.
+ */
+constexpr int MinNeedPerDomain = 2;
 
 } // namespace
 
 SizeController::SizeController(async::EventLoop &loop, Gateway &gateway,
                                LeaderElection &leaderElection, SizeApi &api,
-                               SizePlanSettings settings)
+                               SizePlanSettings settings, FleetDemandSource demand)
     : gateway_(gateway)
     , leaderElection_(leaderElection)
     , api_(api)
     , settings_(settings)
+    , demandSource_(std::move(demand))
     , timer_(loop)
 { }
 
@@ -32,7 +41,7 @@
     const auto lease = leaderElection_.lease();
     if (!lease) {
         for (const ServiceTraits &service : gateway_.config()->services()) {
-            planOf(service.id_).observe(gateway_.endpoints(), service, now);
+            observe(service, now);
         }
         return;
     }
@@ -59,9 +68,41 @@
            && plan->second.isReleasing(endpoint.listed_.domain_);
 }
 
+/**
+ * Also without the right to give orders, so that the peak of the demand is known when this instance
+ * gets it.
+ */
+void SizeController::observe(const ServiceTraits &service, TimePoint now)
+{
+    SizePlan &plan = planOf(service.id_);
+    plan.observe(gateway_.endpoints(), service, now);
+    if (!settings_.followsDemand_ || !demandSource_ || !service.size_) {
+        return;
+    }
+    const int perDomain = std::max(MinNeedPerDomain, service.size_->minPerDomain_);
+    const int found = plan.found();
+    const int atMost = std::max(found, service.size_->maxPerDomain_ * plan.domains());
+    const SizeBounds bounds {found, std::min(found, perDomain * plan.domains()), atMost};
+    SizeDemand &demand = demands_[service.id_];
+    const bool hasChanged = demand.observe(demandSource_(service.id_), bounds, now);
+    if (!demand.need()) {
+        return;
+    }
+    plan.setNeed(*demand.need());
+    if (hasChanged) {
+        logEvent(LogLevel::Info, "size_need",
+                 {{"service", service.id_.value()},
+                  {"need", *demand.need()},
+                  {"peak_prefill", demand.peak().prefill_},
+                  {"peak_decode", demand.peak().decode_},
+                  {"found", bounds.found_}});
+    }
+}
+
 void SizeController::planService(const ServiceTraits &service, const LeaderLease &lease,
                                  TimePoint now)
 {
+    observe(service, now);
     SizePlan &plan = planOf(service.id_);
     for (const SizeOrder &order : plan.plan(gateway_.endpoints(), service, now)) {
         sendOrder(lease, service.id_, order);
--- a/libs/gateway/src/sizeplan.cpp
+++ b/libs/gateway/src/sizeplan.cpp
@@ -26,6 +26,16 @@
 constexpr int MixSteps = 20;
 /** A mix that saves a smaller share of the price is not worth the change. */
 constexpr double MinSaving = 0.1;
+/** Keeps the numbers that result from a listed mix from being rounded up by one. */
+constexpr double Epsilon = 1e-9;
+
+/** Returns the baseline for which the mix has the on-demand endpoints or the total listed. */
+int baselineOf(const SizeCounts &counts, const SizeMix &mix)
+{
+    const double byTotal = (counts.onDemand_ + counts.spot_) / mix.size_;
+    const double byOnDemand = counts.onDemand_ / (mix.size_ * mix.onDemand_);
+    return static_cast<int>(std::max(byTotal, byOnDemand) + Epsilon);
+}
 
 } // namespace
 
@@ -56,16 +66,37 @@
     return best;
 }
 
+std::optional<SizeMix> listedMix(const std::map<DomainId, SizeCounts> &counts, int toleratedLosses)
+{
+    // The failure domain with the most endpoints: others may have lost spot endpoints.
+    SizeCounts largest;
+    for (const auto &[domain, here] : counts) {
+        if (here.onDemand_ + here.spot_ > largest.onDemand_ + largest.spot_) {
+            largest = here;
+        }
+    }
+    if (largest.spot_ <= largest.onDemand_) {
+        return std::nullopt;
+    }
+    const double onDemand =
+        static_cast<double>(largest.onDemand_) / (largest.onDemand_ + largest.spot_);
+    const double lostShare = std::min(1.0, toleratedLosses / static_cast<double>(counts.size()));
+    const double remaining = 1 - (1 - onDemand) * lostShare;
+    if (onDemand <= 0 || remaining <= 0) {
+        return std::nullopt;
+    }
+    return SizeMix {1 / remaining - Epsilon, onDemand - Epsilon};
+}
+
 SizePlan::SizePlan(SizePlanSettings settings)
     : settings_(settings)
 { }
 
-std::map<DomainId, SizePlan::Counts> SizePlan::count(const EndpointTable &table,
-                                                     const ServiceId &service)
+std::map<DomainId, SizeCounts> SizePlan::count(const EndpointTable &table, const ServiceId &service)
 {
-    std::map<DomainId, Counts> counts;
+    std::map<DomainId, SizeCounts> counts;
     for (const Endpoint *endpoint : table.listed(service)) {
-        Counts &here = counts[endpoint->listed_.domain_];
+        SizeCounts &here = counts[endpoint->listed_.domain_];
         ++(endpoint->listed_.spot_ ? here.spot_ : here.onDemand_);
     }
     return counts;
@@ -84,7 +115,7 @@
 {
     int totalBaseline = 0;
     int present = 0;
-    for (const auto &[domain, baseline] : baseline_) {
+    for (const auto &[domain, baseline] : required(limits)) {
         const int here = totalOf(baseline, limits);
         const auto counts = counts_.find(domain);
         const int spots = counts != counts_.end() ? counts->second.spot_ : 0;
@@ -101,10 +132,65 @@
     return std::clamp(wanted, std::min(limits.minPerDomain_, total), total);
 }
 
+void SizePlan::setNeed(int endpoints)
+{
+    need_ = endpoints;
+}
+
+int SizePlan::found() const
+{
+    int sum = 0;
+    for (const auto &[domain, baseline] : baseline_) {
+        sum += baseline;
+    }
+    return listComplete_ ? sum : 0;
+}
+
+int SizePlan::domains() const
+{
+    return static_cast<int>(baseline_.size());
+}
+
+std::map<DomainId, int> SizePlan::required(const SizeLimits &limits) const
+{
+    const int sum = found();
+    if (!settings_.followsDemand_ || !need_ || sum == 0) {
+        return baseline_;
+    }
+    std::map<DomainId, int> shares;
+    for (const auto &[domain, baseline] : baseline_) {
+        const int roundedUp = (*need_ * baseline + sum - 1) / sum;
+        shares[domain] = std::min(roundedUp, std::max(1, limits.maxPerDomain_));
+    }
+    return shares;
+}
+
 /**
  * Baselines grow with the list until it is complete after a start; later they grow only with
- * on-demand endpoints.
+ * on-demand endpoints. If sizes follow the demand, on-demand endpoints are added and released for
+ * it, so that baselines do not grow later, except in a failure domain that was not listed before.
  */
+void SizePlan::updateBaselines()
+{
+    if (settings_.followsDemand_ && !listComplete_) {
+        listedMix_ = listedMix(counts_, settings_.toleratedLosses_);
+    }
+    for (const auto &[domain, here] : counts_) {
+        int &baseline = baseline_[domain];
+        if (settings_.followsDemand_) {
+            if (!listComplete_ || baseline == 0) {
+                baseline =
+                    std::max(baseline, listedMix_ ? baselineOf(here, *listedMix_) : here.onDemand_);
+            }
+            continue;
+        }
+        if (!listComplete_) {
+            baseline = std::max({baseline, here.onDemand_, here.spot_});
+        }
+        baseline = std::max(baseline, here.onDemand_);
+    }
+}
+
 void SizePlan::observe(const EndpointTable &table, const ServiceTraits &service, TimePoint now)
 {
     if (!service.size_ || !service.size_->hasSpot()) {
@@ -114,12 +200,8 @@
     int listed = 0;
     for (const auto &[domain, here] : counts_) {
         listed += here.onDemand_ + here.spot_;
-        int &baseline = baseline_[domain];
-        if (!listComplete_) {
-            baseline = std::max({baseline, here.onDemand_, here.spot_});
-        }
-        baseline = std::max(baseline, here.onDemand_);
     }
+    updateBaselines();
     if (listed != lastCount_) {
         lastCount_ = listed;
         countChangedAt_ = now;
@@ -141,14 +223,19 @@
     }
     const SizeLimits &limits = *service.size_;
     observe(table, service, now);
-    mix_ = cheapestMix(limits, baseline_, settings_.toleratedLosses_);
+    // By the baselines found at the start also if sizes follow the demand: a mix that changes with
+    // the demand would replace endpoints, whose caches are lost.
+    mix_ = listedMix_.value_or(cheapestMix(limits, baseline_, settings_.toleratedLosses_));
     releasing_.clear();
     if (mix_.onDemand_ >= 1) {
         return orders;
     }
+    if (settings_.followsDemand_ && !listComplete_) {
+        return orders; // The part of a reduced fleet that is listed does not show its mix.
+    }
     int substitutes = shortfallToFloor(limits);
-    for (const auto &[domain, baseline] : baseline_) {
-        const Counts here = counts_[domain];
+    for (const auto &[domain, baseline] : required(limits)) {
+        const SizeCounts here = counts_[domain];
         const int total = totalOf(baseline, limits);
         const int onDemand = onDemandOf(total, limits);
         const int spots = total - onDemand;
--- a/libs/gateway/tests/sizeplantest.cpp
+++ b/libs/gateway/tests/sizeplantest.cpp
@@ -1,7 +1,10 @@
 #include "almondridge/gateway/sizeplan.h"
 
+#include "almondridge/gateway/sizedemand.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 
 using namespace almondridge;
 using namespace almondridge::gateway;
@@ -243,4 +246,181 @@
     BOOST_TEST(cheapestMix(SizeLimits {1, 100, 4'000, 0.22, {}}, one, 2).onDemand_ == 1);
 }
 
+namespace {
+
+SizePlanSettings followingDemand()
+{
+    SizePlanSettings settings;
+    settings.followsDemand_ = true;
+    return settings;
+}
+
+/** A deployment whose demand is a function of the time, in busy engines. */
+struct DemandingDeployment : Deployment
+{
+    void runWith(SizePlan &plan, std::int64_t forMillis,
+                 const std::function<FleetDemand(std::int64_t)> &load)
+    {
+        for (const std::int64_t until = now_ + forMillis; now_ < until;) {
+            const SizeBounds bounds {plan.found(), plan.domains(), 40 * plan.domains()};
+            demand_.observe(load(now_), bounds, at(now_));
+            if (demand_.need()) {
+                plan.setNeed(*demand_.need());
+            }
+            run(plan, StepMillis);
+        }
+    }
+
+    void runWith(SizePlan &plan, std::int64_t forMillis, double busy)
+    {
+        runWith(plan, forMillis, [&](std::int64_t) { return FleetDemand {{busy, 0}, 0, true}; });
+    }
+
+    void expectEach(int onDemand, int spots) const
+    {
+        for (const char *domain : {"a", "b", "c"}) {
+            BOOST_TEST(count(domain, false) == onDemand);
+            BOOST_TEST(count(domain, true) == spots);
+        }
+    }
+
+    SizeDemand demand_;
+};
+
+} // namespace
+
+// Load: a fifth of the capacity. Guards against paying for endpoints that the demand leaves idle.
+BOOST_FIXTURE_TEST_CASE(sizesShrinkToTheNeed, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    run(plan, 15'000);
+    expectEach(10, 30);
+    runWith(plan, 70'000, 9);
+    BOOST_TEST(demand_.need().value() == 30);
+    expectEach(5, 15);
+}
+
+// Load: a crest of 9 engines for 3 s every 13 s. Guards against orders that follow each wave.
+BOOST_FIXTURE_TEST_CASE(noOrdersFollowWaves, DemandingDeployment)
+{
+    const auto waves = [](std::int64_t now) {
+        return FleetDemand {{now % 13'000 < 3'000 ? 9.0 : 1.0, 0}, 0, true};
+    };
+    SizePlan plan(followingDemand());
+    runWith(plan, 80'000, waves);
+    const int before = orderCount_;
+    runWith(plan, 120'000, waves);
+    BOOST_TEST(orderCount_ == before);
+    expectEach(5, 15);
+}
+
+// Load: 6 engines, then 12. Guards against growth that waits: the orders go out with the first
+// sample.
+BOOST_FIXTURE_TEST_CASE(sizesGrowAtOnceWithTheDemand, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    runWith(plan, 80'000, 6);
+    BOOST_TEST(demand_.need().value() == 20);
+    orders_.clear();
+    runWith(plan, StepMillis, 12);
+    BOOST_TEST(orders_.size() == 6U);
+    runWith(plan, 6'000, 12);
+    BOOST_TEST(total() >= 2 * 40);
+}
+
+// Load: 9 engines while the spot endpoints of two domains are lost. Guards against reduced sizes
+// that no longer cover the loss.
+BOOST_FIXTURE_TEST_CASE(reducedSizesTolerateTheLossOfTwoDomains, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    runWith(plan, 85'000, 9);
+    expectEach(5, 15);
+    reclaim("a", 10'000);
+    reclaim("b", 10'000);
+    BOOST_TEST(total() >= demand_.need().value());
+    minTotal_ = total();
+    runWith(plan, 30'000, 9);
+    BOOST_TEST(minTotal_ >= demand_.need().value());
+    expectEach(5, 15);
+}
+
+// Load: 9 engines while all spot endpoints are lost. Guards against a floor that stays at the
+// number found at the start, or is left out.
+BOOST_FIXTURE_TEST_CASE(floorFollowsTheNeed, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    runWith(plan, 85'000, 9);
+    for (const char *domain : {"a", "b", "c"}) {
+        reclaim(domain, 30'000);
+    }
+    runWith(plan, 10'000, 9);
+    BOOST_TEST(total() >= 18);
+    BOOST_TEST(total() < 36);
+}
+
+// Load: 9 engines; the new lease holder has just started. Guards against a holder without history
+// that gives up the allowance for losses or adds endpoints to those listed.
+BOOST_FIXTURE_TEST_CASE(newHolderKeepsWhatIsListed, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    runWith(plan, 85'000, 9);
+    expectEach(5, 15);
+    SizePlan next(followingDemand());
+    demand_ = {};
+    orders_.clear();
+    run(next, 10'000);
+    BOOST_TEST(next.found() == 30);
+    runWith(next, 80'000, 9);
+    BOOST_TEST(orders_.empty());
+    expectEach(5, 15);
+}
+
+// Load: 9 engines; the new lease holder has a part of the list at first. Guards against an order
+// for the endpoints listed so far, which would release the others.
+BOOST_FIXTURE_TEST_CASE(newHolderWaitsForTheWholeList, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    runWith(plan, 85'000, 9);
+    removeSome("a", true, 14);
+    removeSome("b", true, 15);
+    orders_.clear();
+    SizePlan next(followingDemand());
+    run(next, 1'000);
+    for (int number = 0; number < 15; ++number) {
+        add("b", true);
+    }
+    run(next, 250);
+    for (int number = 1; number < 15; ++number) {
+        add("a", true);
+    }
+    runWith(next, 60'000, 9);
+    BOOST_TEST(next.found() == 30);
+    BOOST_TEST(orders_.empty());
+    expectEach(5, 15);
+}
+
+// Load: unknown, as the holder is cut off. Guards against an order to shrink.
+BOOST_FIXTURE_TEST_CASE(unknownDemandChangesNothing, DemandingDeployment)
+{
+    SizePlan plan(followingDemand());
+    run(plan, 15'000);
+    orders_.clear();
+    runWith(plan, 120'000, [](std::int64_t) { return FleetDemand {{0.5, 0}, 0, false}; });
+    BOOST_TEST(orders_.empty());
+    expectEach(10, 30);
+}
+
+// Load: a fifth of the capacity, with sizes that do not follow the demand. Guards against a change
+// for deployments without the setting.
+BOOST_FIXTURE_TEST_CASE(ordersAreTheSameWithoutTheSetting, DemandingDeployment)
+{
+    Deployment usual;
+    SizePlan usualPlan({2, 0.6});
+    usual.run(usualPlan, 85'000);
+    SizePlan plan({2, 0.6});
+    runWith(plan, 85'000, 9);
+    BOOST_TEST((orders_ == usual.orders_));
+    expectEach(10, 30);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
