HTTP client: hasIdle(), reasons of new connections, an index of the pool by peer

The pool was one list that takeKept() and dropKept() walked. It is now ordered by age, with indexes by peer and by expiry. Expired connections to all peers are closed when a request starts, as far as before or earlier: the walk ended at the first connection to the peer and left older ones of other peers open.

New connections are counted as First, Busy or Expired; those that the caller demands, by fresh_ or open(), as Fresh, so that the reasons add up to connects_. A peer counts as connected before once a connection was established: refused attempts stay First. At most 4,096 peers are remembered.

--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -8,14 +8,18 @@
 
 #include "almondridge/async/connection.h"
 #include "almondridge/async/parser.h"
+#include "almondridge/async/recentnames.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace almondridge::async {
 
@@ -69,10 +73,31 @@
     TimePoint connectBy_ {};
 };
 
+/** Why a new connection was started instead of taking an idle one. */
+enum class ConnectReason {
+    First,   ///< None was established since the client was created or the peer was dropped.
+    Busy,    ///< All connections to the peer are in use or still being established.
+    Expired, ///< There were some; none is open any more.
+    Fresh,   ///< Demanded by the caller: by fresh_ or open().
+};
+
+inline constexpr std::array<EnumName<ConnectReason>, 4> ConnectReasonNames {{
+    {ConnectReason::First, "first"},
+    {ConnectReason::Busy, "busy"},
+    {ConnectReason::Expired, "expired"},
+    {ConnectReason::Fresh, "fresh"},
+}};
+
 /** Totals since the client was created. */
 struct ClientCounters
 {
-    std::uint64_t connects_ = 0;
+    std::uint64_t connects(ConnectReason reason) const
+    {
+        return connectsByReason_.at(static_cast<std::size_t>(reason));
+    }
+
+    std::uint64_t connects_ = 0; ///< Attempts, also failed ones: the sum over all reasons.
+    std::array<std::uint64_t, ConnectReasonNames.size()> connectsByReason_ {};
     std::uint64_t reuses_ = 0;
     std::uint64_t skippedAnswers_ = 0;
     std::uint64_t dirtyConnections_ = 0; ///< Closed because of bytes that belong to no request.
@@ -110,6 +135,11 @@
     void resume(ExchangeId id);
     /** Number of connections to peer, active and pooled. */
     std::size_t connections(const std::string &peer) const;
+    /**
+     * Whether the pool has an open connection to peer that is not expired. A connection that the
+     * peer has closed counts until the event loop has handled the close.
+     */
+    bool hasIdle(const std::string &peer, TimePoint now = BootClock::now()) const;
     /** Closes the pooled connections to a peer that is gone or not trusted. */
     void dropKept(const std::string &peer);
     /** The same for all peers. */
@@ -122,10 +152,19 @@
 
 private:
     struct Exchange;
-    struct Kept;
-    using KeptList = std::list<Kept>;
+    /** Ascending in the order in which connections were added to the pool. */
+    using KeptNumber = std::uint64_t;
+
+    struct Kept
+    {
+        std::string peer_;
+        std::shared_ptr<Connection> connection_;
+        TimePoint until_;
+    };
 
     std::shared_ptr<Connection> takeKept(const std::string &peer);
+    ConnectReason connectReason(const ExchangeRequest &request) const;
+    void countConnect(const std::string &peer, ConnectReason reason);
     std::shared_ptr<Connection> connect(const ExchangeRequest &request);
     void reportConnect(const std::string &peer, bool connected);
     void attach(Exchange &exchange);
@@ -135,17 +174,23 @@
     void finish(ExchangeId id);
     void failExchange(ExchangeId id, ExchangeFailure failure);
     void keep(const std::string &peer, std::shared_ptr<Connection> connection, TimePoint until);
-    void dropKeptConnection(KeptList::iterator kept);
+    Kept removeKept(KeptNumber number);
+    void dropKeptConnection(KeptNumber number);
+    void dropExpired(TimePoint now);
     void decrementConnections(const std::string &peer);
 
     EventLoop &loop_;
     TcpTimeouts tcpTimeouts_;
     std::unordered_map<ExchangeId, std::shared_ptr<Exchange>> exchanges_;
-    KeptList kept_; ///< Oldest first.
+    std::map<KeptNumber, Kept> kept_; ///< Oldest first.
+    std::unordered_map<std::string, std::set<KeptNumber>> keptByPeer_;
+    std::set<std::pair<TimePoint, KeptNumber>> keptByExpiry_;
+    KeptNumber nextKept_ = 1;
     std::unordered_map<ExchangeId, std::shared_ptr<Connection>> opening_;
     std::unordered_map<std::string, std::size_t> connections_;
     std::size_t maxKept_ = 512;
     ExchangeId nextId_ = 1;
+    RecentNames connectedPeers_; ///< Peers to which a connection was established.
     ClientCounters counters_;
     ConnectEvents connectEvents_;
 };
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -22,6 +22,12 @@
 /** Interim answers and answers to other requests: more bytes of them are no such answers. */
 constexpr std::size_t MaxSkippedBytes = 1'048'576;
 
+/**
+ * Bounds the memory for peers that may never be used again. The reason of a new connection to a
+ * forgotten peer is counted as First.
+ */
+constexpr std::size_t MaxConnectedPeers = 4'096;
+
 /** The timeout parameter of a Keep-Alive header, in seconds; 0 if there is none. */
 int keepAliveTimeoutSeconds(std::string_view keepAlive)
 {
@@ -81,16 +87,10 @@
     bool paused_ = false;
 };
 
-struct HttpClient::Kept
-{
-    std::string peer_;
-    std::shared_ptr<Connection> connection_;
-    TimePoint until_;
-};
-
 HttpClient::HttpClient(EventLoop &loop, TcpTimeouts tcpTimeouts)
     : loop_(loop)
     , tcpTimeouts_(tcpTimeouts)
+    , connectedPeers_(MaxConnectedPeers)
 { }
 
 HttpClient::~HttpClient() = default;
@@ -106,8 +106,7 @@
     if (exchange->connection_ != nullptr) {
         ++counters_.reuses_;
     } else {
-        ++counters_.connects_;
-        ++connections_[exchange->request_.peer_];
+        countConnect(exchange->request_.peer_, connectReason(exchange->request_));
         exchange->connection_ = connect(exchange->request_);
     }
     attach(*exchange);
@@ -116,6 +115,25 @@
     return id;
 }
 
+/** Called after takeKept() has found no connection, so that no expired one is counted as in use. */
+ConnectReason HttpClient::connectReason(const ExchangeRequest &request) const
+{
+    if (request.fresh_) {
+        return ConnectReason::Fresh;
+    }
+    if (connections_.contains(request.peer_)) {
+        return ConnectReason::Busy;
+    }
+    return connectedPeers_.contains(request.peer_) ? ConnectReason::Expired : ConnectReason::First;
+}
+
+void HttpClient::countConnect(const std::string &peer, ConnectReason reason)
+{
+    ++counters_.connects_;
+    ++counters_.connectsByReason_.at(static_cast<std::size_t>(reason));
+    ++connections_[peer];
+}
+
 std::shared_ptr<Connection> HttpClient::connect(const ExchangeRequest &request)
 {
     auto connection =
@@ -126,6 +144,9 @@
 
 void HttpClient::reportConnect(const std::string &peer, bool connected)
 {
+    if (connected) {
+        connectedPeers_.add(peer);
+    }
     const auto &handler = connected ? connectEvents_.onConnected_ : connectEvents_.onConnectFailed_;
     if (handler) {
         handler(peer);
@@ -136,8 +157,7 @@
                       const std::function<void(bool)> &done)
 {
     const ExchangeId id = nextId_++;
-    ++counters_.connects_;
-    ++connections_[peer];
+    countConnect(peer, ConnectReason::Fresh);
     const auto connection = Connection::connect(loop_, address, connectBy, tcpTimeouts_);
     opening_[id] = connection;
     connection->onEstablished([this, id, peer, done] {
@@ -163,33 +183,36 @@
 
 std::shared_ptr<Connection> HttpClient::takeKept(const std::string &peer)
 {
-    const TimePoint now = BootClock::now();
+    dropExpired(BootClock::now());
     // Newest first, so that older connections reach their idle timeout and few stay open.
-    for (auto kept = kept_.end(); kept != kept_.begin();) {
-        --kept;
-        if (kept->until_ <= now || !kept->connection_->isOpen()) {
-            const auto expired = kept++;
-            dropKeptConnection(expired);
-            continue;
-        }
-        if (kept->peer_ == peer) {
-            std::shared_ptr<Connection> connection = kept->connection_;
-            kept_.erase(kept);
-            return connection;
+    for (auto found = keptByPeer_.find(peer); found != keptByPeer_.end();
+         found = keptByPeer_.find(peer)) {
+        const KeptNumber newest = *found->second.rbegin();
+        if (kept_.at(newest).connection_->isOpen()) {
+            return removeKept(newest).connection_;
         }
+        dropKeptConnection(newest);
     }
     return nullptr;
 }
 
+bool HttpClient::hasIdle(const std::string &peer, TimePoint now) const
+{
+    const auto found = keptByPeer_.find(peer);
+    return found != keptByPeer_.end()
+           && std::any_of(found->second.rbegin(), found->second.rend(), [&](KeptNumber number) {
+                  const Kept &kept = kept_.at(number);
+                  return kept.until_ > now && kept.connection_->isOpen();
+              });
+}
+
 void HttpClient::keep(const std::string &peer, std::shared_ptr<Connection> connection,
                       TimePoint until)
 {
-    const auto drop = [this, raw = connection.get()] {
-        const auto found = std::find_if(kept_.begin(), kept_.end(), [raw](const Kept &kept) {
-            return kept.connection_.get() == raw;
-        });
-        if (found != kept_.end()) {
-            dropKeptConnection(found);
+    const KeptNumber number = nextKept_++;
+    const auto drop = [this, number] {
+        if (kept_.contains(number)) {
+            dropKeptConnection(number);
         }
     };
     // Bytes on an idle connection belong to no request and could be taken for the response to the
@@ -199,18 +222,39 @@
         drop();
     });
     connection->onClosed([drop](CloseCause) { drop(); });
-    kept_.push_back({peer, std::move(connection), until});
+    kept_.emplace(number, Kept {peer, std::move(connection), until});
+    keptByPeer_[peer].insert(number);
+    keptByExpiry_.emplace(until, number);
     if (kept_.size() > maxKept_) {
-        dropKeptConnection(kept_.begin());
+        dropKeptConnection(kept_.begin()->first);
     }
 }
 
-void HttpClient::dropKeptConnection(KeptList::iterator kept)
+/** Takes a connection from the pool and its indexes; it stays open and counted. */
+HttpClient::Kept HttpClient::removeKept(KeptNumber number)
 {
-    const std::shared_ptr<Connection> connection = kept->connection_;
-    decrementConnections(kept->peer_);
-    kept_.erase(kept);
-    connection->close();
+    Kept kept = std::move(kept_.extract(number).mapped());
+    keptByExpiry_.erase({kept.until_, number});
+    const auto ofPeer = keptByPeer_.find(kept.peer_);
+    ofPeer->second.erase(number);
+    if (ofPeer->second.empty()) {
+        keptByPeer_.erase(ofPeer);
+    }
+    return kept;
+}
+
+void HttpClient::dropKeptConnection(KeptNumber number)
+{
+    const Kept kept = removeKept(number);
+    decrementConnections(kept.peer_);
+    kept.connection_->close();
+}
+
+void HttpClient::dropExpired(TimePoint now)
+{
+    while (!keptByExpiry_.empty() && keptByExpiry_.begin()->first <= now) {
+        dropKeptConnection(keptByExpiry_.begin()->second);
+    }
 }
 
 void HttpClient::decrementConnections(const std::string &peer)
@@ -229,18 +273,22 @@
 
 void HttpClient::dropKept(const std::string &peer)
 {
-    for (auto kept = kept_.begin(); kept != kept_.end();) {
-        const auto current = kept++;
-        if (current->peer_ == peer) {
-            dropKeptConnection(current);
-        }
+    connectedPeers_.remove(peer);
+    const auto found = keptByPeer_.find(peer);
+    if (found == keptByPeer_.end()) {
+        return;
+    }
+    // Copied, because each removal changes the index.
+    for (const KeptNumber number : std::set<KeptNumber>(found->second)) {
+        dropKeptConnection(number);
     }
 }
 
 void HttpClient::dropAllKept()
 {
+    connectedPeers_.clear();
     while (!kept_.empty()) {
-        dropKeptConnection(kept_.begin());
+        dropKeptConnection(kept_.begin()->first);
     }
 }
 
