Instances that follow a relay also know whether the demand is complete

A relay's digest of all domains counts the instances that it covers, not only those of its own domain. An older relay reports fewer; the demand then counts as incomplete, and sizes stay.

--- a/libs/gateway/include/almondridge/gateway/loaddigest.h
+++ b/libs/gateway/include/almondridge/gateway/loaddigest.h
@@ -53,7 +53,11 @@
     std::uint64_t lifetime_ = 0; ///< Increases with each restart of the sender.
     std::uint64_t sequence_ = 0; ///< Increases within a lifetime.
     DigestScope scope_ = DigestScope::Domain;
-    int members_ = 0; ///< Instances of the sender's domain from which it has recent reports.
+    /**
+     * Instances, without the sender, whose demand the digest covers: of the sender's domain, or of
+     * all domains if the scope is All.
+     */
+    int members_ = 0;
     LoadTable loads_ {};
     /** Each digest contains the demand on all services. */
     std::map<ServiceId, StageDemand> demand_ {};
--- a/libs/gateway/include/almondridge/gateway/loadmesh.h
+++ b/libs/gateway/include/almondridge/gateway/loadmesh.h
@@ -76,10 +76,7 @@
     bool isPreferredLeader() const;
     /** Returns the demand of all other instances. */
     StageDemand demand(const ServiceId &service) const;
-    /**
-     * Returns whether demand() covers nearly all other instances. An instance that follows a relay
-     * knows only that the relay is heard.
-     */
+    /** Returns whether demand() covers nearly all other instances. */
     bool isDemandComplete() const;
 
     bool isRelay() const noexcept { return relaySelector_.isRelay(); }
--- a/libs/gateway/src/loadmesh.cpp
+++ b/libs/gateway/src/loadmesh.cpp
@@ -350,11 +350,13 @@
 
 bool LoadMesh::isDemandComplete() const
 {
-    if (!isDirect() && !isRelay()) {
-        return std::any_of(ownDomainStreams_.begin(), ownDomainStreams_.end(),
-                           [](const auto &entry) { return entry.second.isInUse(); });
+    std::size_t heard = isDirect() || isRelay() ? peerLoads_.peers().size() : 0;
+    for (const auto &[relay, stream] : ownDomainStreams_) {
+        if (!isDirect() && !isRelay() && stream.isInUse()) {
+            // The digest counts this instance but not the relay itself.
+            heard += static_cast<std::size_t>(std::max(0, stream.newest().members_));
+        }
     }
-    std::size_t heard = peerLoads_.peers().size();
     for (const auto &[relay, stream] : remoteDomainStreams_) {
         if (stream.isInUse()) {
             // The relay itself and the others of its failure domain.
--- a/libs/gateway/src/loadmeshrelay.cpp
+++ b/libs/gateway/src/loadmeshrelay.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/gateway/loadmesh.h"
 #include "loadmeshlimits.h"
 
+#include <algorithm>
 #include <utility>
 
 /** The relay part of LoadMesh: adds up the load of other instances and sends the sums. */
@@ -187,6 +188,7 @@
             for (const auto &[service, demand] : digestStream.newest().demand_) {
                 digest.demand_[service] += demand;
             }
+            digest.members_ += 1 + std::max(0, digestStream.newest().members_);
             addLeaders(digestStream.newest(), digest);
         }
     }
--- a/libs/gateway/tests/loadmeshtest.cpp
+++ b/libs/gateway/tests/loadmeshtest.cpp
@@ -318,6 +318,28 @@
     BOOST_TEST(fleet.firstError() == "");
 }
 
+// Guards against a partitioned instance that takes the demand of some instances for the whole, and
+// against a single crash that makes the demand unknown.
+BOOST_AUTO_TEST_CASE(demandIsIncompleteWithoutSomeInstances)
+{
+    for (const int instances : {9, 60}) {
+        Fleet fleet(instances, 18);
+        BOOST_TEST(!fleet.node(0).mesh_->isDemandComplete());
+        fleet.run(millis(3'500));
+        for (const auto &[id, node] : fleet.nodes()) {
+            BOOST_TEST(node.mesh_->isDemandComplete());
+        }
+        fleet.node(instances - 1).alive_ = false;
+        fleet.run(millis(4'500));
+        BOOST_TEST(fleet.node(0).mesh_->isDemandComplete());
+        for (int number = instances / 2; number < instances; ++number) {
+            fleet.node(number).alive_ = false;
+        }
+        fleet.run(millis(4'500));
+        BOOST_TEST(!fleet.node(0).mesh_->isDemandComplete());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(eachInstanceKnowsTheLoadOfAllOthersOnce)
 {
     Fleet fleet(60, 30);
