Shares of capacity: reports between instances, the setting, refusals of the gateway

A model request of an account asks ShareAdmission before its first send and is refused at once with the cause account-share if the account's share has no room for it.

Admission comes before the checks for lack of time: requests shed there would otherwise be missing from the demand, and a fleet that sheds would never seem to be short.

--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace almondridge::fleet {
 
@@ -50,6 +51,9 @@
     int maxDescriptors_ = 1'024; ///< Limit of open file descriptors.
     /** HMAC key for request keys; the same for all instances of a deployment. */
     std::string requestKeySecret_;
+    /** Whether client accounts get shares of a service's capacity while it is scarce. */
+    bool sharesCapacity_ = false;
+    std::vector<std::string> obligations_; ///< The platform's names of what it requires.
     LogLevel logLevel_ = LogLevel::Info;
 };
 
--- a/libs/fleet/src/entrysettings.cpp
+++ b/libs/fleet/src/entrysettings.cpp
@@ -13,6 +13,8 @@
 constexpr IntegerRange Domains {0, 100};
 constexpr NumberRange SecondsRange {0.1, 3'600};
 constexpr NumberRange Slack {0, 1'000'000};
+/** The platform chooses the names, so that one that is unknown here must not prevent a start. */
+constexpr TextRule AnyText {[](std::string_view) { return true; }, "write text"};
 
 constexpr auto EntryFields = std::make_tuple(
     required("instance", &EntrySettings::instance_, Text {NameText}),
@@ -41,6 +43,8 @@
     optional("linkMbps", &EntrySettings::linkMbps_, Slack),
     optional("maxDescriptors", &EntrySettings::maxDescriptors_, Count),
     optional("requestKeySecret", &EntrySettings::requestKeySecret_, Text {OperatorKeyText}),
+    optional("sharesCapacity", &EntrySettings::sharesCapacity_, Boolean {}),
+    optional("obligations", &EntrySettings::obligations_, listOf(Text {AnyText})),
     optional("logLevel", &EntrySettings::logLevel_, choice(LogLevelNames)));
 
 } // namespace
--- a/libs/fleet/tests/entrysettingstest.cpp
+++ b/libs/fleet/tests/entrysettingstest.cpp
@@ -35,6 +35,21 @@
     BOOST_TEST(settings.firstPeerPort_ == 7'000);
     BOOST_TEST(settings.leaseTermMillis_ == 3'000);
     BOOST_TEST(settings.leaveBoundMillis_ == 2'000);
+    BOOST_TEST(!settings.sharesCapacity_);
+    BOOST_TEST(settings.obligations_.empty());
+}
+
+// Guards against an instance that doesn't start because the platform names an obligation that this
+// version doesn't know.
+BOOST_AUTO_TEST_CASE(obligationsAreAnyText)
+{
+    const std::string list = R"(,"sharesCapacity":true,"obligations":["pressure","a b: c",""])";
+    const EntrySettings settings = parseEntrySettings("{" + RequiredFields + list + "}").value();
+    BOOST_TEST(settings.sharesCapacity_);
+    BOOST_TEST((settings.obligations_ == std::vector<std::string> {"pressure", "a b: c", ""}));
+    BOOST_TEST(invalidFields("{" + RequiredFields + R"(,"obligations":"pressure"})").size() == 1U);
+    BOOST_TEST(invalidFields("{" + RequiredFields + R"(,"obligations":[1]})").size() == 1U);
+    BOOST_TEST(invalidFields("{" + RequiredFields + R"(,"sharesCapacity":1})").size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(allInvalidFieldsAreReported)
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "almondridge/gateway/promptcacheindex.h"
 #include "almondridge/gateway/requestpath.h"
 #include "almondridge/gateway/retrybudget.h"
+#include "almondridge/gateway/shareadmission.h"
 #include "almondridge/gateway/stageplan.h"
 #include "almondridge/observe/metrics.h"
 
@@ -43,6 +44,8 @@
     /** HMAC key for request keys; the same for all instances of a deployment. */
     std::string keySecret_ {};
     TimePoint startedAt_ {}; ///< When this process started.
+    /** Whether client accounts get shares of a service's capacity while it is scarce. */
+    bool sharesCapacity_ = false;
 };
 
 /** Decides in the whole fleet which instance makes the single trial run after a quarantine. */
@@ -131,6 +134,10 @@
     StageLoad stageLoad(const ServiceId &service, const StageDemand &demand) const;
     /** Evidence of requests that crash endpoints, to be exchanged with other instances. */
     CrashEvidence &crashEvidence() noexcept;
+    /** What accounts ask for, to be exchanged with other instances; null: capacity isn't shared. */
+    ShareAdmission *shareAdmission() noexcept;
+    /** Whether the fleet asks for more than its room, of each service that accounts have asked. */
+    std::map<ServiceId, bool> shortages(TimePoint now) const;
     /** Metrics of requests; the owner of the gateway adds its own. */
     observe::Metrics &metrics() noexcept;
     /** Retries that each service's budget allows now. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -10,6 +10,7 @@
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/limitgossip.h"
 #include "almondridge/gateway/loadmesh.h"
+#include "almondridge/gateway/sharegossip.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -84,6 +85,7 @@
     LoadMesh mesh_;
     CrashGossip crashGossip_;
     LimitGossip limitGossip_;
+    std::optional<ShareGossip> shareGossip_; ///< Empty: capacity isn't shared.
     LogRateLimiter limitLines_;
     std::map<EndpointId, TimePoint> changing_;
     TimePoint nextDropLogAt_ {}; ///< Earliest time of the next log line about dropped datagrams.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -32,11 +32,28 @@
  * peers have told the newest ones by then.
  */
 constexpr Duration QuarantineReadTime = millis(2'000);
+/** Limits log lines on requests that an account's share has no room for; the metric has all. */
+constexpr int MaxShareLines = 200;
+constexpr Duration ShareLogWindow = millis(10'000);
+/** Bounds the cost of finding the usable endpoints; short relative to changes of their number. */
+constexpr Duration RoomInterval = millis(50);
+/** Work that one engine does in a second. */
+constexpr double EngineRoomMillis = 1'000;
 constexpr std::size_t MaxIdlePeerConnections = 64;
 /** Requests that peers forward are taken up to this many, and this multiple of callers' own. */
 constexpr int MinPeerCalls = 64;
 constexpr int PeerCallsPerOwn = 3;
 
+/** Work that the engines can prefill, in milliseconds a second. */
+double prefillRoom(const std::vector<const Endpoint *> &engines)
+{
+    const auto prefills = std::count_if(engines.begin(), engines.end(), [](const Endpoint *engine) {
+        return engine->listed_.stage_ == Stage::Prefill;
+    });
+    const auto count = prefills > 0 ? static_cast<std::size_t>(prefills) : engines.size();
+    return EngineRoomMillis * static_cast<double>(count);
+}
+
 } // namespace
 
 GatewayState::GatewayState(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings)
@@ -55,6 +72,7 @@
     , denialLines_(MaxDenialLines, DenialLogWindow)
     , endpointLines_(MaxEndpointLines, EndpointLogWindow)
     , brokenLines_(MaxBrokenLines, BrokenLogWindow)
+    , shareLines_(MaxShareLines, ShareLogWindow)
     , traffic_(dialect, table_, metrics_)
     , random_(std::random_device {}())
     , probeTimer_(loop)
@@ -133,6 +151,20 @@
     return state_->crashes_.evidence();
 }
 
+ShareAdmission *Gateway::shareAdmission() noexcept
+{
+    return state_->settings_.sharesCapacity_ ? &state_->shares_ : nullptr;
+}
+
+std::map<ServiceId, bool> Gateway::shortages(TimePoint now) const
+{
+    std::map<ServiceId, bool> shortages;
+    for (const auto &[service, dueAt] : state_->roomDueAt_) {
+        shortages[service] = state_->shares_.isShort(service, now);
+    }
+    return shortages;
+}
+
 observe::Metrics &Gateway::metrics() noexcept
 {
     return state_->metrics_;
@@ -323,6 +355,7 @@
 {
     state_->instances_ = std::max(1, count);
     state_->table_.setInstances(state_->instances_);
+    state_->shares_.setInstances(state_->instances_);
 }
 
 void Gateway::setRetryBudgetInstances(int count)
@@ -529,6 +562,16 @@
     return keys;
 }
 
+std::optional<ShareRefusal> GatewayState::admitShare(const ShareRequest &request, TimePoint now)
+{
+    TimePoint &dueAt = roomDueAt_[request.service_];
+    if (now >= dueAt) {
+        dueAt = now + RoomInterval;
+        shares_.setRoom(request.service_, prefillRoom(table_.usable(request.service_, now)));
+    }
+    return shares_.admit(request, random_(), now);
+}
+
 void GatewayState::startCall(async::ServerCall request, const Route &route, AccessResult result,
                              const Credentials &credentials)
 {
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -10,6 +10,7 @@
 #include "almondridge/gateway/gateway.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
+#include "almondridge/gateway/shareadmission.h"
 #include "almondridge/gateway/streamorigins.h"
 #include "crashguard.h"
 #include "endpointtraffic.h"
@@ -39,6 +40,11 @@
     bool mayConfigBeStale(TimePoint now) const;
     void refuseUnrouted(const async::ServerCall &request);
     std::vector<RequestKey> sharedPartKeys(const RequestInfo &request) const;
+    /**
+     * Asks whether the account's share has room for the request. Counts it, so that each request
+     * must be asked for once.
+     */
+    std::optional<ShareRefusal> admitShare(const ShareRequest &request, TimePoint now);
     /** Creates and starts the call of an admitted request. */
     void startCall(async::ServerCall request, const Route &route, AccessResult result,
                    const Credentials &credentials);
@@ -98,9 +104,12 @@
     LogRateLimiter denialLines_;
     LogRateLimiter endpointLines_;
     LogRateLimiter brokenLines_;
+    LogRateLimiter shareLines_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
+    ShareAdmission shares_;
+    std::map<ServiceId, TimePoint> roomDueAt_; ///< When the room of a service is to be set again.
     observe::Metrics metrics_;
     EndpointTraffic traffic_;
     EndpointReach reach_;
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -45,6 +45,12 @@
     setHandler(OriginDatagramMark, [this](std::string_view datagram, TimePoint now) {
         return gateway_.onOriginDatagram(datagram, now);
     });
+    if (ShareAdmission *admission = gateway.shareAdmission()) {
+        shareGossip_.emplace(*admission, self.id_, static_cast<std::uint64_t>(wallMillis()));
+        setHandler(ShareDatagramMark, [this](std::string_view datagram, TimePoint now) {
+            return shareGossip_->onDatagram(datagram, now);
+        });
+    }
     gateway_.setSendDatagrams(
         [this](const std::vector<MeshDatagram> &datagrams) { send(datagrams); });
 }
@@ -102,6 +108,9 @@
         ids.push_back(member.id_);
     }
     limitGossip_.setPeers(ids);
+    if (shareGossip_) {
+        shareGossip_->setPeers(ids);
+    }
     crashGossip_.setPeers(std::move(ids));
 }
 
@@ -229,6 +238,9 @@
     send(mesh_.tick(currentReport(now), gateway_.endpoints(), now));
     send(crashGossip_.tick(now));
     send(limitGossip_.tick(now));
+    if (shareGossip_) {
+        send(shareGossip_->tick(now));
+    }
 }
 
 void LoadExchange::send(const std::vector<MeshDatagram> &datagrams)
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -1,5 +1,6 @@
 #include "modelcall.h"
 
+#include "almondridge/base/log.h"
 #include "almondridge/gateway/loadshedding.h"
 
 #include <algorithm>
@@ -15,6 +16,7 @@
 constexpr Duration PrefillTimeoutBase = millis(1'500);
 /** Until an interrupted stream is retried when no engine took it; some slots are free by then. */
 constexpr Duration ResumeRetryDelay = millis(200);
+constexpr std::string_view AccountShareCause = "account-share";
 
 } // namespace
 
@@ -55,6 +57,10 @@
         }
         return;
     }
+    if (!hasShare(*plan, now)) {
+        refuse(AccountShareCause);
+        return;
+    }
     if (plan->urgency_ >= FirstLateUrgency && decodeChoice && isDecodeQueueFull(*decodeChoice)) {
         giveUp("generators-full");
         return;
@@ -148,6 +154,57 @@
         BootClock::now());
 }
 
+/**
+ * Comes before the request is shed for lack of time: shed requests are demand too, and a fleet that
+ * sheds what it can't do would otherwise seem to be asked for no more than its room.
+ */
+bool ModelCall::hasShare(const PromptPlan &plan, TimePoint now)
+{
+    const AccountId &account = context_.access_.account_.id_;
+    const bool isFirstSend = sends_ == 0 && !mayHaveArrived_ && !headSent_;
+    const bool isNewStream = !origin_ && requestInfo().lastEventId_.empty();
+    const bool isShared = gateway_.settings_.sharesCapacity_
+                          && context_.config_->accounts().has_value() && !account.empty()
+                          && !isFromPeer();
+    if (!isShared || !isFirstSend || !isNewStream || std::exchange(shareChecked_, true)) {
+        return true;
+    }
+    ShareRequest request;
+    request.service_ = context_.service_;
+    request.account_ = account;
+    const std::vector<PromptPart> &parts = prompt().parts_;
+    request.session_ = parts.size() >= 2 ? parts[parts.size() - 2].id_ : 0;
+    request.rank_ = priority();
+    request.workMillis_ = costs().prefillComputeMillis(plan.uncachedTokens_);
+    const std::optional<ShareRefusal> refusal = gateway_.admitShare(request, now);
+    if (!refusal) {
+        return true;
+    }
+    retryAfterMillis_ = refusal->retryAfterMillis_;
+    gateway_.metrics_.count("admission_refused_total",
+                            observe::metricLabel("rank", std::to_string(request.rank_)));
+    logShareRefusal(request, *refusal, now);
+    return false;
+}
+
+void ModelCall::logShareRefusal(const ShareRequest &request, const ShareRefusal &refusal,
+                                TimePoint now)
+{
+    if (!gateway_.shareLines_.take(now)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "admission_refused",
+             {{"id", requestInfo().requestId_},
+              {"account", request.account_.value()},
+              {"service", request.service_.value()},
+              {"rank", request.rank_},
+              {"asked", refusal.asked_},
+              {"share", refusal.share_},
+              {"room", refusal.room_},
+              {"oldest_report_ms", refusal.oldestReportMillis_},
+              {"retry_after_ms", refusal.retryAfterMillis_}});
+}
+
 /** Sheds the request early with Retry-After, so that engines prefill for callers that will wait. */
 bool ModelCall::isTooLate(const PromptPlan &plan, TimePoint now)
 {
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -74,6 +74,9 @@
     void onStreamBroken(async::ExchangeFailure failure, HealthSignal evidence);
     void recordPrefillPlan(const PromptPlan &plan);
     void recordDemand(std::int64_t newTokens);
+    /** Whether the account's share of the service's capacity has room for the request. */
+    bool hasShare(const PromptPlan &plan, TimePoint now);
+    void logShareRefusal(const ShareRequest &request, const ShareRefusal &refusal, TimePoint now);
     void forwardEvents(std::string_view events);
     /** Whether the attempt's events fit those that the caller already has. */
     bool fitsStream() const;
@@ -111,9 +114,10 @@
     bool wasPrefilledBefore_ = false; ///< The same before the attempt at a peer.
     bool inPlaceOnly_ = false;        ///< The engine that decodes must also prefill.
     bool demandRecorded_ = false;
-    bool stalled_ = false;  ///< The attempt's engine has sent nothing for too long.
-    bool headSent_ = false; ///< The head of the response was sent to the caller.
-    bool paused_ = false;   ///< Reading from the engine is paused for a slow caller.
+    bool shareChecked_ = false; ///< hasShare() was decided; it counts a request once.
+    bool stalled_ = false;      ///< The attempt's engine has sent nothing for too long.
+    bool headSent_ = false;     ///< The head of the response was sent to the caller.
+    bool paused_ = false;       ///< Reading from the engine is paused for a slow caller.
 };
 
 } // namespace almondridge::gateway
--- a/libs/observe/src/requesthistory.cpp
+++ b/libs/observe/src/requesthistory.cpp
@@ -21,7 +21,9 @@
     std::string_view text_;
 };
 
-constexpr std::array<Explanation, 16> Explanations {{
+constexpr std::array<Explanation, 17> Explanations {{
+    {"account-share", "demand exceeded the service's room, and its account had used up its share; "
+                      "see admission_refused"},
     {"caller-gone", "the caller left before its answer was complete; see first_ms and read_ms"},
     {"deadline", "the deadline of the caller or of the route passed; see the last endpoint"},
     {"unanswered",
