Read the work time of endpoints from the fourth field of X-Server-Load

A fourth field is the work time in percent of the usual time; further fields are ignored. Both are counted (load_headers_invalid_total) and logged (load_header_invalid, at most 10 lines in 10 s).

Endpoint::workTime_ holds one per endpoint; nothing uses it for placement yet.

--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -75,6 +75,8 @@
     bool misdirected_ = false;
     bool signed_ = false; ///< The response carries the endpoint's signature.
     std::optional<LoadSample> load_;
+    /** The value of a load header that is invalid in whole or in part, cut; empty: none is. */
+    std::string invalidLoad_;
     /** How long the endpoint, which refused the request, wants no other of this instance. */
     std::optional<std::int64_t> backoffMillis_;
     bool leaving_ = false; ///< The endpoint is shutting down.
--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -13,6 +13,7 @@
 #include "almondridge/gateway/requestlimits.h"
 #include "almondridge/gateway/sendwindow.h"
 #include "almondridge/gateway/slotuse.h"
+#include "almondridge/gateway/worktime.h"
 #include "almondridge/net/http.h"
 
 #include <array>
@@ -81,6 +82,8 @@
     int running_ = 0;
     int waiting_ = 0;
     int slots_ = 0;
+    /** How long work takes now, in percent of the usual time, 1 to 100,000; empty: not reported. */
+    std::optional<int> workTimePercent_;
 };
 
 struct Endpoint
@@ -99,6 +102,7 @@
     double prefillSpeed_ = 1; ///< Measured speed relative to the expected one.
     LoadSample load_;
     TimePoint loadAt_ {};
+    WorkTime workTime_; ///< As reported in answers to this instance.
 
     int failureScore_ = 0;      ///< Weighted failures since the last success.
     DecayingCount recentSends_; ///< Requests of this instance.
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -397,6 +397,9 @@
     if (endpoint != nullptr) {
         endpoint->load_ = load;
         endpoint->loadAt_ = now;
+        if (load.workTimePercent_) {
+            endpoint->workTime_.add(*load.workTimePercent_, now);
+        }
     }
 }
 
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -13,6 +13,8 @@
 /** Limits log lines on what endpoints ask for; the metrics count all requests. */
 constexpr int MaxLines = 200;
 constexpr Duration LineWindow = millis(10'000);
+/** An endpoint that sends an invalid header does so in all answers; a few lines show which. */
+constexpr int MaxInvalidLoadLines = 10;
 
 } // namespace
 
@@ -22,6 +24,7 @@
     , table_(table)
     , metrics_(metrics)
     , lines_(MaxLines, LineWindow)
+    , invalidLoadLines_(MaxInvalidLoadLines, LineWindow)
 { }
 
 bool EndpointTraffic::admit(const EndpointId &id, RequestPath path, TimePoint now)
@@ -57,6 +60,9 @@
 
 void EndpointTraffic::onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now)
 {
+    if (!response.invalidLoad_.empty()) {
+        onInvalidLoad(id, response.invalidLoad_, now);
+    }
     // A misdirected request was answered by another endpoint, which has the address by now.
     Endpoint *endpoint = response.misdirected_ ? nullptr : table_.find(id);
     if (endpoint != nullptr) {
@@ -122,6 +128,15 @@
     endpoint.limitLoggedAt_ = now;
 }
 
+void EndpointTraffic::onInvalidLoad(const EndpointId &id, const std::string &value, TimePoint now)
+{
+    metrics_.count("load_headers_invalid_total");
+    if (invalidLoadLines_.take(now)) {
+        logEvent(LogLevel::Warning, "load_header_invalid",
+                 {{"endpoint", id.value()}, {"value", value}});
+    }
+}
+
 async::ExchangeEvents EndpointTraffic::observed(const EndpointId &id, async::ExchangeEvents events)
 {
     const Endpoint *asked = std::as_const(table_).find(id);
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -32,11 +32,13 @@
     void onLeaving(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
     void onBackoff(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
     void onLimit(Endpoint &endpoint, const ResponseInfo &response, TimePoint now);
+    void onInvalidLoad(const EndpointId &id, const std::string &value, TimePoint now);
 
     const Dialect &dialect_;
     EndpointTable &table_;
     observe::Metrics &metrics_;
     LogRateLimiter lines_;
+    LogRateLimiter invalidLoadLines_;
 };
 
 } // namespace almondridge::gateway
