--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -83,7 +83,7 @@
     int waiting_ = 0;
     int slots_ = 0;
     /** How long work takes now, in percent of the usual time, 1 to 100,000; empty: not reported. */
-    std::optional<int> workTimePercent_;
+    std::optional<int> workTimePercent_ = std::nullopt;
 };
 
 struct Endpoint
