Prompts and calls go where engines of uneven speed serve them soonest; shares only near a shortage

Cause: where engines take 0.6 to 1.6 times the usual time, and 2.5 times that while a neighbour uses their machine, each prompt could be read by two engines only, which were ranked without their speed: short prompts waited behind long ones while other engines were free. Where endpoints report work times, twelve engines of a part's ranking compete by expected time, decode engines and plain endpoints as well; a request goes to an idle connection among engines of nearly equal cost.

Sizes follow the demand where capacity is shared.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -136,6 +136,11 @@
     CrashEvidence &crashEvidence() noexcept;
     /** What accounts ask for, to be exchanged with other instances; null: capacity isn't shared. */
     ShareAdmission *shareAdmission() noexcept;
+    /** Sets the fleet's demand on a service; isComplete: it covers all instances. */
+    void observeDemand(const ServiceId &service, const StageDemand &demand, bool isComplete,
+                       TimePoint now);
+    /** Whether the demand on some service comes close to what its engines can do. */
+    bool isShortageNear() const;
     /** Whether the fleet asks for more than its room, of each service that accounts have asked. */
     std::map<ServiceId, bool> shortages(TimePoint now) const;
     /** Metrics of requests; the owner of the gateway adds its own. */
--- a/libs/gateway/include/almondridge/gateway/loadexchange.h
+++ b/libs/gateway/include/almondridge/gateway/loadexchange.h
@@ -73,6 +73,7 @@
     ReceiveResult onDatagram(std::string_view datagram, TimePoint now);
     void onDropped(ReceiveResult result);
     void tick();
+    void exchangeShares(TimePoint now);
     void logLearnedLimits(TimePoint now);
     LoadReport currentReport(TimePoint now) const;
 
@@ -86,6 +87,7 @@
     CrashGossip crashGossip_;
     LimitGossip limitGossip_;
     std::optional<ShareGossip> shareGossip_; ///< Empty: capacity isn't shared.
+    TimePoint nextShortageCheck_ {};
     LogRateLimiter limitLines_;
     std::map<EndpointId, TimePoint> changing_;
     TimePoint nextDropLogAt_ {}; ///< Earliest time of the next log line about dropped datagrams.
--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -5,7 +5,8 @@
  * Prompts are routed by prefix affinity. A rendezvous hash ranks the prefill engines for each
  * shared prompt part, so that all instances compute the same ranking without coordination. The
  * first usable engine of the ranking prefills the part, unless its queue is so long that computing
- * the part again on another engine is faster.
+ * the part again on another engine is faster. Where endpoints report work times, more engines of
+ * the ranking compete, and the time that work takes on each of them now counts.
  */
 #pragma once
 
@@ -15,6 +16,7 @@
 #include "almondridge/gateway/requestcosts.h"
 #include "almondridge/gateway/versionroom.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -22,6 +24,9 @@
 
 namespace almondridge::gateway {
 
+/** Whether a request to the endpoint could use an idle connection. Empty: never. */
+using IdleConnectionCheck = std::function<bool(const EndpointId &endpoint)>;
+
 struct PlacementSettings
 {
     DomainId domain_; ///< Failure domain of this instance.
@@ -63,6 +68,7 @@
     bool prefillInPlace_ = false; ///< Prefill on the decode engine even if prefill engines exist.
     /** Only engines of this version, to go on with a stream; nullopt: the prompt begins one. */
     std::optional<SoftwareVersion> version_ {};
+    IdleConnectionCheck hasIdleConnection_ {};
 };
 
 /** Input of Placement::chooseDecodeEngine(). */
@@ -74,6 +80,7 @@
     const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Costs of this service's requests.
     /** Only engines of this version: that of the prefill, or of the stream's earlier events. */
     std::optional<SoftwareVersion> version_ {};
+    IdleConnectionCheck hasIdleConnection_ {};
 };
 
 struct DecodeChoice
@@ -151,7 +158,7 @@
      */
     void onUnknownPartsPrefilled(const RequestCosts &costs, const Endpoint &engine,
                                  const Prompt &prompt, std::int64_t queuedTokens,
-                                 double milliseconds);
+                                 double milliseconds, TimePoint now);
 
 private:
     struct Estimate;
@@ -168,6 +175,7 @@
     {
         Ranking ranking_;
         VersionRoom room_;
+        bool reportWorkTimes_ = false; ///< At least one of the engines does.
     };
 
     Candidates candidates(const EndpointTable &table, const PromptQuery &query,
@@ -180,15 +188,16 @@
     Estimate estimateTokens(const Endpoint &engine, const PromptQuery &query,
                             bool mayBeCached) const;
     /** Milliseconds in which an engine prefills one token. */
-    double millisPerToken(const RequestCosts &costs, const Endpoint &engine) const;
+    double millisPerToken(const RequestCosts &costs, const Endpoint &engine, TimePoint now) const;
     /** An engine to copy shared parts from that prefillEngine lacks; null if there is none. */
     const Endpoint *cacheCopySource(const Candidates &engines, const Endpoint &prefillEngine,
                                     const Prompt &prompt, TimePoint now) const;
     Estimate estimatePrefill(const Endpoint &engine, const PromptQuery &query, bool mayBeCached,
-                             int urgency) const;
+                             int urgency, TimePoint now) const;
     Estimate bestPrefillEngine(const Candidates &engines, const PromptQuery &query,
                                TimePoint now) const;
-    Estimate bestInPlaceEngine(const Candidates &engines, const PromptQuery &query) const;
+    Estimate bestInPlaceEngine(const Candidates &engines, const PromptQuery &query,
+                               TimePoint now) const;
 
     PlacementSettings settings_;
     PromptCacheIndex cacheIndex_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -35,8 +35,6 @@
 /** Limits log lines on requests that an account's share has no room for; the metric has all. */
 constexpr int MaxShareLines = 200;
 constexpr Duration ShareLogWindow = millis(10'000);
-/** Bounds the cost of finding the usable endpoints; short relative to changes of their number. */
-constexpr Duration RoomInterval = millis(50);
 /** Work that one engine does in a second. */
 constexpr double EngineRoomMillis = 1'000;
 constexpr std::size_t MaxIdlePeerConnections = 64;
@@ -156,11 +154,25 @@
     return state_->settings_.sharesCapacity_ ? &state_->shares_ : nullptr;
 }
 
+void Gateway::observeDemand(const ServiceId &service, const StageDemand &demand, bool isComplete,
+                            TimePoint now)
+{
+    const double room = prefillRoom(state_->table_.usable(service, now));
+    state_->shares_.setRoom(service, room);
+    state_->shortages_[service].observe(demand.prefill_, room / EngineRoomMillis, isComplete, now);
+}
+
+bool Gateway::isShortageNear() const
+{
+    return std::any_of(state_->shortages_.begin(), state_->shortages_.end(),
+                       [](const auto &entry) { return entry.second.isNear(); });
+}
+
 std::map<ServiceId, bool> Gateway::shortages(TimePoint now) const
 {
     std::map<ServiceId, bool> shortages;
-    for (const auto &[service, dueAt] : state_->roomDueAt_) {
-        shortages[service] = state_->shares_.isShort(service, now);
+    for (const auto &[service, watch] : state_->shortages_) {
+        shortages[service] = watch.isNear() && state_->shares_.isShort(service, now);
     }
     return shortages;
 }
@@ -387,6 +399,11 @@
     return requestKey(settings_.keySecret_, {"", "stream", requestId, "", account.value()});
 }
 
+IdleConnectionCheck GatewayState::idleConnectionCheck() const
+{
+    return [this](const EndpointId &endpoint) { return client_.hasIdle(endpoint.value()); };
+}
+
 bool GatewayState::knowsQuarantines(TimePoint now) const
 {
     return quarantinesKnown_ || now >= settings_.startedAt_ + QuarantineReadTime;
@@ -564,12 +581,12 @@
 
 std::optional<ShareRefusal> GatewayState::admitShare(const ShareRequest &request, TimePoint now)
 {
-    TimePoint &dueAt = roomDueAt_[request.service_];
-    if (now >= dueAt) {
-        dueAt = now + RoomInterval;
-        shares_.setRoom(request.service_, prefillRoom(table_.usable(request.service_, now)));
+    const auto watch = shortages_.find(request.service_);
+    if (watch == shortages_.end() || !watch->second.isNear()) {
+        return std::nullopt;
     }
-    return shares_.admit(request, random_(), now);
+    const std::optional<ShareRefusal> refusal = shares_.admit(request, random_(), now);
+    return watch->second.areSharesKnown(now) ? refusal : std::nullopt;
 }
 
 void GatewayState::startCall(async::ServerCall request, const Route &route, AccessResult result,
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -11,6 +11,7 @@
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
 #include "almondridge/gateway/shareadmission.h"
+#include "almondridge/gateway/shortagewatch.h"
 #include "almondridge/gateway/streamorigins.h"
 #include "crashguard.h"
 #include "endpointtraffic.h"
@@ -41,8 +42,8 @@
     void refuseUnrouted(const async::ServerCall &request);
     std::vector<RequestKey> sharedPartKeys(const RequestInfo &request) const;
     /**
-     * Asks whether the account's share has room for the request. Counts it, so that each request
-     * must be asked for once.
+     * Asks whether the account's share has room for the request, if a shortage is near. Counts it,
+     * so that each request must be asked for once.
      */
     std::optional<ShareRefusal> admitShare(const ShareRequest &request, TimePoint now);
     /** Creates and starts the call of an admitted request. */
@@ -63,6 +64,7 @@
     RetryBudget &budget(const ServiceId &service);
     /** Key of the stream that a request of the account began. */
     RequestKey streamKey(std::string_view requestId, const AccountId &account) const;
+    IdleConnectionCheck idleConnectionCheck() const;
     /** Whether a request may be sent before the quarantines are known. */
     bool knowsQuarantines(TimePoint now) const;
     /** Claims the trial for the key on behalf of a call, which is told. */
@@ -109,7 +111,7 @@
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
     ShareAdmission shares_;
-    std::map<ServiceId, TimePoint> roomDueAt_; ///< When the room of a service is to be set again.
+    std::map<ServiceId, ShortageWatch> shortages_;
     observe::Metrics metrics_;
     EndpointTraffic traffic_;
     EndpointReach reach_;
--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -21,6 +21,8 @@
 /** Limits log lines on limits that peers tell. */
 constexpr int MaxLimitLines = 200;
 constexpr Duration LimitLineWindow = millis(10'000);
+/** A fraction of the time in which a crest of demand grows. */
+constexpr Duration ShortageCheckInterval = millis(250);
 /** More than any report needs, with several hundred engines. */
 constexpr std::size_t MaxDatagramBytes = 16'384;
 
@@ -239,6 +241,19 @@
     send(crashGossip_.tick(now));
     send(limitGossip_.tick(now));
     if (shareGossip_) {
+        exchangeShares(now);
+    }
+}
+
+void LoadExchange::exchangeShares(TimePoint now)
+{
+    if (now >= nextShortageCheck_) {
+        nextShortageCheck_ = now + ShortageCheckInterval;
+        for (const auto &[service, own] : gateway_.demand()) {
+            gateway_.observeDemand(service, demand(service), isDemandComplete(), now);
+        }
+    }
+    if (gateway_.isShortageNear()) {
         send(shareGossip_->tick(now));
     }
 }
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -31,6 +31,7 @@
     query.excluded_ = excluded_;
     query.prefillInPlace_ = inPlaceOnly_;
     query.version_ = requiredVersion();
+    query.hasIdleConnection_ = gateway_.idleConnectionCheck();
     return query;
 }
 
@@ -342,10 +343,12 @@
     const auto tookMillis = static_cast<double>(toMillis(prefilledAt_ - attempt_.sentAt_));
     if (cacheHitUnknown_) {
         gateway_.placement_.onUnknownPartsPrefilled(costs(), *engine, prompt(), queuedTokens_,
-                                                    tookMillis);
+                                                    tookMillis, prefilledAt_);
     } else {
         if (queuedTokens_ == 0) {
-            costs().onUncontendedPrefill(prefillTokens_, tookMillis);
+            // The costs are those of an engine of usual speed.
+            costs().onUncontendedPrefill(prefillTokens_,
+                                         tookMillis / engine->workTime_.factorAt(prefilledAt_));
         }
         gateway_.table_.onPrefillTime(
             attempt_.endpoint_, costs().prefillMillis(queuedTokens_ + prefillTokens_), tookMillis);
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -24,6 +24,12 @@
 /** Smoothing factor of the hit rate that is assumed for unknown parts. */
 constexpr double HitRateSmoothing = 0.1;
 
+/**
+ * Prompts that wait this long for their first event count as much as a full engine. An engine with
+ * slow links has few requests, so its slots look free though each request takes a second.
+ */
+constexpr double FullEngineWaitMillis = 100;
+
 /** Older load reports say nothing about the current queue. */
 constexpr Duration MaxLoadAge = millis(400);
 
@@ -33,6 +39,20 @@
  * a loaded fleet copies every part to every engine and keeps recomputing what was evicted.
  */
 constexpr std::size_t ReplicasPerPart = 2;
+/**
+ * The same where endpoints report work times: engines differ in speed there, and which of them is
+ * slow changes within a second. RecomputePenalty keeps long parts on few of these engines, while
+ * prompts with short shared parts are prefilled on whichever has time.
+ */
+constexpr std::size_t ReplicasOfUnevenEngines = 12;
+
+/**
+ * Prefill time that a prompt may lose on an engine with an idle connection: a new one costs a round
+ * trip and processor time at both ends.
+ */
+constexpr double ConnectMillis = 5;
+/** The same for an engine that decodes, as a share of its slots. */
+constexpr double ConnectUtilization = 0.1;
 
 /**
  * Weight of the time to recompute a shared part on another engine, added to that time itself: the
@@ -57,6 +77,11 @@
     });
 }
 
+bool hasIdleConnection(const IdleConnectionCheck &check, const Endpoint &endpoint)
+{
+    return check && check(endpoint.listed_.id_);
+}
+
 bool decodes(const Endpoint &endpoint)
 {
     return endpoint.listed_.stage_ != Stage::Prefill;
@@ -81,6 +106,20 @@
                     utilization(endpoint, now));
 }
 
+/**
+ * What distinguishes engines that report work times: the time that a request generates on them, and
+ * whether it needs a new connection. In the unit of decodeUtilization().
+ */
+double unevenDecodeCost(const Endpoint &endpoint, const DecodeQuery &query, TimePoint now)
+{
+    if (!endpoint.workTime_.isKnown()) {
+        return 0;
+    }
+    const double millis = query.costs_->meanGenerateMillis() * endpoint.workTime_.factorAt(now);
+    return millis / FullEngineWaitMillis
+           + (hasIdleConnection(query.hasIdleConnection_, endpoint) ? 0 : ConnectUtilization);
+}
+
 /**
  * The endpoint of least cost. The search starts at a position given by tieBreaker: if it always
  * started at the lowest id, all instances would send to the same idle endpoint.
@@ -139,10 +178,13 @@
     , cacheIndex_(MaxIndexedParts)
 { }
 
-double Placement::millisPerToken(const RequestCosts &costs, const Endpoint &engine) const
+double Placement::millisPerToken(const RequestCosts &costs, const Endpoint &engine,
+                                 TimePoint now) const
 {
     double millis = costs.prefillComputeMillis(1);
-    if (engine.prefillSpeed_ < SlowSpeedRatio) {
+    if (engine.workTime_.isKnown()) {
+        millis *= engine.workTime_.factorAt(now);
+    } else if (engine.prefillSpeed_ < SlowSpeedRatio) {
         millis /= engine.prefillSpeed_;
     }
     return engine.listed_.stage_ == Stage::Prefill ? millis
@@ -167,10 +209,10 @@
 }
 
 Placement::Estimate Placement::estimatePrefill(const Endpoint &engine, const PromptQuery &query,
-                                               bool mayBeCached, int urgency) const
+                                               bool mayBeCached, int urgency, TimePoint now) const
 {
     Estimate estimate = estimateTokens(engine, query, mayBeCached);
-    const double perToken = millisPerToken(*query.costs_, engine);
+    const double perToken = millisPerToken(*query.costs_, engine, now);
     estimate.urgency_ = urgency;
     // Every queued prompt that can still be in time counts as ahead, even a less urgent one: an
     // engine prefills several prompts at once and doesn't preempt those that it has begun.
@@ -183,6 +225,9 @@
     estimate.cost_ =
         estimate.millis_
         + RecomputePenalty * perToken * static_cast<double>(std::max<std::int64_t>(0, recomputed));
+    if (engine.workTime_.isKnown() && !hasIdleConnection(query.hasIdleConnection_, engine)) {
+        estimate.cost_ += ConnectMillis;
+    }
     return estimate;
 }
 
@@ -202,6 +247,7 @@
     });
     for (const Endpoint *engine : engines) {
         found.ranking_.push_back({rendezvousWeight(engine->idHash_, part), engine});
+        found.reportWorkTimes_ = found.reportWorkTimes_ || engine->workTime_.isKnown();
     }
     return found;
 }
@@ -224,6 +270,7 @@
 std::vector<const Endpoint *> Placement::replicaEngines(const Candidates &engines)
 {
     const VersionRoom &room = engines.room_;
+    const std::size_t most = engines.reportWorkTimes_ ? ReplicasOfUnevenEngines : ReplicasPerPart;
     Ranking replicas;
     const auto ranksBefore = [&](const Candidate &left, const Candidate &right) {
         const bool isLeftOpen = room.isOpen(left.engine_->listed_.version_);
@@ -238,9 +285,9 @@
         const auto place =
             std::find_if(replicas.begin(), replicas.end(),
                          [&](const Candidate &replica) { return ranksBefore(one, replica); });
-        if (place != replicas.end() || replicas.size() < ReplicasPerPart) {
+        if (place != replicas.end() || replicas.size() < most) {
             replicas.insert(place, one);
-            replicas.resize(std::min(replicas.size(), ReplicasPerPart));
+            replicas.resize(std::min(replicas.size(), most));
         }
     }
     std::vector<const Endpoint *> found;
@@ -281,7 +328,7 @@
         Estimate best;
         for (const Endpoint *replica : replicas) {
             const bool mayBeCached = !known && replica == replicas.front();
-            const Estimate estimate = estimatePrefill(*replica, query, mayBeCached, urgency);
+            const Estimate estimate = estimatePrefill(*replica, query, mayBeCached, urgency, now);
             if (estimate.isCheaperThan(best)) {
                 best = estimate;
             }
@@ -299,7 +346,7 @@
 }
 
 Placement::Estimate Placement::bestInPlaceEngine(const Candidates &engines,
-                                                 const PromptQuery &query) const
+                                                 const PromptQuery &query, TimePoint now) const
 {
     Estimate best;
     std::uint64_t bestWeight = 0;
@@ -308,7 +355,7 @@
             continue;
         }
         const Estimate estimate = estimatePrefill(
-            *engine, query, false, std::clamp(query.priority_, 0, FirstLateUrgency - 1));
+            *engine, query, false, std::clamp(query.priority_, 0, FirstLateUrgency - 1), now);
         const bool isFirstOfEqual = estimate.cost_ == best.cost_ && weight > bestWeight;
         if (estimate.isCheaperThan(best) || isFirstOfEqual) {
             best = estimate;
@@ -362,7 +409,7 @@
     }
     const Estimate separate = bestPrefillEngine(engines, query, now);
     const bool isInPlace = query.prefillInPlace_ || separate.engine_ == nullptr;
-    const Estimate inPlace = isInPlace ? bestInPlaceEngine(engines, query) : Estimate();
+    const Estimate inPlace = isInPlace ? bestInPlaceEngine(engines, query, now) : Estimate();
     const Estimate &prefill = separate.engine_ != nullptr ? separate : inPlace;
     PromptPlan plan;
     if (separate.engine_ != nullptr) {
@@ -389,9 +436,6 @@
     // Transfers between failure domains take twice as long and cost more: an engine of another
     // domain is chosen only if those of the source's domain are fuller by a quarter of the slots.
     constexpr double CrossDomainPenalty = 0.25;
-    // Prompts that wait this long for their first event count as much as a full engine. An engine
-    // with slow links has few requests, so its slots look free though each request takes a second.
-    constexpr double FullEngineWaitMillis = 100;
     std::vector<const Endpoint *> engines = table.usable(query.service_, now);
     removeUnsuitable(engines, query.excluded_, query.version_, now);
     const VersionRoom room = versionRoom(engines, now);
@@ -400,8 +444,9 @@
     });
     const Endpoint *best = cheapest(engines, tieBreaker, [&](const Endpoint &one) {
         const double waitMillis =
-            static_cast<double>(one.fleetQueuedTokens()) * millisPerToken(*query.costs_, one);
+            static_cast<double>(one.fleetQueuedTokens()) * millisPerToken(*query.costs_, one, now);
         return decodeUtilization(one, now) + waitMillis / FullEngineWaitMillis
+               + unevenDecodeCost(one, query, now)
                + (one.listed_.domain_ == query.source_ ? 0 : CrossDomainPenalty);
     });
     if (best == nullptr) {
@@ -440,8 +485,15 @@
     constexpr double CrossDomainPenalty = 0.1;
     std::vector<const Endpoint *> endpoints = table.usable(service, now);
     removeUnsuitable(endpoints, excluded, version, now);
+    // The request itself counts as well, so that a slow idle endpoint is not the best one.
+    const auto timeFactor = [&](const Endpoint &one) {
+        return one.workTime_.isKnown() ? one.workTime_.factorAt(now) : 1;
+    };
+    const auto ownShare = [](const Endpoint &one) {
+        return one.workTime_.isKnown() ? 1.0 / std::max(1, one.listed_.slots_) : 0;
+    };
     const Endpoint *best = cheapest(endpoints, tieBreaker, [&](const Endpoint &one) {
-        return utilization(one, now)
+        return (utilization(one, now) + ownShare(one)) * timeFactor(one)
                + (one.listed_.domain_ == settings_.domain_ ? 0 : CrossDomainPenalty);
     });
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
@@ -496,14 +548,15 @@
 
 void Placement::onUnknownPartsPrefilled(const RequestCosts &costs, const Endpoint &engine,
                                         const Prompt &prompt, std::int64_t queuedTokens,
-                                        double milliseconds)
+                                        double milliseconds, TimePoint now)
 {
     const auto shared = static_cast<double>(prompt.tokens_ - prompt.unsharedTokens());
     if (shared < MinSampleTokens) {
         return;
     }
-    const double computed = (milliseconds - costs.prefillMillis(0)) / millisPerToken(costs, engine)
-                            - static_cast<double>(queuedTokens + prompt.unsharedTokens());
+    const double computed =
+        (milliseconds - costs.prefillMillis(0)) / millisPerToken(costs, engine, now)
+        - static_cast<double>(queuedTokens + prompt.unsharedTokens());
     const double cached = computed < shared / 2 ? 1 : 0;
     unknownHitRate_ += HitRateSmoothing * (cached - unknownHitRate_);
 }
--- a/libs/gateway/tests/placementtest.cpp
+++ b/libs/gateway/tests/placementtest.cpp
@@ -99,7 +99,7 @@
     const auto uncachedTokensAfter = [&](double milliseconds) {
         for (int sample = 0; sample < 40; ++sample) {
             placement.onUnknownPartsPrefilled(RequestCosts::assumed(), engine, prompt, 0,
-                                              milliseconds);
+                                              milliseconds, at(0));
         }
         return planFor(placement, table, prompt)->uncachedTokens_;
     };
