Decode engines of uneven speed are chosen by memory, too; sizes follow the demand by a setting of its own

An idle connection weighs more: with a tenth of the slots new connections stayed as they were.

The soak's endpoints report work times of three speeds, with slow spells.

--- a/libs/fleet/include/almondridge/fleet/entrysettings.h
+++ b/libs/fleet/include/almondridge/fleet/entrysettings.h
@@ -38,6 +38,8 @@
     double usageWindowSeconds_ = 0; ///< Length of a reporting window; 0: usage isn't reported.
     double usageDueSeconds_ = 10;   ///< Time for the report after a window's end.
     bool ordersEndpoints_ = true;   ///< Whether services are scaled.
+    /** The sizes of services follow the demand instead of the numbers found at the start. */
+    bool sizesFollowDemand_ = false;
     /** Failure domains that may lose all spot endpoints at once while capacity stays sufficient. */
     int spotLossesBorne_ = 2;
     double secondSendRatio_ = 0.2; ///< Retry budget of a service: retries per request.
--- a/libs/fleet/src/entrysettings.cpp
+++ b/libs/fleet/src/entrysettings.cpp
@@ -36,6 +36,7 @@
     optional("usageWindowSeconds", &EntrySettings::usageWindowSeconds_, SecondsRange),
     optional("usageDueSeconds", &EntrySettings::usageDueSeconds_, SecondsRange),
     optional("ordersEndpoints", &EntrySettings::ordersEndpoints_, Boolean {}),
+    optional("sizesFollowDemand", &EntrySettings::sizesFollowDemand_, Boolean {}),
     optional("spotLossesBorne", &EntrySettings::spotLossesBorne_, Domains),
     optional("secondSendRatio", &EntrySettings::secondSendRatio_, Ratio),
     optional("secondSendSlack", &EntrySettings::secondSendSlack_, Slack),
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -50,9 +50,9 @@
  * Prefill time that a prompt may lose on an engine with an idle connection: a new one costs a round
  * trip and processor time at both ends.
  */
-constexpr double ConnectMillis = 5;
+constexpr double ConnectMillis = 10;
 /** The same for an engine that decodes, as a share of its slots. */
-constexpr double ConnectUtilization = 0.1;
+constexpr double ConnectUtilization = 0.25;
 
 /**
  * Weight of the time to recompute a shared part on another engine, added to that time itself: the
@@ -106,9 +106,22 @@
                     utilization(endpoint, now));
 }
 
+/** Requests like this one that fit into an engine: its slots, or fewer if its KV cache is full. */
+double capacityFor(const Endpoint &endpoint, const DecodeQuery &query)
+{
+    const auto slots = static_cast<double>(std::max(1, endpoint.listed_.slots_));
+    if (query.kvTokens_ <= 0 || query.promptTokens_ <= 0) {
+        return slots;
+    }
+    const double byMemory =
+        static_cast<double>(query.kvTokens_) / static_cast<double>(query.promptTokens_);
+    return std::clamp(byMemory, 1.0, slots);
+}
+
 /**
- * What distinguishes engines that report work times: the time that a request generates on them, and
- * whether it needs a new connection. In the unit of decodeUtilization().
+ * What distinguishes engines that report work times: the time that a request generates on them, the
+ * memory that its prompt takes, and whether it needs a new connection. In the unit of
+ * decodeUtilization().
  */
 double unevenDecodeCost(const Endpoint &endpoint, const DecodeQuery &query, TimePoint now)
 {
@@ -116,7 +129,10 @@
         return 0;
     }
     const double millis = query.costs_->meanGenerateMillis() * endpoint.workTime_.factorAt(now);
-    return millis / FullEngineWaitMillis
+    const auto slots = static_cast<double>(std::max(1, endpoint.listed_.slots_));
+    const double memory =
+        decodeUtilization(endpoint, now) * (slots / capacityFor(endpoint, query) - 1);
+    return millis / FullEngineWaitMillis + memory
            + (hasIdleConnection(query.hasIdleConnection_, endpoint) ? 0 : ConnectUtilization);
 }
 
--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -157,8 +157,23 @@
     }
 }
 
+/** One of three speeds, and much slower at times, as on a machine that others use as well. */
+std::string EndpointStandIn::loadHeader() const
+{
+    constexpr std::array<int, 3> Percents {60, 100, 160};
+    constexpr std::int64_t SlotMillis = 600;
+    constexpr std::uint64_t SlowEvery = 7;
+    const std::uint64_t hash = std::hash<std::string> {}(id_);
+    const auto slot =
+        static_cast<std::uint64_t>(toMillis(BootClock::now().time_since_epoch()) / SlotMillis);
+    const int percent = Percents.at(hash % Percents.size());
+    const bool isSlow = (hash + slot) % SlowEvery == 0;
+    return fmt::format("32,0,64,{}", isSlow ? percent * 5 / 2 : percent);
+}
+
 net::Headers EndpointStandIn::withAsked(net::Headers headers) const
 {
+    headers.push_back({"X-Server-Load", loadHeader()});
     if (isLimited()) {
         headers.push_back({"Server-Limit", fmt::format("{}", limitPerSecond_)});
     }
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -93,6 +93,7 @@
     void checkBackoff();
     bool isLimited() const { return limitUntil_ > BootClock::now(); }
     void respond(const async::CallId &call, net::Response response);
+    std::string loadHeader() const;
     net::Headers withAsked(net::Headers headers) const;
     bool strikes();
     net::Headers signedHeaders(const std::string &requestId) const;
