Decode engines are chosen by slots or memory, whichever is scarcer, times their work time

Now the share of slots, or of the KV cache where a prompt needs more of it, counts times the work time, and idle connections count for prefill only.

--- a/libs/gateway/include/almondridge/gateway/placement.h
+++ b/libs/gateway/include/almondridge/gateway/placement.h
@@ -80,7 +80,6 @@
     const RequestCosts *costs_ = &RequestCosts::assumed(); ///< Costs of this service's requests.
     /** Only engines of this version: that of the prefill, or of the stream's earlier events. */
     std::optional<SoftwareVersion> version_ {};
-    IdleConnectionCheck hasIdleConnection_ {};
     std::int64_t promptTokens_ = 0; ///< Of the request, in the engine's KV cache while it runs.
     std::int64_t kvTokens_ = 0;     ///< Capacity of an engine's KV cache; 0: unlimited.
 };
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -51,8 +51,6 @@
  * trip and processor time at both ends.
  */
 constexpr double ConnectMillis = 10;
-/** The same for an engine that decodes, as a share of its slots. */
-constexpr double ConnectUtilization = 0.25;
 
 /**
  * Weight of the time to recompute a shared part on another engine, added to that time itself: the
@@ -119,21 +117,17 @@
 }
 
 /**
- * What distinguishes engines that report work times: the time that a request generates on them, the
- * memory that its prompt takes, and whether it needs a new connection. In the unit of
- * decodeUtilization().
+ * As decodeUtilization(), with the request itself, for engines that report work times: slots that
+ * take longer are worth less, and a long prompt takes more of the KV cache than of the slots.
  */
-double unevenDecodeCost(const Endpoint &endpoint, const DecodeQuery &query, TimePoint now)
+double unevenUtilization(const Endpoint &endpoint, const DecodeQuery &query, TimePoint now)
 {
     if (!endpoint.workTime_.isKnown()) {
-        return 0;
+        return decodeUtilization(endpoint, now);
     }
-    const double millis = query.costs_->meanGenerateMillis() * endpoint.workTime_.factorAt(now);
     const auto slots = static_cast<double>(std::max(1, endpoint.listed_.slots_));
-    const double memory =
-        decodeUtilization(endpoint, now) * (slots / capacityFor(endpoint, query) - 1);
-    return millis / FullEngineWaitMillis + memory
-           + (hasIdleConnection(query.hasIdleConnection_, endpoint) ? 0 : ConnectUtilization);
+    const double requests = decodeUtilization(endpoint, now) * slots + 1;
+    return requests / capacityFor(endpoint, query) * endpoint.workTime_.factorAt(now);
 }
 
 /**
@@ -461,8 +455,7 @@
     const Endpoint *best = cheapest(engines, tieBreaker, [&](const Endpoint &one) {
         const double waitMillis =
             static_cast<double>(one.fleetQueuedTokens()) * millisPerToken(*query.costs_, one, now);
-        return decodeUtilization(one, now) + waitMillis / FullEngineWaitMillis
-               + unevenDecodeCost(one, query, now)
+        return unevenUtilization(one, query, now) + waitMillis / FullEngineWaitMillis
                + (one.listed_.domain_ == query.source_ ? 0 : CrossDomainPenalty);
     });
     if (best == nullptr) {
