--- a/libs/gateway/src/loadexchange.cpp
+++ b/libs/gateway/src/loadexchange.cpp
@@ -253,6 +253,7 @@
             gateway_.observeDemand(service, demand(service), isDemandComplete(), now);
         }
     }
+    // Reports by account would take 90 kB a second of each of 88 instances at all times.
     if (gateway_.isShortageNear()) {
         send(shareGossip_->tick(now));
     }
