--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -157,7 +157,8 @@
 void Gateway::observeDemand(const ServiceId &service, const StageDemand &demand, bool isComplete,
                             TimePoint now)
 {
-    // All listed engines rather than the usable ones, so that instances which reach different ones agree.
+    // All listed engines rather than the usable ones, so that instances which reach different ones
+    // agree.
     const double room = prefillRoom(state_->table_.listed(service));
     state_->shares_.setRoom(service, room);
     state_->shortages_[service].observe(demand.prefill_, room / EngineRoomMillis, isComplete, now);
