--- a/libs/fleet/tests/entrysettingstest.cpp
+++ b/libs/fleet/tests/entrysettingstest.cpp
@@ -44,7 +44,8 @@
 // version doesn't know.
 BOOST_AUTO_TEST_CASE(obligationsAreAnyText)
 {
-    const std::string list = R"(,"sharesCapacity":true,"sizesFollowDemand":true,"obligations":["pressure","a b: c",""])";
+    const std::string list =
+        R"(,"sharesCapacity":true,"sizesFollowDemand":true,"obligations":["pressure","a b: c",""])";
     const EntrySettings settings = parseEntrySettings("{" + RequiredFields + list + "}").value();
     BOOST_TEST(settings.sharesCapacity_);
     BOOST_TEST(settings.sizesFollowDemand_);
