--- a/benchmarks/fairshares.cpp
+++ b/benchmarks/fairshares.cpp
@@ -81,7 +81,7 @@
     for (int index = 0; index < Decisions; ++index) {
         const ShareLoad &load = loads[random() % loads.size()];
         admission.admit({ShareFleet::service(), AccountId(load.account_), random(), 0, 100},
-                        random(), now + millis(2 * index));
+                        random(), now + millis(std::int64_t {2} * index));
     }
     const std::chrono::duration<double, std::micro> passed =
         std::chrono::steady_clock::now() - start;
--- a/libs/gateway/src/shareadmission.cpp
+++ b/libs/gateway/src/shareadmission.cpp
@@ -242,7 +242,7 @@
     }
     Account &account = found->second;
     if (!account.own_) {
-        account.own_.emplace();
+        account.own_ = OwnDemand {};
         ++service.ownAccounts_;
     }
     account.own_->askedAt_ = now;
--- a/libs/gateway/tests/shareadmissiontest.cpp
+++ b/libs/gateway/tests/shareadmissiontest.cpp
@@ -41,6 +41,7 @@
 {
     constexpr double Room = 20'000;
     std::vector<ShareLoad> loads;
+    loads.reserve(9);
     for (int index = 0; index < 9; ++index) {
         loads.push_back({"a" + std::to_string(index), 0.8 * Room / 10});
     }
--- a/libs/gateway/tests/sharegossiptest.cpp
+++ b/libs/gateway/tests/sharegossiptest.cpp
@@ -45,6 +45,7 @@
 std::vector<InstanceId> instances(int count)
 {
     std::vector<InstanceId> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         ids.emplace_back("instance-" + std::to_string(index));
     }
--- a/libs/gateway/tests/shortagewatchtest.cpp
+++ b/libs/gateway/tests/shortagewatchtest.cpp
@@ -15,7 +15,7 @@
 {
     ShortageWatch watch;
     for (int tick = 0; tick < 100; ++tick) {
-        watch.observe(20, 100, true, at(250 * tick));
+        watch.observe(20, 100, true, at(std::int64_t {250} * tick));
         BOOST_TEST(!watch.isNear());
     }
 }
--- a/libs/gateway/tests/unevenenginestest.cpp
+++ b/libs/gateway/tests/unevenenginestest.cpp
@@ -58,7 +58,7 @@
 /** Places a prompt and adds it to the queue of the engine that was chosen. */
 PromptPlan sendPrompt(Placement &placement, EndpointTable &table, const Prompt &prompt)
 {
-    const PromptPlan plan = *planFor(placement, table, prompt);
+    PromptPlan plan = *planFor(placement, table, prompt);
     const Endpoint *engine = table.find(*plan.prefill_);
     placement.onPromptSent(engine->listed_, prompt, at(0));
     table.onSent(*plan.prefill_, plan.urgency_, plan.uncachedTokens_, at(0));
