--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -131,6 +131,13 @@
     urgency_ = plan.urgency_;
 }
 
+/** Those that are assumed if the configuration names none. */
+EngineTraits ModelCall::engineTraits() const
+{
+    const ServiceTraits *service = context_.config_->service(context_.service_);
+    return service != nullptr && service->engine_ ? *service->engine_ : EngineTraits {};
+}
+
 /**
  * Records the load that the request puts on the engines. Refused requests count too, since they are
  * a reason to change an engine's stage. A stream occupies a slot and KV cache for its prompt while
@@ -142,9 +149,7 @@
     if (std::exchange(demandRecorded_, true)) {
         return;
     }
-    const ServiceTraits *service = context_.config_->service(context_.service_);
-    const EngineTraits engine =
-        service != nullptr && service->engine_ ? *service->engine_ : EngineTraits {};
+    const EngineTraits engine = engineTraits();
     const double slotShare = 1.0 / std::max(1, engine.slots_);
     const double kvShare = engine.kvTokens_ > 0 ? static_cast<double>(prompt().tokens_)
                                                       / static_cast<double>(engine.kvTokens_)
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -73,6 +73,7 @@
     void onStreamEnd();
     void onStreamBroken(async::ExchangeFailure failure, HealthSignal evidence);
     void recordPrefillPlan(const PromptPlan &plan);
+    EngineTraits engineTraits() const;
     void recordDemand(std::int64_t newTokens);
     /** Whether the account's share of the service's capacity has room for the request. */
     bool hasShare(const PromptPlan &plan, TimePoint now);
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -81,10 +81,7 @@
     query.costs_ = &costs();
     query.version_ = version;
     query.promptTokens_ = prompt().tokens_;
-    const ServiceTraits *service = context_.config_->service(context_.service_);
-    if (service != nullptr && service->engine_) {
-        query.kvTokens_ = service->engine_->kvTokens_;
-    }
+    query.kvTokens_ = engineTraits().kvTokens_;
     return gateway_.placement_.chooseDecodeEngine(gateway_.table_, query, gateway_.random_(),
                                                   BootClock::now());
 }
--- a/libs/gateway/src/placement.cpp
+++ b/libs/gateway/src/placement.cpp
@@ -495,14 +495,11 @@
     std::vector<const Endpoint *> endpoints = table.usable(service, now);
     removeUnsuitable(endpoints, excluded, version, now);
     // The request itself counts as well, so that a slow idle endpoint is not the best one.
-    const auto timeFactor = [&](const Endpoint &one) {
-        return one.workTime_.isKnown() ? one.workTime_.factorAt(now) : 1;
-    };
     const auto ownShare = [](const Endpoint &one) {
         return one.workTime_.isKnown() ? 1.0 / std::max(1, one.listed_.slots_) : 0;
     };
     const Endpoint *best = cheapest(endpoints, tieBreaker, [&](const Endpoint &one) {
-        return (utilization(one, now) + ownShare(one)) * timeFactor(one)
+        return (utilization(one, now) + ownShare(one)) * one.workTime_.factorAt(now)
                + (one.listed_.domain_ == settings_.domain_ ? 0 : CrossDomainPenalty);
     });
     return best != nullptr ? std::optional(best->listed_.id_) : std::nullopt;
