Share reports are summarized in one place, and admit() is split

Found when the change was read again: the admission picked the eight largest accounts and summed the rest, then the gossip did the same twice before it sent them, with a bound of its own. Now summarized() beside the type does it, and its limits are the only ones. The steps of admit() have functions of their own.

--- a/libs/gateway/include/almondridge/gateway/accountdemand.h
+++ b/libs/gateway/include/almondridge/gateway/accountdemand.h
@@ -6,6 +6,7 @@
 
 #include "almondridge/base/ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -32,4 +33,24 @@
     std::map<ServiceId, std::vector<AccountDemand>> demand_ {};
 };
 
+/** Bounds of a report; a datagram that exceeds any of them is dropped as a whole. */
+struct ShareReportLimits
+{
+    static constexpr std::size_t MaxServices = 12;
+    static constexpr std::size_t MaxAccounts = 8; ///< Of a service, by the work they ask for.
+    static constexpr std::size_t MaxSums = 8;     ///< Of a service's other accounts, one by rank.
+    static constexpr int MaxRank = 1'000;
+    static constexpr double MaxWork = 1e9; ///< Milliseconds a second: a million busy engines.
+    static constexpr std::size_t MaxNameBytes = 100; ///< Of an instance, service or account.
+};
+
+/** Values that can't be told are reduced to the limits; NaN becomes 0. */
+double clampedWork(double work);
+
+/**
+ * The demand on a service within the limits: the accounts that ask for the most work, and the sum
+ * of the others by rank. Ranks that exceed MaxSums are added to the last sum.
+ */
+std::vector<AccountDemand> summarized(const std::vector<AccountDemand> &demand);
+
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/shareadmission.h
+++ b/libs/gateway/include/almondridge/gateway/shareadmission.h
@@ -11,6 +11,7 @@
 #include "almondridge/base/time.h"
 #include "almondridge/gateway/accountdemand.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <list>
@@ -45,9 +46,6 @@
 class ShareAdmission
 {
 public:
-    /** Accounts that a report lists for each service; the others are summed by rank. */
-    static constexpr std::size_t MaxListedAccounts = 8;
-
     /** Work that the usable engines of a service can do, in milliseconds per second. */
     void setRoom(const ServiceId &service, double room);
     /** Number of instances that share the endpoints, this one included. */
@@ -95,6 +93,9 @@
     /** The largest request of the last few seconds. */
     struct LargestWork
     {
+        void add(double work, TimePoint now);
+        double value() const { return std::max(current_, previous_); }
+
         TimePoint rotateAt_;
         double current_ = 0;
         double previous_ = 0;
@@ -198,6 +199,9 @@
     static std::map<int, std::vector<Account *>> sumDemand(Service &service, TimePoint now);
     static double attributeRest(const std::vector<Account *> &accounts, const RankSums &sums);
     static void fill(OwnDemand &own, TimePoint now);
+    static void startBucket(Account &account, double work, std::uint64_t random, TimePoint now);
+    static double reserveFor(Account &account, std::uint64_t id, TimePoint now);
+    static Session *seenSession(OwnDemand &own, std::uint64_t id, TimePoint now);
     ShareRefusal refusal(const Service &service, const Account &account, double missing,
                          std::uint64_t random, TimePoint now) const;
 
--- a/libs/gateway/include/almondridge/gateway/sharegossip.h
+++ b/libs/gateway/include/almondridge/gateway/sharegossip.h
@@ -21,23 +21,6 @@
 /** First character of these datagrams. Load reports begin with a CBOR array, which never has it. */
 inline constexpr char ShareDatagramMark = 'S';
 
-/** Bounds of what a datagram says; one that exceeds any of them is dropped as a whole. */
-struct ShareReportLimits
-{
-    static constexpr std::size_t MaxServices = 12;
-    static constexpr std::size_t MaxAccounts = 8; ///< Of a service, by the work they ask for.
-    static constexpr std::size_t MaxSums = 8;     ///< Of a service's other accounts, one by rank.
-    static constexpr int MaxRank = 1'000;
-    static constexpr double MaxWork = 1e9; ///< Milliseconds a second: a million busy engines.
-    static constexpr std::size_t MaxNameBytes = 100; ///< Of an instance, service or account.
-};
-
-/**
- * The report within the limits: of each service the accounts that ask for the most work, and the
- * sum of the others by rank. Ranks that exceed MaxSums are added to the last sum.
- */
-ShareReport summarized(const ShareReport &report);
-
 /** Encodes the report within the limits, with work rounded to tenths of a millisecond a second. */
 std::string encodeShareReport(const ShareReport &report);
 /** nullopt if the datagram is malformed, has values out of range or names an account twice. */
--- a/libs/gateway/include/almondridge/gateway/sizedemand.h
+++ b/libs/gateway/include/almondridge/gateway/sizedemand.h
@@ -20,8 +20,8 @@
 /** A sample of the demand on a service. */
 struct FleetDemand
 {
-    StageDemand busy_; ///< Demand of the admitted requests, in busy engines.
-    /** Prefill work that was refused for lack of capacity, in busy engines. */
+    StageDemand busy_; ///< In busy engines.
+    /** Prefill work that was refused and is not part of busy_, in busy engines. */
     double refused_ = 0;
     /** Whether the sample covers all instances; false: just started, or instances unreachable. */
     bool isComplete_ = false;
--- a/libs/gateway/src/shareadmission.cpp
+++ b/libs/gateway/src/shareadmission.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace almondridge::gateway {
 namespace {
@@ -378,9 +377,8 @@
         earned += own.fraction_ * own.asked_.perSecond(from + step / 2) * toSeconds(step);
         from += step;
     }
-    const double largest = std::max(own.largest_.current_, own.largest_.previous_);
     const double burst = own.fraction_ * own.asked_.perSecond(now) * BurstSeconds;
-    const double limit = std::max({burst, 3 * largest, own.bucket_});
+    const double limit = std::max({burst, 3 * own.largest_.value(), own.bucket_});
     own.bucket_ = std::min(own.bucket_ + earned, limit);
     own.filledAt_ = now;
 }
@@ -396,39 +394,74 @@
         fill(own, now);
     }
     own.asked_.add(work, now);
-    LargestWork &largest = own.largest_;
-    if (now >= largest.rotateAt_) {
-        largest.previous_ = now < largest.rotateAt_ + LargestPeriod ? largest.current_ : 0;
-        largest.current_ = 0;
-        largest.rotateAt_ = now + LargestPeriod;
-    }
-    largest.current_ = std::max(largest.current_, work);
-    if (!service.room_) {
-        own.admitted_.add(work, now);
-        return std::nullopt;
+    own.largest_.add(work, now);
+    if (service.room_) {
+        compute(service, now);
     }
-    compute(service, now);
-    if (!account.isLimited_) {
+    if (!service.room_ || !account.isLimited_) {
         own.admitted_.add(work, now);
         return std::nullopt;
     }
     if (!own.hasBucket_) {
-        // A full burst of the demand before this request. This request itself is admitted with the
-        // probability of a request of the account: with many instances most requests are the first
-        // ones of their account there, and admitting all of these would exceed the room.
-        own.hasBucket_ = true;
-        own.filledAt_ = now;
-        own.bucket_ = own.fraction_ * std::max(0.0, account.ownAsked_ - work) * BurstSeconds
-                      + work * (own.fraction_ - fraction(random, 1));
+        startBucket(account, work, random, now);
+    }
+    const double reserve = reserveFor(account, request.session_, now);
+    Session *session = seenSession(own, request.session_, now);
+    if (own.bucket_ <= reserve) {
+        if (session != nullptr && !session->refusedSince_) {
+            session->refusedSince_ = now;
+        }
+        return refusal(service, account, reserve - own.bucket_, random, now);
+    }
+    if (session != nullptr) {
+        session->refusedSince_.reset();
+        session->admitted_ += 1;
     }
+    own.bucket_ -= work;
+    own.admitted_.add(work, now);
+    return std::nullopt;
+}
 
+void ShareAdmission::LargestWork::add(double work, TimePoint now)
+{
+    if (now >= rotateAt_) {
+        previous_ = now < rotateAt_ + LargestPeriod ? current_ : 0;
+        current_ = 0;
+        rotateAt_ = now + LargestPeriod;
+    }
+    current_ = std::max(current_, work);
+}
+
+/**
+ * A full burst of the demand before this request. This request itself is admitted with the
+ * probability of a request of the account: with many instances most requests are the first ones of
+ * their account there, and admitting all of these would exceed the room.
+ */
+void ShareAdmission::startBucket(Account &account, double work, std::uint64_t random, TimePoint now)
+{
+    OwnDemand &own = *account.own_;
+    own.hasBucket_ = true;
+    own.filledAt_ = now;
+    own.bucket_ = own.fraction_ * std::max(0.0, account.ownAsked_ - work) * BurstSeconds
+                  + work * (own.fraction_ - fraction(random, 1));
+}
+
+/**
+ * While sessions wait, up to one largest request is held in reserve for the one that was refused
+ * first, so that it finds room when it comes back, and another one for those that were admitted
+ * less often than the mean. Requests count, not their work, so that sessions with large ones are
+ * not admitted less often.
+ */
+double ShareAdmission::reserveFor(Account &account, std::uint64_t id, TimePoint now)
+{
+    OwnDemand &own = *account.own_;
     std::erase_if(own.sessions_,
                   [now](const Session &session) { return now >= session.seenAt_ + SessionMemory; });
-    Session *current = nullptr;
+    const Session *current = nullptr;
     const Session *longest = nullptr;
     double admittedSum = 0;
     for (Session &session : own.sessions_) {
-        if (session.id_ == request.session_) {
+        if (session.id_ == id) {
             current = &session;
         }
         if (session.refusedSince_
@@ -440,52 +473,45 @@
         session.decayedAt_ = now;
         admittedSum += session.admitted_;
     }
-    // While sessions wait, up to one largest request is held in reserve for the one that was
-    // refused first, so that it finds room when it comes back, and another one for those that were
-    // admitted less often than the mean. Requests count, not their work, so that sessions with
-    // large ones are not admitted less often.
-    double needed = 0;
-    if (longest && longest != current) {
-        // No more than a burst: instances with few requests of the account would fill large
-        // reserves for seconds, and the room would be idle for as long.
-        const double burst = own.fraction_ * account.ownAsked_ * BurstSeconds;
-        const double reserve = std::min(burst, std::max(largest.current_, largest.previous_));
-        const double mean = admittedSum / static_cast<double>(own.sessions_.size());
-        needed = current && current->admitted_ > mean ? 2 * reserve : reserve;
-    }
-    const bool isAdmitted = own.bucket_ > needed;
-    if (!current && own.sessions_.size() >= MaxSessions) {
-        const auto replaced =
-            std::min_element(own.sessions_.begin(), own.sessions_.end(),
-                             [](const Session &left, const Session &right) {
-                                 return std::pair(left.refusedSince_.has_value(), left.seenAt_)
-                                        < std::pair(right.refusedSince_.has_value(), right.seenAt_);
-                             });
-        if (!replaced->refusedSince_) {
-            own.sessions_.erase(replaced);
-        }
-    }
-    if (!current && own.sessions_.size() < MaxSessions) {
-        current = &own.sessions_.emplace_back();
-        current->id_ = request.session_;
-        current->decayedAt_ = now;
-    }
-    if (current) {
-        current->seenAt_ = now;
+    if (longest == nullptr || longest == current) {
+        return 0;
     }
-    if (!isAdmitted) {
-        if (current && !current->refusedSince_) {
-            current->refusedSince_ = now;
+    // No more than a burst: instances with few requests of the account would fill large reserves
+    // for seconds, and the room would be idle for as long.
+    const double burst = own.fraction_ * account.ownAsked_ * BurstSeconds;
+    const double reserve = std::min(burst, own.largest_.value());
+    const double mean = admittedSum / static_cast<double>(own.sessions_.size());
+    return current != nullptr && current->admitted_ > mean ? 2 * reserve : reserve;
+}
+
+/**
+ * The session, which is added if there is room for it: one that waits for no turn is replaced if
+ * need be. Null if all others wait.
+ */
+ShareAdmission::Session *ShareAdmission::seenSession(OwnDemand &own, std::uint64_t id,
+                                                     TimePoint now)
+{
+    std::vector<Session> &sessions = own.sessions_;
+    auto found = std::find_if(sessions.begin(), sessions.end(),
+                              [id](const Session &session) { return session.id_ == id; });
+    if (found == sessions.end()) {
+        if (sessions.size() >= MaxSessions) {
+            const auto replaced = std::min_element(
+                sessions.begin(), sessions.end(), [](const Session &left, const Session &right) {
+                    return std::pair(left.refusedSince_.has_value(), left.seenAt_)
+                           < std::pair(right.refusedSince_.has_value(), right.seenAt_);
+                });
+            if (replaced->refusedSince_) {
+                return nullptr;
+            }
+            sessions.erase(replaced);
         }
-        return refusal(service, account, needed - own.bucket_, random, now);
+        found = sessions.emplace(sessions.end());
+        found->id_ = id;
+        found->decayedAt_ = now;
     }
-    if (current) {
-        current->refusedSince_.reset();
-        current->admitted_ += 1;
-    }
-    own.bucket_ -= work;
-    own.admitted_.add(work, now);
-    return std::nullopt;
+    found->seenAt_ = now;
+    return &*found;
 }
 
 ShareRefusal ShareAdmission::refusal(const Service &service, const Account &account, double missing,
@@ -510,40 +536,16 @@
 {
     ShareReport report;
     for (const auto &[id, service] : services_) {
-        std::vector<AccountDemand> listed;
-        std::map<int, AccountDemand> rest;
+        std::vector<AccountDemand> demand;
         for (const auto &[key, account] : service.accounts_) {
-            const double asked = account.own_ ? account.own_->asked_.perSecond(now) : 0;
-            if (asked <= 0) {
-                continue;
-            }
-            const double admitted = account.own_->admitted_.perSecond(now);
-            if (key.second.empty()) {
-                rest.try_emplace(key.first, AccountDemand {AccountId(), key.first, 0, 0});
-                rest[key.first].asked_ += asked;
-                rest[key.first].admitted_ += admitted;
-            } else {
-                listed.push_back({key.second, key.first, asked, admitted});
+            if (account.own_) {
+                demand.push_back({key.second, key.first, account.own_->asked_.perSecond(now),
+                                  account.own_->admitted_.perSecond(now)});
             }
         }
-        std::sort(listed.begin(), listed.end(),
-                  [](const AccountDemand &left, const AccountDemand &right) {
-                      return std::tie(right.asked_, left.rank_, left.account_)
-                             < std::tie(left.asked_, right.rank_, right.account_);
-                  });
-        for (std::size_t index = MaxListedAccounts; index < listed.size(); ++index) {
-            const AccountDemand &account = listed[index];
-            const auto sum =
-                rest.try_emplace(account.rank_, AccountDemand {AccountId(), account.rank_, 0, 0});
-            sum.first->second.asked_ += account.asked_;
-            sum.first->second.admitted_ += account.admitted_;
-        }
-        listed.resize(std::min(listed.size(), MaxListedAccounts));
-        for (const auto &[rank, sum] : rest) {
-            listed.push_back(sum);
-        }
-        if (!listed.empty()) {
-            report.demand_.emplace(id, std::move(listed));
+        demand = summarized(demand);
+        if (!demand.empty()) {
+            report.demand_.emplace(id, std::move(demand));
         }
     }
     return report;
--- a/libs/gateway/src/sharegossip.cpp
+++ b/libs/gateway/src/sharegossip.cpp
@@ -5,9 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <map>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace almondridge::gateway {
@@ -39,12 +37,6 @@
     return isName(json) && !json.get_ref<const std::string &>().empty();
 }
 
-/** Values that can't be sent are reduced to the limits; NaN becomes 0. */
-double clampedWork(double work)
-{
-    return work > 0 ? std::min(work, Limits::MaxWork) : 0;
-}
-
 std::uint64_t encodeWork(double work)
 {
     return static_cast<std::uint64_t>(std::llround(clampedWork(work) * WorkScale));
@@ -99,62 +91,6 @@
     return demand;
 }
 
-bool hasWork(const AccountDemand &demand)
-{
-    return encodeWork(demand.asked_) > 0 || encodeWork(demand.admitted_) > 0;
-}
-
-/** Adds to the sum of the demand's rank, or to the last sum if there are too many ranks. */
-void addToSums(const AccountDemand &demand, std::map<int, AccountDemand> &sums)
-{
-    const bool isFull = sums.size() >= Limits::MaxSums && !sums.contains(demand.rank_);
-    AccountDemand &sum = isFull ? sums.rbegin()->second : sums[demand.rank_];
-    if (!isFull) {
-        sum.rank_ = demand.rank_;
-    }
-    sum.asked_ = clampedWork(sum.asked_ + demand.asked_);
-    sum.admitted_ = clampedWork(sum.admitted_ + demand.admitted_);
-}
-
-std::vector<AccountDemand> summarized(const std::vector<AccountDemand> &demand)
-{
-    std::vector<AccountDemand> accounts;
-    std::vector<AccountDemand> others;
-    for (AccountDemand one : demand) {
-        one.rank_ = std::clamp(one.rank_, 0, Limits::MaxRank);
-        one.asked_ = clampedWork(one.asked_);
-        one.admitted_ = clampedWork(one.admitted_);
-        const bool isListable =
-            !one.account_.empty() && one.account_.value().size() <= Limits::MaxNameBytes;
-        if (hasWork(one)) {
-            (isListable ? accounts : others).push_back(std::move(one));
-        }
-    }
-    std::sort(accounts.begin(), accounts.end(),
-              [](const AccountDemand &left, const AccountDemand &right) {
-                  return std::tie(right.asked_, left.account_, left.rank_)
-                         < std::tie(left.asked_, right.account_, right.rank_);
-              });
-    const auto firstOther =
-        accounts.begin()
-        + static_cast<std::ptrdiff_t>(std::min(accounts.size(), Limits::MaxAccounts));
-    others.insert(others.end(), firstOther, accounts.end());
-    accounts.erase(firstOther, accounts.end());
-    // The most urgent ranks get sums of their own.
-    std::stable_sort(others.begin(), others.end(),
-                     [](const AccountDemand &left, const AccountDemand &right) {
-                         return left.rank_ < right.rank_;
-                     });
-    std::map<int, AccountDemand> sums;
-    for (const AccountDemand &other : others) {
-        addToSums(other, sums);
-    }
-    for (const auto &[rank, sum] : sums) {
-        accounts.push_back(sum);
-    }
-    return accounts;
-}
-
 double askedOf(const std::vector<AccountDemand> &demand)
 {
     double sum = 0;
@@ -164,9 +100,8 @@
     return sum;
 }
 
-} // namespace
-
-ShareReport summarized(const ShareReport &report)
+/** The services that are asked for the most work, each within the limits. */
+ShareReport withinLimits(const ShareReport &report)
 {
     std::vector<std::pair<ServiceId, std::vector<AccountDemand>>> services;
     for (const auto &[service, demand] : report.demand_) {
@@ -187,10 +122,12 @@
     return result;
 }
 
+} // namespace
+
 std::string encodeShareReport(const ShareReport &report)
 {
     Json services = Json::object();
-    for (const auto &[service, demand] : summarized(report).demand_) {
+    for (const auto &[service, demand] : withinLimits(report).demand_) {
         Json entries = Json::array();
         for (const AccountDemand &one : demand) {
             entries.push_back(
@@ -273,7 +210,7 @@
         return out;
     }
     sendAt_ = now + SendInterval;
-    ShareReport report = summarized(admission_.report(now));
+    ShareReport report = admission_.report(now);
     const bool hasDemand = !report.demand_.empty();
     if (hasDemand) {
         untoldReceivers_ = peers_.size();
