A stopping instance takes no request after its intake has ended

Callers saw: an instance that gets SIGTERM while they have streams open kept their connections open after these, without "Connection: close", took one more request from each of them up to 7.3 s after the signal, passed it to an endpoint and ended at 7.5 s.

Cause: whether a connection ends was decided only when the head of an answer was written, and idle connections were closed once, 2.5 s after the signal. An answer whose head was sent before the signal left its connection open for good, and nothing refused requests.

Fix: HttpServer has one state, Intake (Open, Draining, Closed), that only advances, and one way from a connection to onCall_, which asks it. After the change to Closed a request gets 503 with Retry-After and isn't passed on (a forwarded one: busy), and a connection without a request ends. What the kernel holds at the change, in the accept queue or on idle connections, is taken first. Pipelined requests that arrived before an answer's head keep their connection and are answered. New log events intake_ended and request_refused, counter requests_refused_stopping_total.

Why it works: requests that can be cut at the end of the grace time must have been received within 2.5 s of the signal, so that they have 5 s; no path leads from a later one to an endpoint.

--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -66,6 +66,8 @@
     bool isOpen() const noexcept { return open_; }
 
     void startReading();
+    /** Adds the bytes that have arrived to input(), without calling a handler. */
+    void readArrived();
     void pauseReading() { paused_ = true; }
     void resumeReading();
 
--- a/libs/async/include/almondridge/async/httpserver.h
+++ b/libs/async/include/almondridge/async/httpserver.h
@@ -56,6 +56,27 @@
     std::function<void(const CallId &)> onCallerGone_;
     /** The kernel has accepted all bytes written so far of a streamed answer. */
     std::function<void(const CallId &)> onWritten_;
+    /** The answer to a request that came after endIntake(); unset: 503 without a body. */
+    std::function<net::Response(const ServerCall &)> refusal_ {};
+};
+
+/**
+ * Which requests connections may still bring; it only advances. In each state a connection ends
+ * in order, and every request that was received completely gets an answer.
+ */
+enum class Intake {
+    Open, ///< Connections are kept for further requests.
+    /**
+     * An answer whose head is written from now on ends its connection, unless the next request has
+     * arrived before. New connections are accepted.
+     */
+    Draining,
+    /**
+     * Requests that had not been received completely at the change are refused and not passed on.
+     * Connections without a request are closed, now or when their answer ends, and no new ones
+     * are accepted.
+     */
+    Closed,
 };
 
 class HttpServer
@@ -69,7 +90,6 @@
     /** Fails with Unavailable if the address is in use or not local to this machine. */
     Result<void> listen(const net::Address &address, Listener listener = Listener::Callers);
     std::uint16_t port(Listener listener = Listener::Callers) const;
-    void stopListening();
     /** Applies to requests that begin after this call. */
     void setLimits(const ServerLimits &limits) { limits_ = limits; }
 
@@ -82,10 +102,10 @@
     void abort(const CallId &id);
     std::size_t unwritten(const CallId &id) const;
 
-    /** From now on, answers carry "Connection: close" and the connection is closed after them. */
-    void closeAfterAnswers();
-    /** Closes all connections that have no active call. */
-    void closeIdle();
+    /** Changes from Intake::Open to Draining. */
+    void beginDrain();
+    /** Changes to Intake::Closed, after the requests that have arrived were taken. */
+    void endIntake();
 
     std::size_t openCalls() const noexcept { return openCalls_; }
     std::size_t connections() const noexcept { return connections_.size(); }
@@ -95,15 +115,29 @@
     struct Acceptor;
 
     void accept(Acceptor &acceptor);
-    void adopt(Connection::Socket socket, Listener listener);
+    /** Adopts the connections that the kernel has established. */
+    void acceptArrived(Acceptor &acceptor);
+    /** Takes the bytes that have arrived, and a request that they complete. */
+    void takeArrived(std::uint64_t number);
+    /** Takes what has arrived, and closes the connection if that is no part of a request. */
+    void closeWithoutRequest(std::uint64_t number);
+    /** Whether the connection has no request, complete or not, that is still to be answered. */
+    static bool isWithoutRequest(const Peer &peer);
+    std::uint64_t adopt(Connection::Socket socket, Listener listener);
     void onInput(std::uint64_t number);
     void readRequest(Peer &peer);
+    /** Turns the request that was parsed into a call. */
+    ServerCall takeCall(Peer &peer);
     void beginCall(Peer &peer);
+    /** Refuses a request whose body the client hasn't sent yet. */
+    void refuseBeforeBody(Peer &peer);
+    net::Response refusalOf(const ServerCall &call) const;
     void rejectMessage(Peer &peer, ParseStatus status);
     void onDeadline(std::uint64_t number);
     void onPeerClosed(std::uint64_t number);
     void startIdle(Peer &peer);
     void finishCall(Peer &peer);
+    void closeInOrder(Peer &peer);
     void drop(std::uint64_t number);
     Peer *find(const CallId &id);
     const Peer *find(const CallId &id) const;
@@ -117,7 +151,7 @@
     std::uint64_t nextConnection_ = 1;
     std::uint64_t nextCall_ = 1;
     std::size_t openCalls_ = 0;
-    bool closing_ = false;
+    Intake intake_ = Intake::Open;
 };
 
 /** The standard reason phrase of a status code. */
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -155,6 +155,17 @@
     }
 }
 
+void Connection::readArrived()
+{
+    if (!open_ || closing_) {
+        return;
+    }
+    // The end of the stream and failures are left to readAvailable(), which reports them.
+    error_code failure;
+    const std::size_t got = socket_.read_some(asio::buffer(sharedReadBuffer()), failure);
+    input_.append(sharedReadBuffer().data(), got);
+}
+
 void Connection::write(std::string_view bytes)
 {
     if (!open_ || closing_) {
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -1,8 +1,10 @@
 #include "almondridge/async/httpserver.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
+#include <vector>
 
 namespace almondridge::async {
 namespace {
@@ -124,20 +126,17 @@
     return acceptors_.at(listener)->socket_.local_endpoint(ignored).port();
 }
 
-void HttpServer::stopListening()
-{
-    for (auto &[listener, acceptor] : acceptors_) {
-        error_code ignored;
-        acceptor->socket_.close(ignored);
-        acceptor->acceptAgain_.stop();
-    }
-}
-
 void HttpServer::accept(Acceptor &acceptor)
 {
     acceptor.socket_.async_accept(
         [this, &acceptor](const error_code &failure, Connection::Socket socket) {
-            if (failure == asio::error::operation_aborted || !acceptor.socket_.is_open()) {
+            if (failure == asio::error::operation_aborted) {
+                return;
+            }
+            if (!acceptor.socket_.is_open()) {
+                if (!failure) {
+                    closeWithoutRequest(adopt(std::move(socket), acceptor.listener_));
+                }
                 return;
             }
             if (failure) {
@@ -150,7 +149,20 @@
         });
 }
 
-void HttpServer::adopt(Connection::Socket socket, Listener listener)
+void HttpServer::acceptArrived(Acceptor &acceptor)
+{
+    error_code failure;
+    acceptor.socket_.non_blocking(true, failure);
+    while (!failure) {
+        Connection::Socket socket(loop_.context());
+        acceptor.socket_.accept(socket, failure);
+        if (!failure) {
+            adopt(std::move(socket), acceptor.listener_);
+        }
+    }
+}
+
+std::uint64_t HttpServer::adopt(Connection::Socket socket, Listener listener)
 {
     const std::uint64_t number = nextConnection_++;
     auto connection = Connection::adopt(loop_, std::move(socket), CallerTcpTimeouts);
@@ -166,6 +178,7 @@
     peer->listener_ = listener;
     startIdle(*peer);
     connection->startReading();
+    return number;
 }
 
 void HttpServer::onInput(std::uint64_t number)
@@ -206,14 +219,19 @@
     }
     if (peer.parser_->headDone() && !peer.expectHandled_) {
         peer.expectHandled_ = true;
-        if (net::equalWithoutCase(net::headerValue(peer.parser_->head().headers_, "Expect"),
-                                  "100-continue")) {
-            peer.connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        if (!net::equalWithoutCase(net::headerValue(peer.parser_->head().headers_, "Expect"),
+                                   "100-continue")) {
+            return;
         }
+        if (intake_ == Intake::Closed) {
+            refuseBeforeBody(peer);
+            return;
+        }
+        peer.connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
 }
 
-void HttpServer::beginCall(Peer &peer)
+ServerCall HttpServer::takeCall(Peer &peer)
 {
     peer.deadline_.stop();
     peer.call_ = nextCall_++;
@@ -227,17 +245,40 @@
                      peer.listener_};
     peer.parser_.reset();
     peer.connection_->input().shrink_to_fit();
+    return call;
+}
+
+/** The only way from a connection to onCall_. */
+void HttpServer::beginCall(Peer &peer)
+{
+    ServerCall call = takeCall(peer);
+    if (intake_ == Intake::Closed) {
+        respond(call.id_, refusalOf(call));
+        return;
+    }
     events_.onCall_(std::move(call));
 }
 
+void HttpServer::refuseBeforeBody(Peer &peer)
+{
+    const ServerCall call = takeCall(peer);
+    peer.keepAlive_ = false;
+    respond(call.id_, refusalOf(call));
+}
+
+net::Response HttpServer::refusalOf(const ServerCall &call) const
+{
+    constexpr int Unavailable = 503;
+    return events_.refusal_ ? events_.refusal_(call) : net::Response {Unavailable, {}, ""};
+}
+
 void HttpServer::rejectMessage(Peer &peer, ParseStatus status)
 {
     const int code = codeFor(status);
     peer.connection_->write(fmt::format(
         "HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", code, reasonOf(code)));
-    peer.connection_->closeAfterWriting();
     peer.parser_.reset();
-    peer.connection_->onInput({});
+    closeInOrder(peer);
 }
 
 void HttpServer::onDeadline(std::uint64_t number)
@@ -252,8 +293,7 @@
             "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     }
     peer.parser_.reset();
-    peer.connection_->onInput({});
-    peer.connection_->closeAfterWriting();
+    closeInOrder(peer);
 }
 
 void HttpServer::startIdle(Peer &peer)
@@ -296,7 +336,7 @@
 
 std::string HttpServer::headText(Peer &peer, const ResponseHead &head) const
 {
-    if (closing_) {
+    if (intake_ != Intake::Open && peer.connection_->input().empty()) {
         peer.keepAlive_ = false;
     }
     const std::string_view reason = head.reason_.empty() ? reasonOf(head.status_) : head.reason_;
@@ -380,9 +420,11 @@
     peer.call_ = 0;
     peer.chunked_ = false;
     --openCalls_;
-    if (!peer.keepAlive_) {
-        peer.connection_->onInput({});
-        peer.connection_->closeAfterWriting();
+    if (intake_ == Intake::Closed) {
+        peer.connection_->readArrived();
+    }
+    if (!peer.keepAlive_ || (intake_ == Intake::Closed && isWithoutRequest(peer))) {
+        closeInOrder(peer);
         return;
     }
     startIdle(peer);
@@ -408,18 +450,67 @@
     return peer != nullptr ? peer->connection_->unwritten() : 0;
 }
 
-void HttpServer::closeAfterAnswers()
+void HttpServer::beginDrain()
 {
-    closing_ = true;
+    intake_ = std::max(intake_, Intake::Draining);
 }
 
-void HttpServer::closeIdle()
+void HttpServer::endIntake()
 {
-    for (auto &[number, peer] : connections_) {
-        if (peer->call_ == 0 && peer->parser_ == nullptr) {
-            peer->connection_->closeAfterWriting();
-        }
+    if (intake_ == Intake::Closed) {
+        return;
     }
+    for (auto &[listener, acceptor] : acceptors_) {
+        acceptArrived(*acceptor);
+        error_code ignored;
+        acceptor->socket_.close(ignored);
+        acceptor->acceptAgain_.stop();
+    }
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(connections_.size());
+    for (const auto &[number, peer] : connections_) {
+        numbers.push_back(number);
+    }
+    for (const std::uint64_t number : numbers) {
+        takeArrived(number);
+    }
+    intake_ = Intake::Closed;
+    for (const std::uint64_t number : numbers) {
+        closeWithoutRequest(number);
+    }
+}
+
+void HttpServer::takeArrived(std::uint64_t number)
+{
+    const auto found = connections_.find(number);
+    if (found == connections_.end() || found->second->call_ != 0) {
+        return;
+    }
+    Connection &connection = *found->second->connection_;
+    connection.readArrived();
+    if (!connection.input().empty()) {
+        onInput(number);
+    }
+}
+
+void HttpServer::closeWithoutRequest(std::uint64_t number)
+{
+    takeArrived(number);
+    const auto found = connections_.find(number);
+    if (found != connections_.end() && isWithoutRequest(*found->second)) {
+        closeInOrder(*found->second);
+    }
+}
+
+bool HttpServer::isWithoutRequest(const Peer &peer)
+{
+    return peer.call_ == 0 && peer.parser_ == nullptr && peer.connection_->input().empty();
+}
+
+void HttpServer::closeInOrder(Peer &peer)
+{
+    peer.connection_->onInput({});
+    peer.connection_->closeAfterWriting();
 }
 
 } // namespace almondridge::async
--- a/libs/async/tests/httpservertest.cpp
+++ b/libs/async/tests/httpservertest.cpp
@@ -226,11 +226,132 @@
     caller.send("GET /1 HTTP/1.1\r\n\r\n");
     runUntil(echo.loop_, [&] { return caller.has("/1"); });
     BOOST_TEST(!caller.has("Connection: close"));
-    echo.server_.closeAfterAnswers();
+    echo.server_.beginDrain();
     caller.send("GET /2 HTTP/1.1\r\n\r\n");
     runUntil(echo.loop_, [&] { return caller.closed(); });
     BOOST_TEST(caller.has("/2"));
     BOOST_TEST(caller.has("Connection: close"));
 }
 
+/** Guards against new requests on a connection whose answer began before the stop. */
+BOOST_AUTO_TEST_CASE(aConnectionWithAnEarlierAnswerEndsWithIt)
+{
+    for (const bool isStream : {true, false}) {
+        EchoServer echo;
+        echo.hold_ = true;
+        RawClient caller(echo.loop_, echo.server_.port());
+        caller.send("GET /1 HTTP/1.1\r\n\r\n");
+        runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+        if (isStream) {
+            echo.server_.beginStream(echo.held_.front(), {200, "OK", {}});
+        }
+        echo.server_.beginDrain();
+        echo.server_.endIntake();
+        if (isStream) {
+            echo.server_.streamBytes(echo.held_.front(), "whole");
+            echo.server_.endStream(echo.held_.front());
+        } else {
+            echo.server_.respond(echo.held_.front(), {200, {}, "whole"});
+        }
+        runUntil(echo.loop_, [&] { return caller.closed(); });
+        BOOST_TEST(caller.has("whole"));
+        BOOST_TEST((caller.cause() == CloseCause::EndOfStream));
+        BOOST_TEST(echo.calls_ == 1);
+    }
+}
+
+/** Guards against passing on, or leaving unanswered, a request that comes after the intake. */
+BOOST_AUTO_TEST_CASE(aRequestThatIsCompleteAfterTheIntakeIsRefused)
+{
+    constexpr const char *Request = "POST /2 HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody";
+    struct Late
+    {
+        const char *before_; ///< Sent before the intake ends.
+        const char *after_;
+    };
+    const std::vector<Late> cases {{"POST /2 HT", "TP/1.1\r\nContent-Length: 4\r\n\r\nbody"},
+                                   {"POST /2 HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo", "dy"},
+                                   {"", Request}};
+    for (const Late &late : cases) {
+        EchoServer echo;
+        echo.hold_ = true;
+        RawClient caller(echo.loop_, echo.server_.port());
+        // The answer of the first request is still being written, so that the connection stays.
+        caller.send(std::string("GET /1 HTTP/1.1\r\n\r\n") + late.before_);
+        runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+        echo.server_.beginStream(echo.held_.front(), {200, "OK", {{"Content-Length", "5"}}});
+        echo.server_.beginDrain();
+        echo.server_.endIntake();
+        caller.send(late.after_);
+        echo.server_.streamBytes(echo.held_.front(), "first");
+        runUntil(echo.loop_, [&] { return caller.has("first"); });
+        echo.server_.endStream(echo.held_.front());
+        runUntil(echo.loop_, [&] { return caller.closed(); });
+        BOOST_TEST(caller.has("HTTP/1.1 503"));
+        BOOST_TEST(caller.has("Connection: close"));
+        BOOST_TEST((caller.cause() == CloseCause::EndOfStream));
+        BOOST_TEST(echo.calls_ == 1);
+        BOOST_TEST(echo.server_.openCalls() == 0U);
+    }
+}
+
+/** Guards against dropping pipelined requests that were received before the intake ended. */
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredWhileTheServerDrains)
+{
+    EchoServer echo;
+    echo.hold_ = true;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+    echo.server_.beginDrain();
+    for (std::size_t index = 0; index < 2; ++index) {
+        echo.server_.respond(echo.held_.at(index), {200, {}, "served"});
+        runUntil(echo.loop_, [&] { return echo.calls_ == static_cast<int>(index) + 2; });
+    }
+    BOOST_TEST(!caller.has("Connection: close"));
+    echo.server_.respond(echo.held_.back(), {200, {}, "last"});
+    runUntil(echo.loop_, [&] { return caller.closed(); });
+    BOOST_TEST(caller.received().find("Connection: close") < caller.received().find("last"));
+}
+
+/** Guards against dropping what clients sent just before the intake ended. */
+BOOST_AUTO_TEST_CASE(requestsThatHaveArrivedAreServedWhenTheIntakeEnds)
+{
+    EchoServer echo;
+    RawClient early(echo.loop_, echo.server_.port());
+    early.send("GET /0 HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return early.has("/0"); });
+    EventLoop others; // The server's loop doesn't run, as on a machine that is slow.
+    RawClient late(others, echo.server_.port());
+    late.send("GET /late HTTP/1.1\r\n\r\n");
+    early.send("GET /1 HTTP/1.1\r\n\r\n");
+    runUntil(others, [&] { return late.established(); });
+    echo.server_.beginDrain();
+    echo.server_.endIntake();
+    BOOST_TEST(echo.calls_ == 3);
+    runUntil(echo.loop_, [&] { return early.closed(); });
+    runUntil(others, [&] {
+        echo.loop_.context().poll();
+        return late.closed();
+    });
+    BOOST_TEST(early.has("/1"));
+    BOOST_TEST(late.has("/late"));
+}
+
+/** Guards against asking for a body that isn't going to be used. */
+BOOST_AUTO_TEST_CASE(aRequestThatExpectsToContinueIsRefusedBeforeItsBody)
+{
+    EchoServer echo;
+    RawClient caller(echo.loop_, echo.server_.port());
+    runUntil(echo.loop_, [&] { return caller.established(); });
+    caller.send("POST /b HTTP/1.1\r\nExpect: 100-cont");
+    echo.server_.beginDrain();
+    echo.server_.endIntake();
+    caller.send("inue\r\nContent-Length: 2\r\n\r\n");
+    runUntil(echo.loop_, [&] { return caller.closed(); });
+    BOOST_TEST(caller.has("HTTP/1.1 503"));
+    BOOST_TEST(!caller.has("100 Continue"));
+    BOOST_TEST(echo.calls_ == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/async/tests/loopsupport.h
+++ b/libs/async/tests/loopsupport.h
@@ -115,6 +115,7 @@
     {
         connection_ =
             Connection::connect(loop, {"127.0.0.1", port}, BootClock::now() + millis(10'000), {});
+        connection_->onEstablished([this] { established_ = true; });
         connection_->onInput([this] {
             received_ += connection_->input();
             connection_->input().clear();
@@ -129,12 +130,15 @@
     void leave() { connection_->close(); }
     const std::string &received() const { return received_; }
     bool has(std::string_view text) const { return received_.find(text) != std::string::npos; }
+    /** Whether the connection stands, and all bytes sent so far are on their way. */
+    bool established() const { return established_; }
     bool closed() const { return closed_; }
     CloseCause cause() const { return cause_; }
 
 private:
     std::shared_ptr<Connection> connection_;
     std::string received_;
+    bool established_ = false;
     bool closed_ = false;
     CloseCause cause_ = CloseCause::EndOfStream;
 };
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -149,11 +149,10 @@
     std::map<ServiceId, double> retryBudgetLeft();
     const async::ClientCounters &clientCounters() const noexcept;
 
-    /** Makes each response close its connection, so that callers reconnect to other instances. */
-    void closeAfterAnswers();
-    void stopListening();
-    /** Closes callers' connections that have no request in progress. */
-    void closeIdle();
+    /** Makes answers close their connections, so that callers reconnect to other instances. */
+    void beginDrain();
+    /** From now on requests are refused, and connections end; see async::Intake::Closed. */
+    void endIntake();
     std::size_t openCalls() const noexcept;
 
 private:
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -16,8 +16,8 @@
 constexpr Duration ProbeInterval = millis(50);
 /** Between two calls of logOutliers(). */
 constexpr Duration OutlierLogInterval = millis(250);
-/** Short, as the retry may reach another instance whose configuration is confirmed. */
-constexpr std::int64_t UnconfirmedRetryMillis = 100;
+/** Short, as the retry may reach another instance, which may answer. */
+constexpr std::int64_t OtherInstanceRetryMillis = 100;
 /** Limits log lines, since anybody can send invalid keys; the metric counts all of them. */
 constexpr int MaxDenialLines = 20;
 constexpr Duration DenialLogWindow = millis(10'000);
@@ -60,7 +60,8 @@
     , settings_(std::move(settings))
     , server_(loop, {[this](async::ServerCall call) { onCall(std::move(call)); },
                      [this](const async::CallId &id) { onCallerGone(id); },
-                     [this](const async::CallId &id) { onWritten(id); }})
+                     [this](const async::CallId &id) { onWritten(id); },
+                     [this](const async::ServerCall &call) { return refusalOfStopping(call); }})
     , client_(loop)
     , peerClient_(loop)
     , placement_({settings_.domain_})
@@ -198,19 +199,16 @@
     return state_->client_.counters();
 }
 
-void Gateway::closeAfterAnswers()
+void Gateway::beginDrain()
 {
-    state_->server_.closeAfterAnswers();
+    state_->server_.beginDrain();
 }
 
-void Gateway::stopListening()
+void Gateway::endIntake()
 {
-    state_->server_.stopListening();
-}
-
-void Gateway::closeIdle()
-{
-    state_->server_.closeIdle();
+    state_->server_.endIntake();
+    logEvent(LogLevel::Info, "intake_ended",
+             {{"connections", state_->server_.connections()}, {"open_calls", openCalls()}});
 }
 
 std::size_t Gateway::openCalls() const noexcept
@@ -489,6 +487,23 @@
     server_.respond(id, response);
 }
 
+net::Response GatewayState::refusalOfStopping(const async::ServerCall &request)
+{
+    constexpr std::string_view Cause = "stopping";
+    const bool isFromPeer = request.listener_ == async::Listener::Peers;
+    metrics_.count("requests_refused_stopping_total",
+                   observe::metricLabel("from", isFromPeer ? "peer" : "caller"));
+    logEvent(LogLevel::Info, "request_refused",
+             {{"id", dialect_.parseRequest(request.head_).requestId_},
+              {"cause", Cause},
+              {"from", isFromPeer ? "peer" : "caller"}});
+    net::Response response = dialect_.refusal(503, OtherInstanceRetryMillis, Cause);
+    if (isFromPeer) {
+        response.headers_.push_back(refusalHeader(PeerRefusal::Busy));
+    }
+    return response;
+}
+
 void GatewayState::onCall(async::ServerCall request)
 {
     if (request.listener_ == async::Listener::Peers) {
@@ -560,7 +575,7 @@
               {"proven", mayBeStale ? "no" : "yes"}});
     if (mayBeStale) {
         server_.respond(request.id_,
-                        dialect_.refusal(503, UnconfirmedRetryMillis, "config-unproven"));
+                        dialect_.refusal(503, OtherInstanceRetryMillis, "config-unproven"));
     } else {
         refuse(request.id_, 404, "no-route");
     }
@@ -635,7 +650,7 @@
                   {"keys_age_ms", asOf ? toMillis(now - *asOf) : -1}});
     }
     if (access == Access::Unconfirmed) {
-        server_.respond(id, dialect_.refusal(503, UnconfirmedRetryMillis, reason));
+        server_.respond(id, dialect_.refusal(503, OtherInstanceRetryMillis, reason));
     } else {
         server_.respond(id, dialect_.refusal(401, std::nullopt, reason));
     }
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -36,6 +36,8 @@
     /** Why this instance doesn't take a request that a peer forwards; nullopt: it does. */
     std::optional<PeerRefusal> refusalForPeer(std::uint64_t configVersion) const;
     void refusePeer(const async::CallId &id, PeerRefusal refusal);
+    /** What requests get that come after the instance has stopped taking any. */
+    net::Response refusalOfStopping(const async::ServerCall &request);
     /** Finds the route and checks the key, then starts, queues or refuses the request. */
     void admit(async::ServerCall request, const Credentials &credentials);
     bool mayConfigBeStale(TimePoint now) const;
--- a/libs/gateway/src/peerrequest.h
+++ b/libs/gateway/src/peerrequest.h
@@ -17,7 +17,7 @@
 /** Why an instance refuses a forwarded request, which it didn't send to any endpoint. */
 enum class PeerRefusal {
     CutOff,   ///< It reaches no endpoint of the service either.
-    Busy,     ///< It has as many forwarded requests as it takes.
+    Busy,     ///< It has as many forwarded requests as it takes, or is stopping.
     Outdated, ///< The sender knows a newer configuration.
     Final,    ///< For the caller: another instance would refuse it as well.
 };
