Nothing reaches a call that has ended

Cause: a call that had ended stayed in the gateway's table until a posted release had run. When the cut was found in the same turn of the loop, the walk over all calls placed it again, at a peer. Then it was destroyed, and the answer of the peer came to a bare pointer.

Fix: finish() takes the call out of CallTable, which is the only way to a call: events of exchanges, timers, trial claims, origin answers and walks find it there by its number, events of exchanges also by the number of the attempt. The posted handler owns the ended call and only destroys it. OwnedExchange cancels an exchange at the client that started it. An ended call that still tries to send is stopped at beginAttempt() and logged.

Why it works: between the end and the destruction nothing has a way to the call; after it nothing holds a pointer. Ruled out by reading and stopped all the same: a cancel at the wrong client, timers started after the end.

--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -195,4 +195,59 @@
     ConnectEvents connectEvents_;
 };
 
+/** Owns an exchange at the client that started it, which must outlive it: its end cancels it. */
+class OwnedExchange
+{
+public:
+    OwnedExchange() = default;
+    OwnedExchange(HttpClient &client, ExchangeId id)
+        : client_(&client)
+        , id_(id)
+    { }
+    OwnedExchange(OwnedExchange &&other) noexcept
+        : client_(std::exchange(other.client_, nullptr))
+        , id_(other.id_)
+    { }
+    OwnedExchange &operator=(OwnedExchange &&other) noexcept
+    {
+        std::swap(client_, other.client_);
+        std::swap(id_, other.id_);
+        other.cancel();
+        return *this;
+    }
+    ~OwnedExchange() { cancel(); }
+
+    /** Whether there is one that was neither cancelled nor handed over. It may have ended. */
+    bool isOwned() const noexcept { return client_ != nullptr; }
+    /** No event follows. */
+    void cancel()
+    {
+        if (HttpClient *client = std::exchange(client_, nullptr)) {
+            client->cancel(id_);
+        }
+    }
+    void fail(ExchangeFailure failure) const
+    {
+        if (client_ != nullptr) {
+            client_->fail(id_, failure);
+        }
+    }
+    void pause() const
+    {
+        if (client_ != nullptr) {
+            client_->pause(id_);
+        }
+    }
+    void resume() const
+    {
+        if (client_ != nullptr) {
+            client_->resume(id_);
+        }
+    }
+
+private:
+    HttpClient *client_ = nullptr;
+    ExchangeId id_ = 0;
+};
+
 } // namespace almondridge::async
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -71,20 +71,23 @@
     const std::int64_t maxWait = requestInfo().maxWaitMillis_.value_or(DefaultMaxWaitMillis);
     const std::int64_t timeout = route().timeoutMillis_ > 0 ? route().timeoutMillis_ : maxWait;
     deadline_ = context_.request_.startedAt_ + millis(std::min(maxWait, timeout));
-    deadlineTimer_.startAt(deadline_, [this] { onDeadline(); });
+    startTimer(deadlineTimer_, deadline_, &Call::onDeadline);
     gateway_.peerCalls_ += isFromPeer() ? 1 : 0;
 }
 
-Call::~Call()
+Call::~Call() = default;
+
+void Call::startTimer(async::Timer &timer, TimePoint at, Handler handler)
 {
-    gateway_.peerCalls_ -= isFromPeer() ? 1 : 0;
+    timer.startAt(at, [&calls = gateway_.calls_, number = number(), handler] {
+        if (Call *call = calls.find(number)) {
+            (call->*handler)();
+        }
+    });
 }
 
 void Call::tryStart()
 {
-    if (finished_) {
-        return;
-    }
     if (origin_ && !route().leadsTo(origin_->service_)) {
         refuse(VersionGoneCause);
         return;
@@ -162,8 +165,8 @@
         refuseUnknownVersion();
         return;
     }
-    attemptTimer_.startAt(std::min(now + OriginQueryInterval, originDeadline_),
-                          [this] { askOrigin(); });
+    startTimer(attemptTimer_, std::min(now + OriginQueryInterval, originDeadline_),
+               &Call::askOrigin);
 }
 
 void Call::refuseUnknownVersion()
@@ -174,7 +177,7 @@
 
 void Call::onOriginAnswer(const OriginAnswer &answer)
 {
-    const bool isAwaited = started_ && !finished_ && originDeadline_ != TimePoint {} && !origin_;
+    const bool isAwaited = started_ && originDeadline_ != TimePoint {} && !origin_;
     if (!isAwaited || answer.stream_ != streamKey()) {
         return;
     }
@@ -222,7 +225,7 @@
             if (!halfOpen) {
                 runAlone();
             } else if (!std::exchange(trialAsked_, true)) {
-                gateway_.claimTrial(leaseKey_, context_.request_.id_.call_);
+                gateway_.claimTrial(leaseKey_, number());
             }
             return;
         }
@@ -244,7 +247,7 @@
 
 void Call::onTrialClaimed(bool granted)
 {
-    if (finished_ || started_) {
+    if (started_) {
         return;
     }
     trialGranted_ = granted;
@@ -257,20 +260,21 @@
 void Call::scheduleLeaseRenewal()
 {
     gateway_.crashes_.renewLease(leaseKey_);
-    startRetryTimer_.startAt(BootClock::now() + LeaseRenewalInterval,
-                             [this] { scheduleLeaseRenewal(); });
+    startTimer(startRetryTimer_, BootClock::now() + LeaseRenewalInterval,
+               &Call::scheduleLeaseRenewal);
 }
 
 void Call::scheduleStartRetry()
 {
-    startRetryTimer_.startAt(BootClock::now() + StartRetryInterval, [this] { tryStart(); });
+    startTimer(startRetryTimer_, BootClock::now() + StartRetryInterval, &Call::tryStart);
 }
 
 bool Call::isEqualRequestRunning() const
 {
-    return std::any_of(gateway_.calls_.begin(), gateway_.calls_.end(), [&](const auto &entry) {
+    const auto &calls = gateway_.calls_.all();
+    return std::any_of(calls.begin(), calls.end(), [&](const auto &entry) {
         const Call &other = *entry.second;
-        return &other != this && other.key() == key() && other.started_ && !other.finished_;
+        return &other != this && other.key() == key() && other.started_;
     });
 }
 
@@ -290,8 +294,7 @@
 
 bool Call::isRunningOn(const EndpointId &endpoint, std::uint64_t lifetime) const noexcept
 {
-    return attempt_.exchange_ != 0 && attempt_.endpoint_ == endpoint
-           && attempt_.lifetime_ == lifetime;
+    return hasAttempt() && attempt_.endpoint_ == endpoint && attempt_.lifetime_ == lifetime;
 }
 
 bool Call::isQuarantined() const
@@ -347,7 +350,7 @@
 /** A broken connection alone doesn't prove a crash, so a new connection is tried. */
 void Call::checkForCrash()
 {
-    if (attempt_.exchange_ != 0 && !attempt_.peer_) {
+    if (hasAttempt() && !attempt_.peer_) {
         logBroken();
         gateway_.crashes_.onConnectionBroken(attempt_.endpoint_, attempt_.lifetime_, keys());
     }
@@ -360,12 +363,13 @@
 
 void Call::send(const EndpointId &endpoint, DispatchOptions options, std::int64_t promptTokens)
 {
+    if (!beginAttempt()) {
+        return;
+    }
     const Endpoint *target = gateway_.table_.find(endpoint);
     options.endpoint_ = endpoint;
     options.account_ = context_.access_.account_.id_;
     options.maxWaitMillis_ = remainingMillis();
-    ++sends_;
-    attempt_ = {};
     attempt_.endpoint_ = endpoint;
     attempt_.lifetime_ = target->lifetime_;
     attempt_.origin_ = {context_.service_, target->versionAt(BootClock::now())};
@@ -376,12 +380,26 @@
     gateway_.traffic_.onSent(endpoint, pathOf(options), attempt_.sentAt_);
     endpointTrace_ += (endpointTrace_.empty() ? "" : ",") + endpoint.value();
     versionTrace_ += (sends_ > 1 ? "," : "") + attempt_.origin_.version_.value();
-    startExchange(endpoint.value(), target->listed_.address_, context_.request_.head_, options);
+    startExchange(gateway_.client_, endpoint.value(), target->listed_.address_,
+                  context_.request_.head_, options);
     gateway_.reach_.onSent(attempt_.sentAt_);
 }
 
-void Call::startExchange(const std::string &peer, const net::Address &address,
-                         const async::RequestHead &head, const DispatchOptions &options)
+bool Call::beginAttempt()
+{
+    if (gateway_.calls_.find(number()) != this) {
+        gateway_.metrics_.count("sends_after_end_total");
+        logEvent(LogLevel::Error, "send_after_end", {{"id", requestInfo().requestId_}});
+        return false;
+    }
+    ++sends_;
+    attempt_ = {};
+    return true;
+}
+
+void Call::startExchange(async::HttpClient &client, const std::string &peer,
+                         const net::Address &address, const async::RequestHead &head,
+                         const DispatchOptions &options)
 {
     async::ExchangeRequest request;
     request.peer_ = peer;
@@ -391,55 +409,82 @@
     request.bodyless_ = head.method_ == "HEAD";
     request.connectBy_ = attempt_.sentAt_ + millis(gateway_.settings_.connectTimeoutMillis_);
     attempt_.number_ = ++attempts_;
-    attempt_.exchange_ = attemptClient().start(std::move(request), attemptEvents());
+    attempt_.exchange_ = {client, client.start(std::move(request), attemptEvents())};
 }
 
-async::ExchangeEvents Call::attemptEvents()
+async::ExchangeEvents Call::attemptEvents() const
 {
+    const auto find = [&gateway = gateway_, call = number(), attempt = attempt_.number_] {
+        return gateway.findAttempt(call, attempt);
+    };
     async::ExchangeEvents events;
-    events.onHead_ = [this](async::ResponseHead &head) {
-        if (attempt_.peer_) {
-            attempt_.origin_ =
-                takeOrigin(head.headers_).value_or(StreamOrigin {context_.service_, {}});
+    events.onHead_ = [find](async::ResponseHead &head) {
+        if (Call *call = find()) {
+            call->onHead(head);
         }
-        attempt_.head_ = head;
-        attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
-        if (attempt_.peer_) {
-            if (!attempt_.responseInfo_.signed_) {
-                attempt_.peerRefusal_ = readRefusal(head.headers_);
-                attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
-            }
-            if (!attempt_.peerRefusal_) {
-                gateway_.peers_.onAnswered(*attempt_.peer_);
-            }
-        } else {
-            mayHaveArrived_ = true;
-            gateway_.reach_.onHeard();
-            if (!endpointRestarted()) {
-                onAnswerOfEndpoint();
-            }
+    };
+    events.onBody_ = [find](std::string bytes) {
+        if (Call *call = find()) {
+            call->onBody(std::move(bytes));
         }
-        onAttemptHead();
     };
-    events.onBody_ = [this](std::string bytes) {
-        if (!attempt_.peer_) {
-            gateway_.reach_.onHeard();
+    events.onEnd_ = [find] {
+        if (Call *call = find()) {
+            call->onAttemptEnd();
         }
-        onAttemptBody(std::move(bytes));
     };
-    events.onEnd_ = [this] { onAttemptEnd(); };
-    events.onFailed_ = [this](async::ExchangeFailure failure) {
-        endpointTrace_ += ':';
-        endpointTrace_ += nameOf(async::ExchangeFailureNames, failure);
-        if (failure != async::ExchangeFailure::NotSent) {
-            mayHaveArrived_ = true;
-            checkForCrash();
+    events.onFailed_ = [find](async::ExchangeFailure failure) {
+        if (Call *call = find()) {
+            call->onFailed(failure);
         }
-        onAttemptFailed(failure);
     };
     return events;
 }
 
+void Call::onHead(async::ResponseHead &head)
+{
+    if (attempt_.peer_) {
+        attempt_.origin_ = takeOrigin(head.headers_).value_or(StreamOrigin {context_.service_, {}});
+    }
+    attempt_.head_ = head;
+    attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
+    if (attempt_.peer_) {
+        if (!attempt_.responseInfo_.signed_) {
+            attempt_.peerRefusal_ = readRefusal(head.headers_);
+            attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
+        }
+        if (!attempt_.peerRefusal_) {
+            gateway_.peers_.onAnswered(*attempt_.peer_);
+        }
+    } else {
+        mayHaveArrived_ = true;
+        gateway_.reach_.onHeard();
+        if (!endpointRestarted()) {
+            onAnswerOfEndpoint();
+        }
+    }
+    onAttemptHead();
+}
+
+void Call::onBody(std::string bytes)
+{
+    if (!attempt_.peer_) {
+        gateway_.reach_.onHeard();
+    }
+    onAttemptBody(std::move(bytes));
+}
+
+void Call::onFailed(async::ExchangeFailure failure)
+{
+    endpointTrace_ += ':';
+    endpointTrace_ += nameOf(async::ExchangeFailureNames, failure);
+    if (failure != async::ExchangeFailure::NotSent) {
+        mayHaveArrived_ = true;
+        checkForCrash();
+    }
+    onAttemptFailed(failure);
+}
+
 void Call::bufferAnswer(std::string_view bytes)
 {
     attempt_.body_ += bytes;
@@ -455,7 +500,7 @@
 
 void Call::giveUpAnswer()
 {
-    attemptClient().fail(attempt_.exchange_, async::ExchangeFailure::Truncated);
+    attempt_.exchange_.fail(async::ExchangeFailure::Truncated);
 }
 
 bool Call::seemsCutOff() const
@@ -518,14 +563,12 @@
     const auto peer = gateway_.peers_.choose(excludedPeers_, now);
     const std::size_t maxAsked =
         gateway_.reach_.state() == Reach::Connected ? MaxPeersAskedForService : MaxPeersAsked;
-    if (!peer || sends_ >= maxSends_ || excludedPeers_.size() >= maxAsked) {
+    if (!peer || sends_ >= maxSends_ || excludedPeers_.size() >= maxAsked || !beginAttempt()) {
         return false;
     }
     if (attempts_ > 0) {
         gateway_.budget(context_.service_).onForwarded();
     }
-    ++sends_;
-    attempt_ = {};
     attempt_.peer_ = peer->id_;
     attempt_.sentAt_ = now;
     DispatchOptions options;
@@ -540,7 +583,7 @@
     versionTrace_ += sends_ > 1 ? "," : "";
     gateway_.peers_.onSent(peer->id_);
     gateway_.metrics_.count("requests_forwarded_total");
-    startExchange(peer->id_.value(), peer->address_, head, options);
+    startExchange(gateway_.peerClient_, peer->id_.value(), peer->address_, head, options);
     return true;
 }
 
@@ -619,10 +662,10 @@
 void Call::closeAttempt(std::optional<HealthSignal> evidence)
 {
     attemptTimer_.stop();
-    if (attempt_.exchange_ == 0) {
+    if (!hasAttempt()) {
         return;
     }
-    attempt_.exchange_ = 0;
+    attempt_.exchange_.cancel();
     if (attempt_.peer_) {
         gateway_.peers_.onEnded(*attempt_.peer_);
         return;
@@ -643,12 +686,6 @@
     gateway_.table_.onClosed(attempt_.endpoint_, attempt_.urgency_);
 }
 
-void Call::cancelAttempt(std::optional<HealthSignal> evidence)
-{
-    attemptClient().cancel(attempt_.exchange_);
-    closeAttempt(evidence);
-}
-
 void Call::excludeEndpoint(std::optional<HealthSignal> evidence)
 {
     if (attempt_.peer_) {
@@ -662,12 +699,12 @@
     } else {
         excluded_.push_back(attempt_.endpoint_);
     }
-    cancelAttempt(evidence);
+    closeAttempt(evidence);
 }
 
 void Call::startAttemptTimer(TimePoint until)
 {
-    attemptTimer_.startAt(until, [this] { onAttemptTimeout(); });
+    startTimer(attemptTimer_, until, &Call::onAttemptTimeout);
 }
 
 /**
@@ -697,7 +734,7 @@
 {
     checkForCrashIfSilent();
     releaseEndpointState();
-    cancelAttempt(std::nullopt);
+    closeAttempt(std::nullopt);
     finish(Outcome::Abandoned, 0, "caller-gone");
 }
 
@@ -777,7 +814,7 @@
 void Call::failCall(int status, std::string_view cause)
 {
     releaseEndpointState();
-    cancelAttempt(std::nullopt);
+    closeAttempt(std::nullopt);
     gateway_.server_.respond(context_.request_.id_,
                              gateway_.dialect_.refusal(status, std::nullopt, cause));
     finish(Outcome::Failed, status, cause);
@@ -795,6 +832,8 @@
         return;
     }
     finished_ = true;
+    closeAttempt(std::nullopt);
+    gateway_.peerCalls_ -= isFromPeer() ? 1 : 0;
     deadlineTimer_.stop();
     attemptTimer_.stop();
     startRetryTimer_.stop();
@@ -836,7 +875,7 @@
               {"total_ms", toMillis(now - arrivedAt)},
               {"left_ms", millisUntil(deadline_, now)}});
     countOutcome(outcome, cause, now);
-    gateway_.release(context_.request_.id_.call_);
+    gateway_.calls_.end(number());
 }
 
 void Call::countOutcome(Outcome outcome, std::string_view cause, TimePoint now)
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -75,11 +75,14 @@
     /** Bytes of the answer that are kept until it, or its next event, is complete. */
     std::size_t bufferedBytes() const noexcept
     {
-        return attempt_.exchange_ != 0 ? attempt_.body_.size() + partialEventBytes() : 0;
+        return hasAttempt() ? attempt_.body_.size() + partialEventBytes() : 0;
     }
     /** The answer takes too much memory. */
     void giveUpAnswer();
 
+    CallNumber number() const noexcept { return context_.request_.id_.call_; }
+    /** Whether this attempt, by its Attempt::number_, is in progress. */
+    bool isAttempt(int number) const noexcept { return hasAttempt() && attempt_.number_ == number; }
     RequestKey key() const noexcept { return context_.keys_.own_; }
     const RequestKeys &keys() const noexcept { return context_.keys_; }
     /** Whether an attempt at this lifetime of the endpoint is in progress. */
@@ -89,8 +92,8 @@
     /** The attempt at an endpoint; at most one at a time. */
     struct Attempt
     {
-        async::ExchangeId exchange_ = 0; ///< 0: none.
-        int number_ = 0;                 ///< Of the request's attempts, from 1.
+        async::OwnedExchange exchange_; ///< With the endpoint or the peer.
+        int number_ = 0;                ///< Of the request's attempts, from 1.
         EndpointId endpoint_;
         std::optional<InstanceId> peer_; ///< Sent to this instance instead of an endpoint.
         std::optional<PeerRefusal> peerRefusal_;
@@ -147,10 +150,11 @@
     /** Releases what endpoints hold for the request when it ends early. */
     virtual void releaseEndpointState() { }
 
-    /** Ends the attempt; evidence, if any, is a signal of the endpoint's health. */
+    /**
+     * Ends the attempt, and cancels the exchange unless it has ended; evidence, if any, is a signal
+     * of the endpoint's health.
+     */
     void closeAttempt(std::optional<HealthSignal> evidence);
-    /** Like closeAttempt(), and cancels the exchange with the endpoint. */
-    void cancelAttempt(std::optional<HealthSignal> evidence);
     /** Tells an overloaded endpoint from one that refuses though it has free capacity. */
     HealthSignal refusalSignal() const;
     /** Logs the response of an endpoint that didn't execute the request. */
@@ -197,7 +201,7 @@
     void refuse(std::string_view cause);
     /** Ends a request that may have been executed, with 502, or 504 at the deadline. */
     void failCall(int status, std::string_view cause);
-    /** Logs and counts the result, and has the call destroyed. */
+    /** Logs and counts the result, and takes the call out of the table: no event reaches it. */
     void finish(Outcome outcome, int status, std::string_view cause);
 
     bool isFromPeer() const noexcept
@@ -206,10 +210,7 @@
     }
     /** The instance that forwards a request decides on further attempts. */
     int maxAttempts() const noexcept { return isFromPeer() ? 1 : route().maxAttempts_; }
-    async::HttpClient &attemptClient() const
-    {
-        return attempt_.peer_ ? gateway_.peerClient_ : gateway_.client_;
-    }
+    bool hasAttempt() const noexcept { return attempt_.exchange_.isOwned(); }
     const Route &route() const noexcept { return *context_.route_; }
     /** The account's priority, or else the route's. */
     int priority() const { return context_.access_.account_.priority_.value_or(route().priority_); }
@@ -256,10 +257,20 @@
     void refuseUnknownVersion();
     void goOnAt(const StreamOrigin &origin);
     void setOrigin(const StreamOrigin &origin);
+    using Handler = void (Call::*)();
+    /** Calls the handler at that time, unless the call has ended. */
+    void startTimer(async::Timer &timer, TimePoint at, Handler handler);
+    /** Replaces the attempt by a new one. False, and logged, if the call has ended. */
+    bool beginAttempt();
     /** Sends the request with a head of its own to the address for the attempt. */
-    void startExchange(const std::string &peer, const net::Address &address,
-                       const async::RequestHead &head, const DispatchOptions &options);
-    async::ExchangeEvents attemptEvents();
+    void startExchange(async::HttpClient &client, const std::string &peer,
+                       const net::Address &address, const async::RequestHead &head,
+                       const DispatchOptions &options);
+    /** Events of the current attempt; they reach the call only while that is in progress. */
+    async::ExchangeEvents attemptEvents() const;
+    void onHead(async::ResponseHead &head);
+    void onBody(std::string bytes);
+    void onFailed(async::ExchangeFailure failure);
     void startWithLease(const Assessment &assessment);
     void runAlone();
     void scheduleStartRetry();
--- a/libs/gateway/src/crashguard.cpp
+++ b/libs/gateway/src/crashguard.cpp
@@ -93,7 +93,7 @@
 std::set<RequestKey> CrashGuard::keysOn(const Endpoint &endpoint) const
 {
     std::set<RequestKey> running;
-    for (const auto &[number, call] : gateway_.calls_) {
+    for (const auto &[number, call] : gateway_.calls_.all()) {
         if (call->isRunningOn(endpoint.listed_.id_, endpoint.lifetime_)) {
             insertAll(call->keys(), running);
         }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -72,6 +72,7 @@
     , endpointLines_(MaxEndpointLines, EndpointLogWindow)
     , brokenLines_(MaxBrokenLines, BrokenLogWindow)
     , shareLines_(MaxShareLines, ShareLogWindow)
+    , calls_(loop)
     , traffic_(dialect, table_, metrics_)
     , random_(std::random_device {}())
     , probeTimer_(loop)
@@ -265,9 +266,7 @@
         state_->sendDatagrams_(out);
     }
     for (const OriginAnswer &answer : state_->origins_.takeAnswers()) {
-        for (const auto &[number, call] : state_->calls_) {
-            call->onOriginAnswer(answer);
-        }
+        state_->calls_.forEach([&answer](Call &call) { call.onOriginAnswer(answer); });
     }
     return result;
 }
@@ -409,12 +408,11 @@
     return quarantinesKnown_ || now >= settings_.startedAt_ + QuarantineReadTime;
 }
 
-void GatewayState::claimTrial(RequestKey key, std::uint64_t call)
+void GatewayState::claimTrial(RequestKey key, CallNumber call)
 {
     const auto onClaimed = [this, key, call](bool granted) {
-        const auto found = calls_.find(call);
-        if (found != calls_.end()) {
-            found->second->onTrialClaimed(granted);
+        if (Call *found = calls_.find(call)) {
+            found->onTrialClaimed(granted);
         } else if (granted && trialClaims_.release_) {
             trialClaims_.release_(key);
         }
@@ -631,10 +629,10 @@
     }
     const bool isModelCall =
         route.kind_ == RouteKind::Streaming && context.requestInfo_.prompt_.has_value();
-    const std::uint64_t number = context.request_.id_.call_;
-    auto &call = calls_[number] = isModelCall ? makeModelCall(*this, std::move(context))
-                                              : makeServiceCall(*this, std::move(context));
-    call->tryStart();
+    const CallNumber number = context.request_.id_.call_;
+    calls_.add(number, isModelCall ? makeModelCall(*this, std::move(context))
+                                   : makeServiceCall(*this, std::move(context)));
+    calls_.find(number)->tryStart();
 }
 
 void GatewayState::deny(const async::CallId &id, Access access)
@@ -670,9 +668,8 @@
 void GatewayState::onCallerGone(const async::CallId &id)
 {
     unknownKeys_.remove(id);
-    const auto found = calls_.find(id.call_);
-    if (found != calls_.end()) {
-        found->second->onCallerGone();
+    if (Call *call = calls_.find(id.call_)) {
+        call->onCallerGone();
     }
 }
 
@@ -680,19 +677,18 @@
 {
     std::vector<BufferedAnswer> answers;
     answers.reserve(calls_.size());
-    for (const auto &[number, call] : calls_) {
+    for (const auto &[number, call] : calls_.all()) {
         answers.push_back({number, call->bufferedBytes()});
     }
     if (const auto largest = answerToGiveUp(answers, MaxBufferedAnswerBytes)) {
-        calls_.at(*largest)->giveUpAnswer();
+        calls_.find(*largest)->giveUpAnswer();
     }
 }
 
 void GatewayState::onWritten(const async::CallId &id)
 {
-    const auto found = calls_.find(id.call_);
-    if (found != calls_.end()) {
-        found->second->onWritten();
+    if (Call *call = calls_.find(id.call_)) {
+        call->onWritten();
     }
 }
 
@@ -785,9 +781,7 @@
         table_.forgetFailures();
         crashes_.onCutOff();
         client_.dropAllKept();
-        for (const auto &[number, call] : calls_) {
-            call->onCutOff();
-        }
+        calls_.forEach([](Call &call) { call.onCutOff(); });
     } else if (before == Reach::Cut) {
         table_.probeSoon(BootClock::now());
     }
@@ -842,9 +836,14 @@
     outliers_ = std::move(present);
 }
 
-void GatewayState::release(std::uint64_t call)
+Call *GatewayState::findAttempt(CallNumber call, int attempt)
 {
-    loop_.post([this, call] { calls_.erase(call); });
+    Call *found = calls_.find(call);
+    if (found == nullptr || !found->isAttempt(attempt)) {
+        metrics_.count("late_exchange_events_total");
+        return nullptr;
+    }
+    return found;
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -13,6 +13,7 @@
 #include "almondridge/gateway/shareadmission.h"
 #include "almondridge/gateway/shortagewatch.h"
 #include "almondridge/gateway/streamorigins.h"
+#include "calltable.h"
 #include "crashguard.h"
 #include "endpointtraffic.h"
 #include "peerrequest.h"
@@ -21,12 +22,9 @@
 #include <map>
 #include <random>
 #include <set>
-#include <unordered_map>
 
 namespace almondridge::gateway {
 
-class Call;
-
 struct GatewayState
 {
     GatewayState(async::EventLoop &loop, const Dialect &dialect, GatewaySettings settings);
@@ -70,7 +68,7 @@
     /** Whether a request may be sent before the quarantines are known. */
     bool knowsQuarantines(TimePoint now) const;
     /** Claims the trial for the key on behalf of a call, which is told. */
-    void claimTrial(RequestKey key, std::uint64_t call);
+    void claimTrial(RequestKey key, CallNumber call);
     /** Keeps the origin of a stream, also at other instances. */
     void addOrigin(RequestKey stream, const StreamOrigin &origin);
     /** Asks other instances for an origin; false: there are none. The answer goes to the calls. */
@@ -86,8 +84,9 @@
     void logRetries(TimePoint now);
     /** Logs the endpoints that were ejected as outliers, or taken back, since the last call. */
     void logOutliers();
-    /** Destroys a call from the event loop, as the caller is one of its functions. */
-    void release(std::uint64_t call);
+    /** The call whose attempt of that number is in progress; null, and counted, if there is none.
+     */
+    Call *findAttempt(CallNumber call, int attempt);
 
     async::EventLoop &loop_;
     const Dialect &dialect_;
@@ -109,7 +108,7 @@
     LogRateLimiter endpointLines_;
     LogRateLimiter brokenLines_;
     LogRateLimiter shareLines_;
-    std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_; ///< By CallId::call_.
+    CallTable calls_;
     std::map<ServiceId, DemandMeter> demand_;
     std::map<ServiceId, RequestCosts> costs_;
     ShareAdmission shares_;
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -423,7 +423,7 @@
 void ModelCall::giveUp(std::string_view cause)
 {
     releaseEndpointState();
-    cancelAttempt(std::nullopt);
+    closeAttempt(std::nullopt);
     if (cause != DeadlineCause && cause != KeyRevokedCause && !canGoOn()) {
         cause = VersionGoneCause;
     } else if (cause != DeadlineCause && cause != KeyRevokedCause && canRetryLater()) {
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -169,7 +169,7 @@
     if (gateway_.server_.unwritten(context_.request_.id_) > MaxUnwrittenBytes && !paused_) {
         paused_ = true;
         stopAttemptTimer();
-        attemptClient().pause(attempt_.exchange_);
+        attempt_.exchange_.pause();
         return;
     }
     startStallTimer();
@@ -219,7 +219,7 @@
     if (paused_) {
         paused_ = false;
         startStallTimer();
-        attemptClient().resume(attempt_.exchange_);
+        attempt_.exchange_.resume();
     }
 }
 
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -85,7 +85,7 @@
 
 void ServiceCall::reportUnansweredStart()
 {
-    if (attempt_.exchange_ != 0) {
+    if (hasAttempt()) {
         reportExecutionStart(attempt_.sentAt_);
     }
 }
