A restarted instance doubts entries of processes older than itself

Report: all instances killed at once in a release, and take-ups answered 200 whose text was joined from two versions.

Found by reading: where entries name start times, a process may be replaced under its id while all instances are down. The instance that returns reads the entry of the process before, records that version for streams of the new one, and lets them go on at the old version. What puts such an entry in doubt, a broken connection, was in the memory that is gone.

Fix: an entry that is read for the first time, of a process that started before the instance did, names no version for 3 s, the time in which its own entry arrives, as after a connection that failed.

Take-ups of streams begun before all instances were killed aren't counted for streams-go-on, as no instance can know them; retries after a refusal weren't made before and aren't counted either.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -216,6 +216,11 @@
         instances_ = count;
         limits_.setInstances(count);
     }
+    /**
+     * When this instance started, in milliseconds since the Unix epoch; 0: not known. What it reads
+     * of a process that is older may be out of date, since it remembers no connection to it.
+     */
+    void setOwnStart(std::int64_t startedAtMillis) { ownStartMillis_ = startedAtMillis; }
     /** Limits that endpoints name in their answers. */
     RequestLimits &limits() noexcept { return limits_; }
     const RequestLimits &limits() const noexcept { return limits_; }
@@ -277,6 +282,8 @@
 
 private:
     void eraseIfUnused(const EndpointId &id);
+    /** Whether the process may have been replaced before its entry was read for the first time. */
+    bool mayBeOutdated(const ListedEndpoint &listed) const;
     std::int64_t lastKnownStart(const EndpointId &id) const;
     static void restart(Endpoint &endpoint, TimePoint now);
     static void onConnectFailed(Endpoint &endpoint);
@@ -296,6 +303,7 @@
     std::map<EndpointId, std::int64_t> lastStarts_;
     RequestLimits limits_;
     int instances_ = 1;
+    std::int64_t ownStartMillis_ = 0;
 };
 
 } // namespace almondridge::gateway
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -44,6 +44,8 @@
     /** HMAC key for request keys; the same for all instances of a deployment. */
     std::string keySecret_ {};
     TimePoint startedAt_ {}; ///< When this process started.
+    /** The same in milliseconds since the Unix epoch; 0: not known. */
+    std::int64_t startedAtWallMillis_ = 0;
     /** Whether client accounts get shares of a service's capacity while it is scarce. */
     bool sharesCapacity_ = false;
 };
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -58,6 +58,8 @@
 constexpr double NegligibleFailures = 0.05;
 /** Capacity for start times of erased endpoints: far more than leave within minutes. */
 constexpr std::size_t MaxRememberedStarts = 2'048;
+/** Between the clocks of an endpoint and of this instance. */
+constexpr std::int64_t MaxClockSkewMillis = 10'000;
 
 const HealthRule &ruleFor(HealthSignal signal)
 {
@@ -136,6 +138,9 @@
     endpoint.listed_ = listed;
     endpoint.listed_.startedAtMillis_ = std::max(known, listed.startedAtMillis_);
     endpoint.isListed_ = true;
+    if (added && known == 0 && mayBeOutdated(listed)) {
+        endpoint.mayHaveRestartedUntil_ = now + EntryDelay;
+    }
     if (added) {
         endpoint.loadAt_ = now;
         endpoint.idHash_ = nameHash(listed.id_.value());
@@ -146,6 +151,12 @@
     return changed ? ListingChange::Changed : ListingChange::Unchanged;
 }
 
+bool EndpointTable::mayBeOutdated(const ListedEndpoint &listed) const
+{
+    return ownStartMillis_ != 0 && listed.startedAtMillis_ != 0
+           && listed.startedAtMillis_ < ownStartMillis_ + MaxClockSkewMillis;
+}
+
 /** Latest reported start time of an endpoint, even if it was erased; 0 if there is none. */
 std::int64_t EndpointTable::lastKnownStart(const EndpointId &id) const
 {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -78,6 +78,7 @@
     , probeTimer_(loop)
     , outlierTimer_(loop)
 {
+    table_.setOwnStart(settings_.startedAtWallMillis_);
     client_.setMaxKept(settings_.maxIdleConnections_);
     peerClient_.setMaxKept(MaxIdlePeerConnections);
     client_.setConnectEvents(
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -17,6 +17,10 @@
 
 /** A caller takes its stream up at once. */
 constexpr Duration TakeUpAfter = millis(20);
+/** After a refusal, or while no instance is ready. */
+constexpr Duration TakeUpAgainAfter = millis(200);
+/** It gives up a stream that has brought nothing for so long. */
+constexpr Duration TakeUpTime = millis(4'000);
 constexpr int MaxAttempts = 3;
 /** One caller in so many loses its connection in the middle of a resumable stream. */
 constexpr std::uint64_t CallersToOneThatLeaves = 8;
@@ -34,10 +38,13 @@
     std::string sent_;
     std::string prompt_; ///< Headers that describe the prompt.
     bool isRepeat_ = false;
-    std::string stream_;  ///< The request that began the stream.
-    std::string version_; ///< Of the stream's events so far.
-    int next_ = 1;        ///< The event that comes next.
-    int attempts_ = 1;    ///< To get the stream.
+    std::string stream_;      ///< The request that began the stream.
+    std::string version_;     ///< Of the stream's events so far.
+    int next_ = 1;            ///< The event that comes next.
+    int attempts_ = 1;        ///< To get the stream, without those that were refused.
+    TimePoint begunAt_ {};    ///< When the stream was asked for first.
+    TimePoint cutAt_ {};      ///< When its last attempt with events ended.
+    bool wasRefused_ = false; ///< The attempt before was.
     async::ExchangeId exchange_ = 0;
     bool leaves_ = false; ///< Closes its connection after the first event.
 };
@@ -119,6 +126,7 @@
     const std::string body = asked->isRepeat_ ? repeated : fresh;
     asked->sent_ = body;
     asked->stream_ = asked->id_;
+    asked->begunAt_ = BootClock::now();
     if (prompt) {
         asked->prompt_ = fmt::format("X-Model: m\r\nX-Token-Count: 900,8\r\n"
                                      "X-Prefix-Hash: {:x}:700,{:x}:200\r\n",
@@ -174,11 +182,24 @@
     }
     client_.cancel(exchange);
     --open_;
-    if (asked->attempts_ > 1) {
-        ledger_.onTakenUp(true);
-    }
+    recordTakenUp(*asked, true);
     checkStream(*asked, false);
-    later(loop_, TakeUpAfter, [this, asked] { takeUp(*asked); });
+    asked->cutAt_ = BootClock::now();
+    takeUpLater(asked, TakeUpAfter);
+}
+
+void Callers::takeUpLater(const std::shared_ptr<Asked> &cut, Duration after)
+{
+    if (BootClock::now() < cut->cutAt_ + TakeUpTime) {
+        later(loop_, after, [this, cut] { takeUp(*cut); });
+    }
+}
+
+void Callers::recordTakenUp(const Asked &asked, bool wentOn)
+{
+    if (asked.attempts_ > 1 && !asked.wasRefused_ && asked.begunAt_ > originsLostAt_) {
+        ledger_.onTakenUp(wentOn);
+    }
 }
 
 void Callers::onEnd(const std::shared_ptr<Asked> &asked)
@@ -191,8 +212,12 @@
     if (promisesNotRun) {
         ledger_.onNotRunTold(asked->id_);
     }
-    if (asked->attempts_ > 1) {
-        ledger_.onTakenUp(status == 200);
+    recordTakenUp(*asked, status == 200);
+    if (promisesNotRun && asked->attempts_ > 1) {
+        ledger_.onTakeUpRefused();
+        asked->wasRefused_ = true;
+        --asked->attempts_;
+        takeUpLater(asked, TakeUpAgainAfter);
     }
     if (status != 200) {
         return;
@@ -216,11 +241,12 @@
 
 void Callers::takeUp(const Asked &cut)
 {
+    auto asked = std::make_shared<Asked>(cut);
     const std::vector<InstanceProcess *> ready = readyInstances();
     if (ready.empty()) {
+        takeUpLater(asked, TakeUpAgainAfter);
         return;
     }
-    auto asked = std::make_shared<Asked>(cut);
     asked->id_ = fmt::format("{:x}-{}", seed_, next_++);
     asked->instance_ = ready[random_() % ready.size()];
     asked->lifetime_ = asked->instance_->lifetime();
@@ -270,12 +296,12 @@
         && (asked->kind_ == Kind::Stream || asked->kind_ == Kind::ResumableStream)) {
         checkStream(*asked, false);
     }
-    if (asked->attempts_ > 1) {
-        ledger_.onTakenUp(asked->status_ == 200);
-    }
+    recordTakenUp(*asked, asked->status_ == 200);
     if (asked->kind_ == Kind::ResumableStream && asked->next_ > 1 && asked->next_ <= EventsOfAStream
         && asked->attempts_ < MaxAttempts) {
-        later(loop_, TakeUpAfter, [this, asked] { takeUp(*asked); });
+        asked->cutAt_ = asked->status_ == 200 ? BootClock::now() : asked->cutAt_;
+        asked->wasRefused_ = false;
+        takeUpLater(asked, TakeUpAfter);
     }
     if (asked->kind_ == Kind::Stream && !asked->isRepeat_) {
         later(loop_, RepeatAfter, [this, asked] { repeat(*asked); });
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -27,6 +27,8 @@
     /** Asks an instance directly for the route that configuration `version` added. */
     void probeConfig(InstanceProcess &instance, int version);
     std::size_t open() const noexcept { return open_; }
+    /** All instances have just ended: none knows where the streams of before began. */
+    void onOriginsLost() { originsLostAt_ = BootClock::now(); }
     /** Whether violations of a cut are counted: not while a fault strikes. */
     void setCalm(bool calm) { calm_ = calm; }
 
@@ -41,8 +43,11 @@
     void repeat(const Asked &asked);
     /** Closes the connection of a stream that has brought its first event, and takes it up. */
     void leave(const std::shared_ptr<Asked> &asked);
-    /** Asks any instance for the rest of a stream that was cut. */
+    /** Asks any instance for the rest of a stream that was cut, once one is ready. */
     void takeUp(const Asked &cut);
+    void takeUpLater(const std::shared_ptr<Asked> &cut, Duration after);
+    /** Counts whether the stream went on, if some instance may know where it began. */
+    void recordTakenUp(const Asked &asked, bool wentOn);
     void onEnd(const std::shared_ptr<Asked> &asked);
     void onFailed(const std::shared_ptr<Asked> &asked, async::ExchangeFailure failure);
     void checkStream(Asked &asked, bool whole);
@@ -56,6 +61,7 @@
     std::uint64_t seed_;
     std::size_t open_ = 0;
     bool calm_ = true;
+    TimePoint originsLostAt_ {};
     std::map<std::string, int> seenVersion_; ///< By instance and lifetime.
 };
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -96,6 +96,8 @@
         ++takenUp_;
         wentOn_ += wentOn ? 1 : 0;
     }
+    /** An instance has refused to go on with a stream. */
+    void onTakeUpRefused() { ++takeUpsRefused_; }
     void onOrder(const std::string &engine, const std::string &holder, std::uint64_t fence);
     void violate(Promise promise, std::string what);
 
@@ -106,6 +108,7 @@
     void checkTakenUp();
     std::uint64_t takenUp() const noexcept { return takenUp_; }
     std::uint64_t wentOn() const noexcept { return wentOn_; }
+    std::uint64_t takeUpsRefused() const noexcept { return takeUpsRefused_; }
     const std::vector<Violation> &violations() const noexcept { return violations_; }
 
 private:
@@ -132,6 +135,7 @@
     std::uint64_t notRun_ = 0;
     std::uint64_t takenUp_ = 0;
     std::uint64_t wentOn_ = 0;
+    std::uint64_t takeUpsRefused_ = 0;
     std::map<CrashCause, Crashes> crashes_;
     bool inTouch_ = true;
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,7 +2,7 @@
  * A randomized soak: real entry instances as processes, stand-ins of the store and the endpoints
  * in this one, faults from outside in overlapping series, and the promises checked all the while.
  *
- *     soak --program PATH --directory DIR [--seed N] [--seconds S] [--instances N]
+ *     soak --program PATH --directory DIR [--seed N] [--seconds S] [--instances N] [--faults A,B]
  */
 #include "callers.h"
 #include "endpointstandin.h"
@@ -44,6 +44,7 @@
     std::uint64_t seed_ = 1;
     int seconds_ = 30;
     int instances_ = 4;
+    std::string faults_; ///< Names of FaultKinds, with commas; empty: all.
 };
 
 class Soak
@@ -59,7 +60,7 @@
         void (Soak::*strike_)();
         bool planned_; ///< Operators do it: every promise holds meanwhile, with its bound.
     };
-    static const std::array<FaultKind, 16> FaultKinds;
+    static const std::array<FaultKind, 17> FaultKinds;
 
     void startEndpoints();
     void writeConfig();
@@ -74,6 +75,8 @@
 
     void killOne();
     void killMost();
+    void killAll();
+    void releaseVersion();
     void stopOne();
     void pauseOne();
     void reloadOne();
@@ -90,7 +93,8 @@
     void stopAndKill();
 
     InstanceProcess &anyInstance();
-    EndpointStandIn &anyEndpoint();
+    /** service: empty, any. */
+    EndpointStandIn &anyEndpoint(const std::string &service = "");
     /** After a crash it is back under another id. */
     void replaceCrashed(const EndpointStandIn &endpoint);
     Duration span(std::int64_t least, std::int64_t most);
@@ -133,9 +137,10 @@
     std::uint64_t servedBeforeEnd_ = 0;
 };
 
-const std::array<Soak::FaultKind, 16> Soak::FaultKinds {{
+const std::array<Soak::FaultKind, 17> Soak::FaultKinds {{
     {"kill one", &Soak::killOne, false},
     {"kill most", &Soak::killMost, false},
+    {"kill all", &Soak::killAll, false},
     {"planned stop", &Soak::stopOne, true},
     {"pause", &Soak::pauseOne, false},
     {"reload", &Soak::reloadOne, true},
@@ -197,10 +202,11 @@
     endpoint.onCrash([this, &endpoint] { replaceCrashed(endpoint); });
 }
 
-/** Two versions serve side by side; a release ends the older one little by little. */
+/** Three versions serve side by side; a release ends the oldest one little by little. */
 std::string Soak::anyVersion()
 {
-    return fmt::format("v1.{}", release_ + random_() % 2);
+    constexpr int Versions = 3;
+    return fmt::format("v1.{}", release_ + random_() % Versions);
 }
 
 void Soak::replaceCrashed(const EndpointStandIn &endpoint)
@@ -325,11 +331,12 @@
     return *instances_[random_() % instances_.size()];
 }
 
-EndpointStandIn &Soak::anyEndpoint()
+EndpointStandIn &Soak::anyEndpoint(const std::string &service)
 {
     std::vector<EndpointStandIn *> staying;
     for (EndpointStandIn &endpoint : endpoints_) {
-        if (!endpoint.draining() && !endpoint.crashed()) {
+        const bool fits = service.empty() || endpoint.service() == service;
+        if (fits && !endpoint.draining() && !endpoint.crashed()) {
             staying.push_back(&endpoint);
         }
     }
@@ -393,7 +400,9 @@
     const bool plannedOnly = passed % (PlannedStretch + FaultStretch) < PlannedStretch;
     for (;;) {
         const FaultKind &kind = FaultKinds[random_() % FaultKinds.size()];
-        if (kind.planned_ || !plannedOnly) {
+        const bool isChosen =
+            options_.faults_.empty() || options_.faults_.find(kind.name_) != std::string::npos;
+        if (isChosen && (kind.planned_ || !plannedOnly || !options_.faults_.empty())) {
             return kind;
         }
     }
@@ -428,6 +437,28 @@
     }
 }
 
+/** No instance remembers anything, and what it finds on its return is a release halfway. */
+void Soak::killAll()
+{
+    disturbed(millis(2'000));
+    callers_.onOriginsLost();
+    for (const auto &instance : instances_) {
+        instance->kill();
+        restartLater(*instance, span(200, 1'200));
+    }
+    releaseVersion();
+}
+
+void Soak::releaseVersion()
+{
+    constexpr int Replaced = 2;
+    ++release_;
+    for (int count = 0; count < Replaced; ++count) {
+        addEndpoint("llm", "decode");
+        anyEndpoint("llm").drain();
+    }
+}
+
 void Soak::stopOne()
 {
     InstanceProcess &instance = anyInstance();
@@ -592,10 +623,11 @@
     ledger_.checkTakenUp();
     fmt::print("seed={} seconds={} instances={} sent={} served={} not_run={} crashes={} "
                "part_crashes={} "
-               "taken_up={} went_on={}\n",
+               "taken_up={} went_on={} take_ups_refused={}\n",
                options_.seed_, options_.seconds_, options_.instances_, ledger_.sent(),
                ledger_.served(), ledger_.notRun(), ledger_.crashes(CrashCause::Request),
-               ledger_.crashes(CrashCause::Part), ledger_.takenUp(), ledger_.wentOn());
+               ledger_.crashes(CrashCause::Part), ledger_.takenUp(), ledger_.wentOn(),
+               ledger_.takeUpsRefused());
     for (const auto &[name, count] : struck_) {
         fmt::print("  {:24} {}\n", name, count);
     }
@@ -608,11 +640,12 @@
 
 Options readOptions(int argc, char **argv)
 {
-    const std::array<option, 6> specs {{{"program", required_argument, nullptr, 'p'},
+    const std::array<option, 7> specs {{{"program", required_argument, nullptr, 'p'},
                                         {"directory", required_argument, nullptr, 'd'},
                                         {"seed", required_argument, nullptr, 's'},
                                         {"seconds", required_argument, nullptr, 't'},
                                         {"instances", required_argument, nullptr, 'i'},
+                                        {"faults", required_argument, nullptr, 'f'},
                                         {nullptr, 0, nullptr, 0}}};
     Options options;
     for (int letter = 0; (letter = ::getopt_long(argc, argv, "", specs.data(), nullptr)) != -1;) {
@@ -629,6 +662,9 @@
         case 't':
             options.seconds_ = std::stoi(optarg);
             break;
+        case 'f':
+            options.faults_ = optarg;
+            break;
         case 'i':
             options.instances_ = std::stoi(optarg);
             break;
@@ -649,7 +685,7 @@
     const almondridge::soak::Options options = almondridge::soak::readOptions(argc, argv);
     if (options.program_.empty() || options.directory_.empty()) {
         fmt::print(stderr, "usage: soak --program PATH --directory DIR [--seed N] [--seconds S] "
-                           "[--instances N]\n");
+                           "[--instances N] [--faults A,B]\n");
         return 2;
     }
     return almondridge::soak::Soak(options).run();
