A stop ends with its answers: written to the end, or final

Cause: a call ended when its last byte lay in the connection's output, and the process ended with the last call. At the deadline it just ended.

Fix: the process waits for HttpServer::unfinished(), which counts requests being received and output that the kernel hasn't taken. At the deadline each open call gets its answer: 503 if it has not run, 502 if it may have; a stream that has begun is aborted.

--- a/libs/async/include/almondridge/async/httpserver.h
+++ b/libs/async/include/almondridge/async/httpserver.h
@@ -108,6 +108,8 @@
     void endIntake();
 
     std::size_t openCalls() const noexcept { return openCalls_; }
+    /** Requests that are being received or answered, and answers whose end the kernel lacks. */
+    std::size_t unfinished() const;
     std::size_t connections() const noexcept { return connections_.size(); }
 
 private:
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -450,6 +450,15 @@
     return peer != nullptr ? peer->connection_->unwritten() : 0;
 }
 
+std::size_t HttpServer::unfinished() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) {
+            const Peer &peer = *entry.second;
+            return !isWithoutRequest(peer) || peer.connection_->unwritten() > 0;
+        }));
+}
+
 void HttpServer::beginDrain()
 {
     intake_ = std::max(intake_, Intake::Draining);
--- a/libs/async/tests/httpservertest.cpp
+++ b/libs/async/tests/httpservertest.cpp
@@ -338,6 +338,25 @@
     BOOST_TEST(late.has("/late"));
 }
 
+/** Guards against ending the process while a client still reads an answer. */
+BOOST_AUTO_TEST_CASE(anAnswerThatIsBeingWrittenIsUnfinished)
+{
+    constexpr std::size_t AnswerBytes = 64'000'000; // More than a socket's buffers take.
+    EchoServer echo;
+    echo.hold_ = true;
+    RawClient caller(echo.loop_, echo.server_.port());
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+    echo.server_.beginDrain();
+    echo.server_.endIntake();
+    echo.server_.respond(echo.held_.front(), {200, {}, std::string(AnswerBytes, 'x')});
+    BOOST_TEST(echo.server_.openCalls() == 0U);
+    BOOST_TEST(echo.server_.unfinished() == 1U);
+    runUntil(echo.loop_, [&] { return echo.server_.unfinished() == 0; });
+    runUntil(echo.loop_, [&] { return caller.closed(); });
+    BOOST_TEST(caller.received().size() > AnswerBytes);
+}
+
 /** Guards against asking for a body that isn't going to be used. */
 BOOST_AUTO_TEST_CASE(aRequestThatExpectsToContinueIsRefusedBeforeItsBody)
 {
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -156,6 +156,10 @@
     /** From now on requests are refused, and connections end; see async::Intake::Closed. */
     void endIntake();
     std::size_t openCalls() const noexcept;
+    /** As openCalls(), with requests being received and answers being written. */
+    std::size_t unfinished() const;
+    /** Gives each open call its final answer: the process is about to end. */
+    void endCalls();
 
 private:
     std::unique_ptr<GatewayState> state_;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -738,6 +738,21 @@
     finish(Outcome::Abandoned, 0, "caller-gone");
 }
 
+void Call::onStop()
+{
+    if (hasBegunAnswer()) {
+        closeAttempt(std::nullopt);
+        gateway_.server_.abort(context_.request_.id_);
+        finish(Outcome::Failed, 0, StoppingCause);
+    } else if (runs_ > 0 || mayHaveRun_) {
+        failCall(502, StoppingCause);
+    } else {
+        releaseEndpointState();
+        closeAttempt(std::nullopt);
+        refuse(StoppingCause);
+    }
+}
+
 void Call::onDeadline()
 {
     if (!started_) {
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -46,6 +46,9 @@
 /** Cause of streams of which nothing shows at which version they began. */
 inline constexpr std::string_view VersionUnknownCause = "version-unknown";
 
+/** Cause of requests that end because this instance ends. */
+inline constexpr std::string_view StoppingCause = "stopping";
+
 /** Limit on the attempts for one request, to bound what a request can cost. */
 inline constexpr int MaxSends = 5;
 
@@ -63,6 +66,8 @@
      */
     void tryStart();
     void onCallerGone();
+    /** Ends the call at once: this process is about to end. */
+    void onStop();
     /** This instance has lost the paths to its endpoints. */
     virtual void onCutOff() { }
     /** Other instances have answered where a stream began. */
@@ -147,6 +152,8 @@
     virtual void onAttemptTimeout() = 0;
     /** The deadline of the request has passed. */
     virtual void onDeadline();
+    /** Whether the caller has got a part of the answer. */
+    virtual bool hasBegunAnswer() const noexcept { return false; }
     /** Releases what endpoints hold for the request when it ends early. */
     virtual void releaseEndpointState() { }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -213,6 +213,16 @@
              {{"connections", state_->server_.connections()}, {"open_calls", openCalls()}});
 }
 
+std::size_t Gateway::unfinished() const
+{
+    return state_->server_.unfinished();
+}
+
+void Gateway::endCalls()
+{
+    state_->calls_.forEach([](Call &call) { call.onStop(); });
+}
+
 std::size_t Gateway::openCalls() const noexcept
 {
     return state_->server_.openCalls();
@@ -488,15 +498,14 @@
 
 net::Response GatewayState::refusalOfStopping(const async::ServerCall &request)
 {
-    constexpr std::string_view Cause = "stopping";
     const bool isFromPeer = request.listener_ == async::Listener::Peers;
     metrics_.count("requests_refused_stopping_total",
                    observe::metricLabel("from", isFromPeer ? "peer" : "caller"));
     logEvent(LogLevel::Info, "request_refused",
              {{"id", dialect_.parseRequest(request.head_).requestId_},
-              {"cause", Cause},
+              {"cause", StoppingCause},
               {"from", isFromPeer ? "peer" : "caller"}});
-    net::Response response = dialect_.refusal(503, OtherInstanceRetryMillis, Cause);
+    net::Response response = dialect_.refusal(503, OtherInstanceRetryMillis, StoppingCause);
     if (isFromPeer) {
         response.headers_.push_back(refusalHeader(PeerRefusal::Busy));
     }
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -63,6 +63,7 @@
     void onAttemptFailed(async::ExchangeFailure failure) override;
     void onAttemptTimeout() override;
     void onDeadline() override;
+    bool hasBegunAnswer() const noexcept override { return headSent_; }
     void releaseEndpointState() override;
 
     void onPrefillEnd();
