Answers to HEAD end with their head

Cause: HttpServer wrote the body, or the last chunk of a stream, whatever the method was.

EventServer/anAnswerToHeadEndsWithItsHead fails without it, three of its checks.

--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -75,6 +75,7 @@
     bool keepAlive_ = true;
     bool http10_ = false;
     bool chunked_ = false;
+    bool bodyless_ = false; ///< The request is a HEAD, whose answer ends with its head.
     bool expectHandled_ = false; ///< The Expect header of the request was handled.
 };
 
@@ -237,6 +238,7 @@
     peer.call_ = nextCall_++;
     peer.keepAlive_ = peer.parser_->keepAlive();
     peer.http10_ = peer.parser_->head().http10_;
+    peer.bodyless_ = peer.parser_->head().method_ == "HEAD";
     ++openCalls_;
     ServerCall call {{peer.number_, peer.call_},
                      std::move(peer.parser_->head()),
@@ -361,7 +363,9 @@
     }
     std::string text = headText(*peer, {response.status_, {}, response.headers_});
     text += fmt::format("Content-Length: {}\r\n\r\n", response.body_.size());
-    text += response.body_;
+    if (!peer->bodyless_) {
+        text += response.body_;
+    }
     peer->connection_->write(text);
     finishCall(*peer);
 }
@@ -387,7 +391,7 @@
 void HttpServer::streamBytes(const CallId &id, std::string_view bytes)
 {
     Peer *peer = find(id);
-    if (peer == nullptr || bytes.empty()) {
+    if (peer == nullptr || bytes.empty() || peer->bodyless_) {
         return;
     }
     if (!peer->chunked_) {
@@ -406,7 +410,7 @@
     if (peer == nullptr) {
         return;
     }
-    if (peer->chunked_) {
+    if (peer->chunked_ && !peer->bodyless_) {
         peer->connection_->write("0\r\n\r\n");
     }
     if (peer->http10_) {
--- a/libs/async/tests/httpservertest.cpp
+++ b/libs/async/tests/httpservertest.cpp
@@ -357,6 +357,30 @@
     BOOST_TEST(caller.received().size() > AnswerBytes);
 }
 
+/** Guards against bytes after the answer to a HEAD, which clients take for their next answer. */
+BOOST_AUTO_TEST_CASE(anAnswerToHeadEndsWithItsHead)
+{
+    for (const bool isStream : {true, false}) {
+        EchoServer echo;
+        echo.hold_ = true;
+        RawClient caller(echo.loop_, echo.server_.port());
+        caller.send("HEAD /1 HTTP/1.1\r\n\r\n");
+        runUntil(echo.loop_, [&] { return echo.calls_ == 1; });
+        if (isStream) {
+            echo.server_.beginStream(echo.held_.front(), {200, "OK", {}});
+            echo.server_.streamBytes(echo.held_.front(), "body");
+            echo.server_.endStream(echo.held_.front());
+        } else {
+            echo.server_.respond(echo.held_.front(), {404, {}, "body"});
+        }
+        echo.hold_ = false;
+        caller.send("GET /2 HTTP/1.1\r\n\r\n");
+        runUntil(echo.loop_, [&] { return caller.has("/2"); });
+        BOOST_TEST(!caller.has("body"));
+        BOOST_TEST(caller.has("\r\n\r\nHTTP/1.1 200"));
+    }
+}
+
 /** Guards against asking for a body that isn't going to be used. */
 BOOST_AUTO_TEST_CASE(aRequestThatExpectsToContinueIsRefusedBeforeItsBody)
 {
