--- a/libs/async/include/almondridge/async/httpclient.h
+++ b/libs/async/include/almondridge/async/httpclient.h
@@ -217,7 +217,7 @@
     }
     ~OwnedExchange() { cancel(); }
 
-    /** Whether there is one that was neither cancelled nor handed over. It may have ended. */
+    /** Whether there is one that wasn't cancelled here. It may have ended. */
     bool isOwned() const noexcept { return client_ != nullptr; }
     /** No event follows. */
     void cancel()
--- a/libs/async/src/httpserver.cpp
+++ b/libs/async/src/httpserver.cpp
@@ -75,7 +75,7 @@
     bool keepAlive_ = true;
     bool http10_ = false;
     bool chunked_ = false;
-    bool bodyless_ = false; ///< The request is a HEAD, whose answer ends with its head.
+    bool bodyless_ = false;      ///< The request is a HEAD, whose answer ends with its head.
     bool expectHandled_ = false; ///< The Expect header of the request was handled.
 };
 
