One way to end a request without an answer; whether a call has ended follows from the table

Model calls, service calls and the end of the process each chose between an abort, 502 and a refusal; Call::endUnanswered() does it for all three. finished_ said what CallTable knows already.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -387,7 +387,7 @@
 
 bool Call::beginAttempt()
 {
-    if (gateway_.calls_.find(number()) != this) {
+    if (hasEnded()) {
         gateway_.metrics_.count("sends_after_end_total");
         logEvent(LogLevel::Error, "send_after_end", {{"id", requestInfo().requestId_}});
         return false;
@@ -739,17 +739,22 @@
 }
 
 void Call::onStop()
+{
+    mayHaveRun_ = mayHaveRun_ || runs_ > 0;
+    releaseEndpointState();
+    closeAttempt(std::nullopt);
+    endUnanswered(StoppingCause);
+}
+
+void Call::endUnanswered(std::string_view cause)
 {
     if (hasBegunAnswer()) {
-        closeAttempt(std::nullopt);
         gateway_.server_.abort(context_.request_.id_);
-        finish(Outcome::Failed, 0, StoppingCause);
-    } else if (runs_ > 0 || mayHaveRun_) {
-        failCall(502, StoppingCause);
+        finish(Outcome::Failed, 0, cause);
+    } else if (mayHaveRun_) {
+        failCall(502, cause);
     } else {
-        releaseEndpointState();
-        closeAttempt(std::nullopt);
-        refuse(StoppingCause);
+        refuse(cause);
     }
 }
 
@@ -843,10 +848,9 @@
 
 void Call::finish(Outcome outcome, int status, std::string_view cause)
 {
-    if (finished_) {
+    if (hasEnded()) {
         return;
     }
-    finished_ = true;
     closeAttempt(std::nullopt);
     gateway_.peerCalls_ -= isFromPeer() ? 1 : 0;
     deadlineTimer_.stop();
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -208,6 +208,11 @@
     void refuse(std::string_view cause);
     /** Ends a request that may have been executed, with 502, or 504 at the deadline. */
     void failCall(int status, std::string_view cause);
+    /**
+     * Ends a request without a complete answer: aborts one that has begun, fails with 502 if the
+     * request may have been executed, and refuses it otherwise.
+     */
+    void endUnanswered(std::string_view cause);
     /** Logs and counts the result, and takes the call out of the table: no event reaches it. */
     void finish(Outcome outcome, int status, std::string_view cause);
 
@@ -267,6 +272,7 @@
     using Handler = void (Call::*)();
     /** Calls the handler at that time, unless the call has ended. */
     void startTimer(async::Timer &timer, TimePoint at, Handler handler);
+    bool hasEnded() const { return gateway_.calls_.find(number()) != this; }
     /** Replaces the attempt by a new one. False, and logged, if the call has ended. */
     bool beginAttempt();
     /** Sends the request with a head of its own to the address for the attempt. */
@@ -301,7 +307,6 @@
     bool trialGranted_ = false;
     TimePoint originDeadline_ {}; ///< Until then instances are asked where the stream began.
     bool executionReported_ = false;
-    bool finished_ = false;
 };
 
 /** A request to a service that isn't a model: one response, buffered before it is forwarded. */
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -433,14 +433,7 @@
         startAttemptTimer(BootClock::now() + ResumeRetryDelay);
         return;
     }
-    if (headSent_) {
-        gateway_.server_.abort(context_.request_.id_);
-        finish(Outcome::Failed, 0, cause);
-    } else if (mayHaveRun_) {
-        failCall(502, cause);
-    } else {
-        refuse(cause);
-    }
+    endUnanswered(cause);
 }
 
 /**
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -24,8 +24,6 @@
     void onAttemptFailed(async::ExchangeFailure failure) override;
     void onAttemptTimeout() override;
     void giveUp();
-    /** Fails with 502 if the request may have been executed, and refuses it otherwise. */
-    void endUnanswered(std::string_view cause);
 };
 
 void ServiceCall::sendNext()
@@ -74,15 +72,6 @@
     endUnanswered(mayHaveRun_ ? std::string_view("no-endpoint-left") : NoEndpointCause);
 }
 
-void ServiceCall::endUnanswered(std::string_view cause)
-{
-    if (mayHaveRun_) {
-        failCall(502, cause);
-    } else {
-        refuse(cause);
-    }
-}
-
 void ServiceCall::reportUnansweredStart()
 {
     if (hasAttempt()) {
