--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -49,6 +49,12 @@
     std::string known_;  ///< Names of promises whose breach is listed as open, with commas.
 };
 
+/** names: separated by commas. */
+bool isNamed(std::string_view name, const std::string &names)
+{
+    return fmt::format(",{},", names).find(fmt::format(",{},", name)) != std::string::npos;
+}
+
 class Soak
 {
 public:
@@ -410,8 +416,7 @@
     const bool plannedOnly = passed % (PlannedStretch + FaultStretch) < PlannedStretch;
     for (;;) {
         const FaultKind &kind = FaultKinds[random_() % FaultKinds.size()];
-        const bool isChosen =
-            options_.faults_.empty() || options_.faults_.find(kind.name_) != std::string::npos;
+        const bool isChosen = options_.faults_.empty() || isNamed(kind.name_, options_.faults_);
         if (isChosen && (kind.planned_ || !plannedOnly || !options_.faults_.empty())) {
             return kind;
         }
@@ -655,8 +660,7 @@
     std::size_t known = 0;
     for (const Violation &violation : ledger_.violations()) {
         const std::string name(nameOf(PromiseNames, violation.promise_));
-        const bool isKnown =
-            ("," + options_.known_ + ",").find("," + name + ",") != std::string::npos;
+        const bool isKnown = isNamed(name, options_.known_);
         known += isKnown ? 1 : 0;
         fmt::print("{} {}: {}\n", isKnown ? "KNOWN" : "BROKEN", name, violation.what_);
     }
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -66,16 +66,16 @@
 
 void Proxy::pass(const std::shared_ptr<Pair> &pair, bool outward)
 {
-    async::Connection &from = outward ? *pair->near_ : *pair->far_;
+    async::Connection &from = pair->to(!outward);
     const std::string bytes = std::exchange(from.input(), {});
     const bool dropped = pair->dead_ || (fault_ == LinkFault::OneWay && !outward);
     if (dropped) {
         pair->dead_ = true; // Bytes are missing: nothing after them can be passed on.
         return;
     }
-    std::deque<std::string> &delayed = outward ? pair->outward_ : pair->inward_;
+    std::deque<std::string> &delayed = pair->delayed(outward);
     if (fault_ != LinkFault::Delay && delayed.empty()) {
-        (outward ? pair->far_ : pair->near_)->write(bytes);
+        pair->to(outward).write(bytes);
         return;
     }
     delayed.push_back(bytes);
@@ -85,8 +85,8 @@
 
 void Proxy::passDelayed(const std::shared_ptr<Pair> &pair, bool outward)
 {
-    std::deque<std::string> &delayed = outward ? pair->outward_ : pair->inward_;
-    (outward ? pair->far_ : pair->near_)->write(delayed.front());
+    std::deque<std::string> &delayed = pair->delayed(outward);
+    pair->to(outward).write(delayed.front());
     delayed.pop_front();
     if (pair->ends_) {
         end(pair);
@@ -95,16 +95,14 @@
 
 void Proxy::end(const std::shared_ptr<Pair> &pair)
 {
-    // What was passed on already must arrive: only a fault of this proxy's own loses bytes.
     pair->ends_ = true;
-    const bool isDelayed = !pair->outward_.empty() || !pair->inward_.empty();
-    if (fault_ != LinkFault::Reset && isDelayed) {
-        return;
-    }
     if (fault_ == LinkFault::Reset) {
         pair->near_->close();
         pair->far_->close();
+    } else if (!pair->outward_.empty() || !pair->inward_.empty()) {
+        return; // passDelayed() ends it.
     } else {
+        // What was passed on already must arrive: only a fault of this proxy's own loses bytes.
         pair->near_->closeAfterWriting();
         pair->far_->closeAfterWriting();
     }
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -42,6 +42,9 @@
         bool ends_ = false;                  ///< Once nothing is delayed any more.
         std::deque<std::string> outward_ {}; ///< Delayed, in the order in which they came.
         std::deque<std::string> inward_ {};
+
+        async::Connection &to(bool outward) const { return outward ? *far_ : *near_; }
+        std::deque<std::string> &delayed(bool outward) { return outward ? outward_ : inward_; }
     };
 
     void accept();
