A key of the store is data: lists are read to their end whatever keys they have

Callers got 503 from every instance that started while an entry of another writer stood in the list of endpoints, if its name held &, +, #, % or a blank and the list was longer than a page.

Cause: StoreClient::newest put the last key of a page into the next target as it was, so the store answered 400 or the same page, and the feed asked again without end. Keys that are no UTF-8, and one record of a wrong type, ended the decoding of their whole page.

Each value of a query is now encoded where targets are built.

The stand-ins of the store took any target, which hid the fault: they decode by RFC 3986 now and answer 400 to the rest.

--- a/libs/net/include/almondridge/net/http.h
+++ b/libs/net/include/almondridge/net/http.h
@@ -41,6 +41,14 @@
 /** Value of the first header with this case-insensitive name; empty if there is none. */
 std::string_view headerValue(const Headers &headers, std::string_view name) noexcept;
 
+/**
+ * Percent-encodes all but the unreserved characters of RFC 3986, so that any bytes can be a part of
+ * a path or a value in a query.
+ */
+std::string percentEncoded(std::string_view bytes);
+/** Whether the text consists of unreserved characters of RFC 3986 alone; it isn't empty. */
+bool isUnreserved(std::string_view text) noexcept;
+
 /** An outgoing request. Content-Length and Host are added when it is sent. */
 struct Request
 {
--- a/libs/net/src/http.cpp
+++ b/libs/net/src/http.cpp
@@ -12,6 +12,13 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+bool isUnreservedCharacter(char letter)
+{
+    const char small = lower(letter);
+    return (small >= 'a' && small <= 'z') || (letter >= '0' && letter <= '9')
+           || std::string_view("-._~").find(letter) != std::string_view::npos;
+}
+
 } // namespace
 
 bool equalWithoutCase(std::string_view left, std::string_view right) noexcept
@@ -50,6 +57,29 @@
     return address.ip_ + ":" + std::to_string(address.port_);
 }
 
+std::string percentEncoded(std::string_view bytes)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    std::string text;
+    text.reserve(bytes.size());
+    for (const char byte : bytes) {
+        if (isUnreservedCharacter(byte)) {
+            text += byte;
+            continue;
+        }
+        const auto code = static_cast<unsigned char>(byte);
+        text += '%';
+        text += Digits[code / Digits.size()];
+        text += Digits[code % Digits.size()];
+    }
+    return text;
+}
+
+bool isUnreserved(std::string_view text) noexcept
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), &isUnreservedCharacter);
+}
+
 std::string_view headerValue(const Headers &headers, std::string_view name) noexcept
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [&](const Header &header) {
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -136,10 +136,12 @@
 {
     const std::string &target = call.head_.target_;
     const std::string topic = queryParameter(target, "topic");
-    if (target.starts_with("/almondridge/log-append")) {
+    if (!storewire::isStoreTarget(target)) {
+        respond(call.id_, {400, {}, "{}"});
+    } else if (target.starts_with("/almondridge/log-append")) {
         respond(call.id_, append(topic, call.body_));
     } else if (target.starts_with("/almondridge/log-newest")) {
-        respond(call.id_, newest(topic));
+        respond(call.id_, newest(topic, queryParameter(target, "after")));
     } else if (target.starts_with("/almondridge/log-join")) {
         respond(call.id_, join(call.body_));
     } else if (target.starts_with("/almondridge/log-read")) {
@@ -218,20 +220,28 @@
     }
 }
 
-net::Response StoreStandIn::newest(const std::string &topic)
+net::Response StoreStandIn::newest(const std::string &topic, const std::string &after)
 {
-    Json items = Json::array();
+    ++pages_;
+    std::string items;
+    std::size_t count = 0;
+    bool more = false;
     for (const auto &[key, entry] : newest_[topic]) {
-        if (!entry.first.empty()) {
-            items.push_back(
-                {{"key", key}, {"value", base64(entry.first)}, {"offset", entry.second}});
+        if (entry.first.empty() || (key <= after && !after.empty())) {
+            continue;
+        }
+        more = count >= keysPerPage_;
+        if (!more) {
+            items += fmt::format(R"({}{{"key":{},"value":"{}","offset":{}}})", count > 0 ? "," : "",
+                                 storewire::jsonString(key), base64(entry.first), entry.second);
+            ++count;
         }
     }
     const Log &log = logs_[topic];
-    return {
-        200,
-        {},
-        Json {{"items", items}, {"more", false}, {"end", log.first_ + log.records_.size()}}.dump()};
+    return {200,
+            {},
+            fmt::format(R"({{"items":[{}],"more":{},"end":{}}})", items, more,
+                        log.first_ + log.records_.size())};
 }
 
 net::Response StoreStandIn::join(const std::string &body)
--- a/soak/storestandin.h
+++ b/soak/storestandin.h
@@ -44,6 +44,10 @@
     void restoreCopy(Duration age, bool regrown);
     /** Writes as the operator or an endpoint; an empty value removes the key. */
     void put(const std::string &topic, const std::string &key, const std::string &value);
+    /** Most keys in one page of the newest records. */
+    void setKeysPerPage(std::size_t count) { keysPerPage_ = count; }
+    /** Pages of the newest records that were served. */
+    int pages() const noexcept { return pages_; }
 
 private:
     struct Log
@@ -75,7 +79,7 @@
     void onCall(async::ServerCall call);
     void serve(const async::ServerCall &call);
     net::Response append(const std::string &topic, const std::string &body);
-    net::Response newest(const std::string &topic);
+    net::Response newest(const std::string &topic, const std::string &after);
     net::Response join(const std::string &body);
     net::Response records(const Log &log, LogOffset from) const;
     void answerWaiting();
@@ -86,6 +90,8 @@
     async::HttpServer server_;
     StoreFault fault_ = StoreFault::None;
     std::uint64_t calls_ = 0;
+    std::size_t keysPerPage_ = 10'000;
+    int pages_ = 0;
     std::map<std::string, Log> logs_;
     Newest newest_;
     std::deque<Copy> copies_; ///< Oldest first.
