--- a/tests/crowd/machine.cpp
+++ b/tests/crowd/machine.cpp
@@ -32,6 +32,8 @@
 
 constexpr std::string_view Signed = "X-Response-Signature: s\r\n";
 constexpr std::size_t EventBytes = 32'768;
+/** Endpoints of added services answer it in the usual way. */
+constexpr std::string_view ProbeMethod = "OPTIONS";
 
 std::string requestIdOf(const std::string &request)
 {
@@ -147,6 +149,7 @@
                                      {"requestKeySecret", "crowd"},
                                      {"firstStart", true},
                                      {"secondSendSlack", 100},
+                                     {"graceSeconds", limits.graceSeconds_},
                                      {"maxDescriptors", limits.descriptors_},
                                      {"memoryMb", limits.memoryMb_}})},
                logPath_)
@@ -210,6 +213,11 @@
     , store_(loop_)
     , peaks_(static_cast<std::size_t>(instances))
 {
+    for (const EnumName<EndpointManner> &manner : MannerNames) {
+        const bool streams = manner.value_ == EndpointManner::Streams
+                             || manner.value_ == EndpointManner::SilentStreams;
+        services_.push_back({std::string(manner.name_), streams ? "streaming" : "unsafe"});
+    }
     writeConfig();
     for (const EnumName<EndpointManner> &manner : MannerNames) {
         addEndpoint(manner.value_);
@@ -227,22 +235,20 @@
 {
     Json routes = Json::array();
     Json services = Json::array();
-    for (const EnumName<EndpointManner> &manner : MannerNames) {
-        const bool streams = manner.value_ == EndpointManner::Streams
-                             || manner.value_ == EndpointManner::SilentStreams;
-        routes.push_back({{"name", manner.name_},
+    for (const Service &service : services_) {
+        routes.push_back({{"name", service.name_},
                           {"host", "h"},
-                          {"path-prefix", fmt::format("/{}/", manner.name_)},
-                          {"kind", streams ? "streaming" : "unsafe"},
-                          {"service", manner.name_},
+                          {"path-prefix", fmt::format("/{}/", service.name_)},
+                          {"kind", service.kind_},
+                          {"service", service.name_},
                           {"timeout-ms", 15'000},
                           {"target-latency-ms", 300},
                           {"gap-aim-ms", 200},
                           {"max-attempts", 1}});
-        services.push_back({{"name", manner.name_}, {"max-conns", 2'000}});
+        services.push_back({{"name", service.name_}, {"max-conns", 2'000}});
     }
     store_.put("keyed.op", "config",
-               Json {{"version", 1},
+               Json {{"version", ++configVersion_},
                      {"routes", routes},
                      {"services", services},
                      {"limits",
@@ -260,9 +266,15 @@
         server.readNothing();
     }
     const std::string name(nameOf(MannerNames, manner));
-    store_.put("keyed.servers", "e-" + name,
-               Json {{"service", name},
-                     {"address", net::toString(server.address())},
+    listEndpoint("e-" + name, name, server.address());
+}
+
+void Site::listEndpoint(const std::string &key, const std::string &service,
+                        const net::Address &address)
+{
+    store_.put("keyed.servers", key,
+               Json {{"service", service},
+                     {"address", net::toString(address)},
                      {"zone", "z"},
                      {"version", "v1"},
                      {"slots", 2'000},
@@ -271,6 +283,36 @@
                    .dump());
 }
 
+void Site::addService(const std::string &name, const std::string &kind, RawServer::Script script)
+{
+    RawServer &server = endpoints_.emplace_back(
+        loop_, [script = std::move(script)](const auto &peer, const std::string &request) {
+            request.starts_with(ProbeMethod) ? answer(peer, request, 2) : script(peer, request);
+        });
+    services_.push_back({name, kind});
+    listEndpoint("e-" + name, name, server.address());
+    writeConfig();
+    for (int number = 0; number < machines(); ++number) {
+        std::string answer;
+        BOOST_REQUIRE(runUntil([&] {
+            answer = answerTo(requestHead(name, "", std::string(ProbeMethod)), number);
+            return !answer.starts_with("HTTP/1.1 404") && !answer.starts_with("HTTP/1.1 503");
+        }));
+    }
+}
+
+void Site::restartAll()
+{
+    for (std::size_t number = 0; number < machines_.size(); ++number) {
+        machines_[number].reset();
+        machines_[number] = std::make_unique<Machine>(folder_.path(""), store_.address(), limits_,
+                                                      static_cast<int>(number));
+    }
+    for (int number = 0; number < machines(); ++number) {
+        BOOST_REQUIRE(isServed(number));
+    }
+}
+
 void Site::sample()
 {
     for (std::size_t number = 0; number < machines_.size(); ++number) {
@@ -326,12 +368,18 @@
     return client.received();
 }
 
-std::string requestHead(EndpointManner manner, const std::string &headers,
+std::string requestHead(std::string_view service, const std::string &headers,
                         const std::string &method)
 {
     return fmt::format("{} /{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"
                        "X-Deadline-Ms: 15000\r\n{}\r\n",
-                       method, nameOf(MannerNames, manner), headers);
+                       method, service, headers);
+}
+
+std::string requestHead(EndpointManner manner, const std::string &headers,
+                        const std::string &method)
+{
+    return requestHead(nameOf(MannerNames, manner), headers, method);
 }
 
 } // namespace almondridge::crowd
--- a/tests/crowd/machine.h
+++ b/tests/crowd/machine.h
@@ -25,6 +25,7 @@
     int descriptors_ = 256;
     std::size_t headBytes_ = 16'384;
     std::size_t bodyBytes_ = 1'048'576;
+    int graceSeconds_ = 8; ///< From the stop signal to the kill.
     /** The platform restarts nothing here: after a crowd this much above calm is "near" it. */
     int nearCalmMb_ = 16;
 };
@@ -61,6 +62,7 @@
     double cpuSeconds() const { return process_.cpuSeconds(); }
     /** Length of the process's log, in bytes. */
     std::size_t logBytes() const;
+    const std::string &logPath() const { return logPath_; }
 
 private:
     double statusMb(const std::string &field) const;
@@ -100,6 +102,14 @@
     bool runUntil(const std::function<bool()> &condition);
     /** Sends ordinary requests to the instance until one is answered with 200; whether one was. */
     bool isServed(int number = 0);
+    /** Adds a service with an endpoint, under the route "/NAME/", and waits until it is routed. */
+    void addService(const std::string &name, const std::string &kind, RawServer::Script script);
+    /** Writes an endpoint's entry under any key. */
+    void listEndpoint(const std::string &key, const std::string &service,
+                      const net::Address &address);
+    /** Kills all instances and starts them again; waits until each serves. */
+    void restartAll();
+    soak::StoreStandIn &store() { return store_; }
     /** The same of one request, whose text is given; its answer. */
     std::string answerTo(const std::string &request, int number = 0);
     /** The highest sum of resident and unread bytes that was seen, in MB. */
@@ -113,6 +123,12 @@
         int descriptors_ = 0;
     };
 
+    struct Service
+    {
+        std::string name_;
+        std::string kind_;
+    };
+
     void addEndpoint(EndpointManner manner);
     void writeConfig();
     void sample();
@@ -121,12 +137,17 @@
     testing::ScratchFolder folder_;
     async::EventLoop loop_;
     soak::StoreStandIn store_;
+    std::vector<Service> services_;
+    int configVersion_ = 0;
     std::list<RawServer> endpoints_;
     std::list<RawClient> callers_;
     std::vector<std::unique_ptr<Machine>> machines_;
     std::vector<Peaks> peaks_;
 };
 
+/** The head of a request on the route "/SERVICE/". */
+std::string requestHead(std::string_view service, const std::string &headers,
+                        const std::string &method = "POST");
 /** The head of a request on the route of an endpoint's manner. */
 std::string requestHead(EndpointManner manner, const std::string &headers,
                         const std::string &method = "POST");
