One odd change in a peer's message costs one change

An instance that follows a peer dropped the whole message if one of its changes couldn't be decoded, and changed over to another peer, which had the same change.

Each change is decoded by itself, and what can't be decoded is skipped. A message whose configuration can't be decoded is refused as before, since another peer may have a whole one.

--- a/libs/replication/src/protocol.cpp
+++ b/libs/replication/src/protocol.cpp
@@ -89,8 +89,12 @@
         return std::nullopt;
     }
     const Json &revision = revisions->at(index);
-    return RecordRevision {revision.at(0).get<std::uint64_t>(),
-                           revision.at(1).get<std::uint64_t>()};
+    const bool valid = revision.is_array() && revision.size() == 2
+                       && revision.front().is_number_unsigned()
+                       && revision.back().is_number_unsigned();
+    return valid ? std::optional(RecordRevision {revision.front().get<std::uint64_t>(),
+                                                 revision.back().get<std::uint64_t>()})
+                 : std::nullopt;
 }
 
 /** nullopt: the topic is unknown, or the compressed value is invalid. */
@@ -116,6 +120,24 @@
     return change;
 }
 
+std::optional<Change> tryDecodeChange(const Json &json)
+{
+    try {
+        return decodeChange(json);
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+/** A change that can't be decoded costs one key, but without the configuration nothing is served.
+ */
+bool isDispensable(const Json &change)
+{
+    const bool hasTopic =
+        change.is_array() && !change.empty() && change.front().is_number_unsigned();
+    return hasTopic && change.front().get<std::size_t>() != static_cast<std::size_t>(Topic::Config);
+}
+
 } // namespace
 
 std::string encodeChanges(const ChangeSet &set, std::uint64_t lifetime, bool storeLost,
@@ -168,13 +190,16 @@
             received.set_.topics_[index].end_ = json.at("ends").at(index).get<LogOffset>();
             received.set_.topics_[index].asOf_ = readAsOf(json, index, requestedAt);
         }
+        std::size_t index = 0;
         for (const Json &entry : json.at("changes")) {
-            auto change = decodeChange(entry);
-            if (!change) {
+            auto change = tryDecodeChange(entry);
+            if (change) {
+                change->revision_ = readRevision(json, index);
+                received.set_.changes_.push_back(std::move(*change));
+            } else if (!isDispensable(entry)) {
                 return std::nullopt;
             }
-            change->revision_ = readRevision(json, received.set_.changes_.size());
-            received.set_.changes_.push_back(std::move(*change));
+            ++index;
         }
         return received;
     } catch (const Json::exception &) {
--- a/libs/replication/tests/topicreplicatest.cpp
+++ b/libs/replication/tests/topicreplicatest.cpp
@@ -3,6 +3,7 @@
 #include "almondridge/replication/upstreamselector.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace almondridge;
 using namespace almondridge::replication;
@@ -164,6 +165,39 @@
     BOOST_TEST(!decodeChanges(body.substr(0, body.size() / 2), at(0), at(0)).has_value());
 }
 
+/** Guards against one odd entry in a peer's message that costs all others. */
+BOOST_AUTO_TEST_CASE(aChangeThatCannotBeDecodedCostsNoOther)
+{
+    ChangeSet set;
+    set.changes_ = {{Topic::Endpoints, "a", "1", 4, false, RecordRevision {1, 2}},
+                    {Topic::Endpoints, "b", "2", 5, false, RecordRevision {3, 4}}};
+    nlohmann::json json = nlohmann::json::from_cbor(encodeChanges(set, 7, false, at(250), at(250)));
+    const auto endpoints = static_cast<int>(Topic::Endpoints);
+    const auto config = static_cast<int>(Topic::Config);
+    const std::vector<nlohmann::json> odd {nlohmann::json::array({endpoints, 7, "v", 1}),
+                                           nlohmann::json::array({endpoints, "k"}),
+                                           nlohmann::json::array({endpoints, "k", "v", "x"}),
+                                           nlohmann::json::array({endpoints, "k", "v", 1, 9}),
+                                           nlohmann::json::array({99, "k", "v", 1})};
+    for (const nlohmann::json &entry : odd) {
+        nlohmann::json message = json;
+        message["changes"].insert(message["changes"].begin() + 1, entry);
+        message["revisions"].insert(message["revisions"].begin() + 1, "odd");
+        std::string body;
+        nlohmann::json::to_cbor(message, body);
+        const auto received = decodeChanges(body, at(250), at(250));
+        BOOST_REQUIRE(received.has_value());
+        BOOST_REQUIRE(received->set_.changes_.size() == 2U);
+        BOOST_TEST(received->set_.changes_[1].key_ == "b");
+        BOOST_TEST((received->set_.changes_[1].revision_ == RecordRevision {3, 4}));
+    }
+    // Without the configuration the message is of no use, and another peer is asked.
+    json["changes"].push_back(nlohmann::json::array({config, "config", 7, 1}));
+    std::string body;
+    nlohmann::json::to_cbor(json, body);
+    BOOST_TEST(!decodeChanges(body, at(250), at(250)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aFewInstancesAllReadAndOfManyOnlyTwoDo)
 {
     BOOST_TEST(countReaders(3) == 3);
