Log lines have no control bytes, and ASCII only

Names that other writers chose could put escape sequences and invalid UTF-8 into the log: only line ends and tabs were replaced. All other bytes that aren't printable ASCII are written as \xNN.

--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -2,6 +2,7 @@
 
 #include "boundedsink.h"
 
+#include <algorithm>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
@@ -20,6 +21,11 @@
     return SpdlogLevels[static_cast<std::size_t>(level)];
 }
 
+bool isPrintable(char letter)
+{
+    return letter >= ' ' && letter <= '~';
+}
+
 void installLogger(std::shared_ptr<spdlog::logger> logger, LogLevel minLevel,
                    const std::string &instance, const std::string &domain)
 {
@@ -74,8 +80,11 @@
 
 std::string quoteLogValue(std::string_view value)
 {
-    constexpr std::string_view Special = " \"=\\\n\r\t";
-    if (!value.empty() && value.find_first_of(Special) == std::string_view::npos) {
+    constexpr std::string_view Special = " \"=\\";
+    const bool isPlain =
+        !value.empty() && value.find_first_of(Special) == std::string_view::npos
+        && std::all_of(value.begin(), value.end(), [](char one) { return isPrintable(one); });
+    if (isPlain) {
         return std::string(value);
     }
     std::string quoted = "\"";
@@ -84,6 +93,14 @@
             quoted += ' ';
             continue;
         }
+        if (!isPrintable(letter)) {
+            constexpr std::string_view Digits = "0123456789abcdef";
+            const auto code = static_cast<unsigned char>(letter);
+            quoted += "\\x";
+            quoted += Digits[code / Digits.size()];
+            quoted += Digits[code % Digits.size()];
+            continue;
+        }
         if (letter == '"' || letter == '\\') {
             quoted += '\\';
         }
--- a/libs/base/tests/basetest.cpp
+++ b/libs/base/tests/basetest.cpp
@@ -40,6 +40,14 @@
     BOOST_TEST(quoteLogValue("") == "\"\"");
 }
 
+/** Guards against bytes of other writers that change a terminal, or a log's encoding. */
+BOOST_AUTO_TEST_CASE(logValuesHaveNoControlBytes)
+{
+    BOOST_TEST(quoteLogValue("a\x01\x7f\x1b") == "\"a\\x01\\x7f\\x1b\"");
+    BOOST_TEST(quoteLogValue("\xc3\xa4\xff") == "\"\\xc3\\xa4\\xff\"");
+    BOOST_TEST(quoteLogValue(std::string_view("a\0b", 3)) == "\"a\\x00b\"");
+}
+
 BOOST_AUTO_TEST_CASE(millisUntilIsZeroAfterTheDeadline)
 {
     const TimePoint now = BootClock::now();
