An answer that only its connection ends is complete by an orderly end alone

Callers got a part of an answer as all of it: the endpoint had answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: a socket reports a reset once. The write met it first, and the read that came next saw an orderly end, which completed the answer. After an orderly end that a reset follows, no read reports the reset.

Once a read sees the end, the kernel is asked whether the connection was reset and whether the peer has received all that was sent; a failed write counts as a reset. Only EndOfStream completes an answer without a length or chunks, so that neither order of the events matters.

--- a/libs/async/include/almondridge/async/connection.h
+++ b/libs/async/include/almondridge/async/connection.h
@@ -19,12 +19,14 @@
 
 enum class CloseCause {
     EndOfStream,   ///< The peer closed the connection in order.
+    EarlyEnd,      ///< The same, before it had received everything that was written.
     Reset,         ///< Reset by the peer, or TCP timeout (see TcpTimeouts).
     ConnectFailed, ///< Never established; nothing was sent.
 };
 
-inline constexpr std::array<EnumName<CloseCause>, 3> CloseCauseNames {{
+inline constexpr std::array<EnumName<CloseCause>, 4> CloseCauseNames {{
     {CloseCause::EndOfStream, "end-of-stream"},
+    {CloseCause::EarlyEnd, "early-end"},
     {CloseCause::Reset, "reset"},
     {CloseCause::ConnectFailed, "connect-failed"},
 }};
@@ -104,6 +106,7 @@
     void waitWritable();
     void flush();
     void onFlushed();
+    CloseCause endCause();
     void fail(CloseCause cause);
     void countHeld();
 
@@ -126,6 +129,7 @@
     bool reading_ = false;
     bool paused_ = false;
     bool writing_ = false;
+    bool writeFailed_ = false;
     bool closing_ = false;   ///< closeAfterWriting() was called.
     bool lingering_ = false; ///< The send side is shut down; received bytes are discarded.
 };
--- a/libs/async/src/connection.cpp
+++ b/libs/async/src/connection.cpp
@@ -1,5 +1,7 @@
 #include "almondridge/async/connection.h"
 
+#include "almondridge/net/tcpend.h"
+
 #include <array>
 #include <netinet/tcp.h>
 
@@ -145,7 +147,7 @@
         return;
     }
     if (failure) {
-        fail(failure == asio::error::eof ? CloseCause::EndOfStream : CloseCause::Reset);
+        fail(failure == asio::error::eof ? endCause() : CloseCause::Reset);
         return;
     }
     if (!lingering_) {
@@ -167,6 +169,17 @@
     }
 }
 
+/** Why there is nothing more to read. */
+CloseCause Connection::endCause()
+{
+    const net::TcpEnd end = net::tcpEndOf(socket_.native_handle());
+    if (writeFailed_ || end == net::TcpEnd::Reset) {
+        return CloseCause::Reset;
+    }
+    const bool isEarly = unwritten() > 0 || end == net::TcpEnd::Unreceived;
+    return isEarly ? CloseCause::EarlyEnd : CloseCause::EndOfStream;
+}
+
 void Connection::readArrived()
 {
     if (!open_ || closing_) {
@@ -245,6 +258,7 @@
             return;
         }
         if (failure) {
+            writeFailed_ = true;
             // Reported asynchronously, so that no handler runs inside the caller's write().
             loop_.post([weak = weak_from_this()] {
                 if (const auto self = weak.lock()) {
--- a/libs/async/tests/loopsupport.h
+++ b/libs/async/tests/loopsupport.h
@@ -7,6 +7,7 @@
 #include "almondridge/async/connection.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <list>
@@ -53,6 +54,8 @@
 
     /** Reads nothing from connections that are accepted from now on. */
     void readNothing() { reads_ = false; }
+    /** Called with each connection that is accepted from now on. */
+    void onAccept(std::function<void(const Peer &)> handler) { onAccept_ = std::move(handler); }
 
     net::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
     int connections() const { return connections_; }
@@ -76,6 +79,9 @@
                 if (reads_) {
                     peer->startReading();
                 }
+                if (onAccept_) {
+                    onAccept_(peer);
+                }
                 accept();
             });
     }
@@ -107,6 +113,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::list<Peer> peers_;
     std::string lastRequest_;
+    std::function<void(const Peer &)> onAccept_;
     bool reads_ = true;
     int connections_ = 0;
     int requests_ = 0;
