Only a valid head is an answer: status, names, values, framing and request id

Cause: Beast's parser checks syntax, and what it means was checked nowhere. Statuses under 200 were interim answers, 000 included, so that an answer behind it was passed on.

defectOf() checks a head once it is parsed and before anything of it is used, in the clients of the event loop and in the blocking one. The attempt ends as after a broken connection. The blocking client skips interim answers, keeps its deadline while bytes arrive, and counts a body with its framing.

--- a/libs/async/src/parser.cpp
+++ b/libs/async/src/parser.cpp
@@ -1,5 +1,7 @@
 #include "almondridge/async/parser.h"
 
+#include "almondridge/net/answerhead.h"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -34,7 +36,8 @@
     ResponseHead responseHead_;
     std::string body_;
     bool headDone_ = false;
-    std::uint64_t mostBodyBytes_ = 0; ///< Of this message; 0: unknown.
+    std::uint64_t mostBodyBytes_ = 0;       ///< Of this message; 0: unknown.
+    std::optional<net::HeadDefect> defect_; ///< Of a response.
 
     /**
      * Makes room without more than twice the bytes that there are, or than the body can have: the
@@ -54,6 +57,8 @@
     }
 
 private:
+    int version_ = 0; ///< Of a response.
+
     net::Headers &headers()
     {
         if constexpr (isRequest) {
@@ -70,8 +75,9 @@
         requestHead_.target_ = std::string(target);
         requestHead_.http10_ = version == static_cast<int>(Http10);
     }
-    void on_response_impl(int code, string_view reason, int, error_code &) override
+    void on_response_impl(int code, string_view reason, int version, error_code &) override
     {
+        version_ = version;
         responseHead_.status_ = code;
         responseHead_.reason_ = std::string(reason);
     }
@@ -81,7 +87,17 @@
             headers().push_back({std::string(name), std::string(value)});
         }
     }
-    void on_header_impl(error_code &) override { headDone_ = true; }
+    void on_header_impl(error_code &failure) override
+    {
+        if constexpr (!isRequest) {
+            defect_ = net::defectOf({version_, responseHead_.status_, responseHead_.headers_});
+        }
+        if (defect_) {
+            failure = make_error_code(http::error::bad_value);
+            return;
+        }
+        headDone_ = true;
+    }
     void on_body_init_impl(boost::optional<std::uint64_t> const &length, error_code &) override
     {
         if (length && mostBodyBytes_ > 0) {
--- a/libs/net/include/almondridge/net/httpcall.h
+++ b/libs/net/include/almondridge/net/httpcall.h
@@ -1,7 +1,6 @@
 /**
- * A blocking HTTP call on a new connection, made with CivetWeb's client, for the platform and the
- * command line. Calls whose socket must be polled, shut down or handed to the lease guard use
- * HttpExchange.
+ * A blocking HTTP call on a new connection, for the command line. Calls whose socket must be
+ * polled, shut down or handed to the lease guard use HttpExchange themselves.
  */
 #pragma once
 
@@ -12,7 +11,7 @@
 
 /**
  * Sends request and waits for the complete response until deadline.
- * Unavailable: nothing reached the peer. Interrupted: the effect is unknown.
+ * Unavailable, TimedOut: nothing reached the peer. Interrupted, Protocol: the effect is unknown.
  */
 Result<Response> httpCall(const Address &address, const Request &request, TimePoint deadline);
 
--- a/libs/net/src/httpexchange.cpp
+++ b/libs/net/src/httpexchange.cpp
@@ -1,6 +1,8 @@
 #include "almondridge/net/httpexchange.h"
 
+#include "almondridge/net/answerhead.h"
 #include "almondridge/net/bodyend.h"
+#include "almondridge/net/tcpend.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -17,7 +19,6 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <vector>
 
 namespace almondridge::net {
 namespace {
@@ -29,6 +30,8 @@
 /** More bytes of a head, of a chunk's head or of trailers than this are no answer. */
 constexpr std::size_t MaxUnparsedBytes = 65'536;
 constexpr std::size_t ReceiveBytes = 16'384;
+constexpr int MaxInterimAnswers = 16;
+constexpr int FirstFinalStatus = 200;
 /** Maximum timeout of one poll(), so that a far deadline does not overflow its int. */
 constexpr std::int64_t LongestWait = 86'400'000;
 
@@ -80,7 +83,7 @@
     explicit State(Address address)
         : address_(std::move(address))
     {
-        parser_.body_limit({});
+        startAnswer();
     }
     ~State()
     {
@@ -91,6 +94,15 @@
     State(const State &) = delete;
     State &operator=(const State &) = delete;
 
+    /** Expects another answer, after an interim one. */
+    void startAnswer()
+    {
+        parser_.emplace();
+        parser_->body_limit({});
+        parser_->header_limit(MaxHeadBytes);
+        parser_->skip(isBodyless_);
+    }
+
     /** Reads the available bytes; returns false if the peer closed the connection. */
     Result<bool> receive()
     {
@@ -102,16 +114,47 @@
         if (got < 0) {
             return interrupted(address_, std::strerror(errno));
         }
-        if (pending_.size() + static_cast<std::size_t>(got) > MaxUnparsedBytes) {
+        if (got == 0 && tcpEndOf(socket_) != TcpEnd::InOrder) {
+            return interrupted(address_, "closed before it had received the request");
+        }
+        if (unparsed().size() + static_cast<std::size_t>(got) > MaxUnparsedBytes) {
             return interrupted(address_, "the answer has no end");
         }
-        pending_.insert(pending_.end(), bytes.data(), bytes.data() + got);
+        receivedBytes_ += static_cast<std::size_t>(got);
+        pending_.erase(0, std::exchange(consumed_, 0));
+        pending_.append(bytes.data(), static_cast<std::size_t>(got));
         return got > 0;
     }
 
-    void consume(std::size_t count)
+    Result<void> parseHead(TimePoint deadline)
     {
-        pending_.erase(pending_.begin(), pending_.begin() + static_cast<std::ptrdiff_t>(count));
+        boost::system::error_code error;
+        while (!parser_->is_header_done()) {
+            if (!unparsed().empty()) {
+                consumed_ +=
+                    parser_->put(boost::asio::buffer(unparsed().data(), unparsed().size()), error);
+                if (error && error != http::error::need_more) {
+                    return interrupted(address_, error.message());
+                }
+                if (parser_->is_header_done()) {
+                    break;
+                }
+            }
+            if (pollUntil(socket_, POLLIN, -1, deadline) != PollStatus::Ready) {
+                return interrupted(address_, "no answer in time");
+            }
+            BOOST_LEAF_AUTO(open, receive());
+            if (!open) {
+                return interrupted(address_, "closed before the answer");
+            }
+        }
+        return {};
+    }
+
+    /** Received bytes that the parser hasn't taken yet. */
+    std::string_view unparsed() const noexcept
+    {
+        return std::string_view(pending_).substr(consumed_);
     }
 
     Address address_;
@@ -119,8 +162,11 @@
     bool anythingSent_ = false;
     bool endOfInput_ = false;
     std::optional<BodyEnd> bodyEnd_; ///< Once the head was read.
-    std::vector<char> pending_;
-    Parser parser_;
+    std::string pending_;
+    std::size_t receivedBytes_ = 0;
+    std::size_t consumed_ = 0; ///< Of pending_, from its front.
+    bool isBodyless_ = false;  ///< The answer to a HEAD request.
+    std::optional<Parser> parser_;
 };
 
 HttpExchange::HttpExchange(std::unique_ptr<State> state) noexcept
@@ -133,7 +179,6 @@
 Result<HttpExchange> HttpExchange::connect(const Address &address, TimePoint deadline)
 {
     auto state = std::make_unique<State>(address);
-    state->parser_.header_limit(MaxHeadBytes);
     state->socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const auto unavailable = [&](const std::string &what) {
         return fail(ErrorKind::Unavailable, toString(address) + ": " + what,
@@ -173,7 +218,8 @@
     const std::string text = requestText(state_->address_, request);
     // A response to HEAD has a Content-Length but no body. Without this, the exchange would wait
     // for the body until the deadline.
-    state_->parser_.skip(request.method_ == "HEAD");
+    state_->isBodyless_ = request.method_ == "HEAD";
+    state_->startAnswer();
     std::size_t sent = 0;
     while (sent < text.size()) {
         const ssize_t wrote = ::send(state_->socket_, text.data() + sent, text.size() - sent,
@@ -198,7 +244,7 @@
 
 ReadStatus HttpExchange::waitForInput(TimePoint deadline, int watchedDescriptor)
 {
-    if (!state_->pending_.empty() || state_->endOfInput_) {
+    if (!state_->unparsed().empty() || state_->endOfInput_) {
         return ReadStatus::Data;
     }
     switch (pollUntil(state_->socket_, POLLIN, watchedDescriptor, deadline)) {
@@ -214,41 +260,34 @@
 
 Result<ResponseHead> HttpExchange::readHead(TimePoint deadline)
 {
-    Parser &parser = state_->parser_;
-    boost::system::error_code error;
-    while (!parser.is_header_done()) {
-        if (!state_->pending_.empty()) {
-            const std::size_t used = parser.put(
-                boost::asio::buffer(state_->pending_.data(), state_->pending_.size()), error);
-            state_->consume(used);
-            if (error && error != http::error::need_more) {
-                return interrupted(state_->address_, error.message());
-            }
-            if (parser.is_header_done()) {
-                break;
-            }
+    for (int interim = 0; interim <= MaxInterimAnswers; ++interim) {
+        BOOST_LEAF_CHECK(state_->parseHead(deadline));
+        const Parser &parser = *state_->parser_;
+        ResponseHead head;
+        head.status_ = static_cast<int>(parser.get().result_int());
+        for (const auto &field : parser.get()) {
+            head.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
         }
-        if (pollUntil(state_->socket_, POLLIN, -1, deadline) != PollStatus::Ready) {
-            return interrupted(state_->address_, "no answer in time");
+        const auto defect =
+            defectOf({static_cast<int>(parser.get().version()), head.status_, head.headers_});
+        if (defect) {
+            return interrupted(state_->address_,
+                               "a head with an invalid "
+                                   + std::string(nameOf(HeadDefectNames, *defect)));
         }
-        BOOST_LEAF_AUTO(open, state_->receive());
-        if (!open) {
-            return interrupted(state_->address_, "closed before the answer");
+        if (head.status_ >= FirstFinalStatus) {
+            state_->bodyEnd_.emplace(head.headers_);
+            return head;
         }
+        state_->startAnswer();
     }
-    ResponseHead head;
-    head.status_ = static_cast<int>(parser.get().result_int());
-    for (const auto &field : parser.get()) {
-        head.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    state_->bodyEnd_.emplace(head.headers_);
-    return head;
+    return interrupted(state_->address_, "interim answers without end");
 }
 
 Result<ReadResult> HttpExchange::readSome(std::span<char> buffer, TimePoint deadline,
                                           int watchedDescriptor)
 {
-    Parser &parser = state_->parser_;
+    Parser &parser = *state_->parser_;
     for (;;) {
         if (parser.is_done()) {
             if (!state_->bodyEnd_->isPossible(!parser.need_eof())) {
@@ -256,14 +295,14 @@
             }
             return ReadResult {ReadStatus::End, 0};
         }
-        if (!state_->pending_.empty()) {
+        if (const std::string_view unparsed = state_->unparsed(); !unparsed.empty()) {
             auto &body = parser.get().body();
             body.data = buffer.data();
             body.size = buffer.size();
             boost::system::error_code error;
-            const std::size_t used = parser.put(
-                boost::asio::buffer(state_->pending_.data(), state_->pending_.size()), error);
-            state_->consume(used);
+            const std::size_t used =
+                parser.put(boost::asio::buffer(unparsed.data(), unparsed.size()), error);
+            state_->consumed_ += used;
             if (error && error != http::error::need_buffer && error != http::error::need_more) {
                 return interrupted(state_->address_, error.message());
             }
@@ -299,6 +338,8 @@
 Result<std::string> HttpExchange::readRest(TimePoint deadline, std::size_t limit)
 {
     std::string rest;
+    // Counted with its framing, which can be many times as long as the body.
+    const std::size_t begun = state_->receivedBytes_;
     std::array<char, ReceiveBytes> buffer;
     for (;;) {
         BOOST_LEAF_AUTO(read, readSome(buffer, deadline));
@@ -309,7 +350,10 @@
             return interrupted(state_->address_, "the answer did not end in time");
         }
         rest.append(buffer.data(), read.size_);
-        if (rest.size() > limit) {
+        if (BootClock::now() >= deadline) {
+            return interrupted(state_->address_, "the answer did not end in time");
+        }
+        if (state_->receivedBytes_ > begun + limit) {
             return fail(ErrorKind::Protocol,
                         toString(state_->address_) + ": the answer is longer than "
                             + std::to_string(limit) + " bytes",
--- a/libs/net/tests/httptest.cpp
+++ b/libs/net/tests/httptest.cpp
@@ -3,6 +3,7 @@
 #include "almondridge/net/httpserver.h"
 
 #include "brokenanswers.h"
+#include "brokenheads.h"
 #include "oneanswerserver.h"
 
 #include <array>
@@ -129,6 +130,42 @@
     }
 }
 
+/** Guards against bytes that are taken for an answer though their head is none. */
+BOOST_AUTO_TEST_CASE(anAnswerWithABrokenHeadIsNone)
+{
+    for (const testing::RawHead &head : testing::brokenHeads()) {
+        const std::string bytes = head.bytes_ + std::string(testing::HeadsBody);
+        const testing::OneAnswerServer server(bytes, false);
+        server.allowEnd();
+        const auto captured = capture([&]() -> Result<std::string> {
+            BOOST_LEAF_AUTO(exchange, HttpExchange::connect(server.address(), soon()));
+            BOOST_LEAF_CHECK(exchange.send({}, soon()));
+            BOOST_LEAF_CHECK(exchange.readHead(soon()));
+            return exchange.readRest(soon(), 1'000);
+        });
+        BOOST_TEST(captured.index() == 1U, head.name_);
+        const testing::OneAnswerServer callServer(bytes, false);
+        callServer.allowEnd();
+        const auto called = capture([&] { return httpCall(callServer.address(), {}, soon()); });
+        BOOST_TEST(called.index() == 1U, "call: " << head.name_);
+    }
+}
+
+/** Guards against refusing what the published syntax allows. */
+BOOST_AUTO_TEST_CASE(anUnusualHeadIsValid)
+{
+    for (const testing::ValidHead &valid : testing::validHeads()) {
+        const testing::OneAnswerServer server(valid.head_.bytes_ + std::string(testing::HeadsBody),
+                                              false);
+        server.allowEnd();
+        auto exchange = HttpExchange::connect(server.address(), soon()).value();
+        exchange.send({}, soon()).value();
+        BOOST_TEST(exchange.readHead(soon()).value().status_ == valid.status_, valid.head_.name_);
+        BOOST_TEST(exchange.readRest(soon(), 1'000).value() == testing::HeadsBody,
+                   valid.head_.name_);
+    }
+}
+
 // Guards against a process that runs out of memory: a server sends an answer without end.
 BOOST_AUTO_TEST_CASE(anAnswerWithoutEndIsGivenUp)
 {
