--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -155,6 +155,10 @@
 
 void ModelCall::forwardEvents(std::string_view events)
 {
+    if (!headSent_ && !attempt_.responseInfo_.signed_) {
+        onStreamBroken(async::ExchangeFailure::Garbled, HealthSignal::Broken);
+        return;
+    }
     phase_ = ModelPhase::Streaming;
     reportExecutionStart(BootClock::now());
     if (!headSent_) {
