Heads and gathered answers belong to the account; floods of endpoints as tests

By reading, the account of a process's bytes didn't know the heads of answers, and not what is gathered of a store's, a peer's or a report's answer, up to 16 MB each. Both are counted now, once a head is reported and with each part (EndlessAnswerTests/whatIsGatheredIsInTheAccount).

--- a/libs/async/include/almondridge/async/parser.h
+++ b/libs/async/include/almondridge/async/parser.h
@@ -46,6 +46,9 @@
     net::Headers headers_;
 };
 
+/** Memory of a head. */
+std::size_t heldBytes(const ResponseHead &head);
+
 enum class ParseStatus {
     NeedMore,
     Done,
--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -64,17 +64,27 @@
 
 struct HttpClient::Exchange
 {
-    Exchange(ExchangeId id, ExchangeRequest request, ExchangeEvents events)
+    Exchange(MemoryAccount &memory, ExchangeId id, ExchangeRequest request, ExchangeEvents events)
         : id_(id)
         , request_(std::move(request))
         , events_(std::move(events))
         , parser_(request_.bodyless_)
+        , held_(memory)
     { }
 
+    /** Receivers of answers without a bound of their own count what they keep themselves. */
+    void countHeld()
+    {
+        const bool isGathered = request_.maxBodyBytes_ > 0;
+        held_.set(headBytes_ + (isGathered ? bodyBytes_ : 0));
+    }
+
     ExchangeId id_;
     ExchangeRequest request_;
     ExchangeEvents events_;
     ResponseParser parser_;
+    HeldBytes held_;
+    std::size_t headBytes_ = 0;
     std::shared_ptr<Connection> connection_ {};
     std::optional<net::BodyEnd> bodyEnd_ {}; ///< Once the head is reported.
     TimePoint keepUntil_ {};
@@ -96,7 +106,8 @@
 ExchangeId HttpClient::start(ExchangeRequest request, ExchangeEvents events)
 {
     const ExchangeId id = nextId_++;
-    auto exchange = std::make_shared<Exchange>(id, std::move(request), std::move(events));
+    auto exchange =
+        std::make_shared<Exchange>(loop_.memory(), id, std::move(request), std::move(events));
     exchanges_.emplace(id, exchange);
     if (!exchange->request_.fresh_) {
         exchange->connection_ = takeKept(exchange->request_.peer_);
@@ -336,6 +347,7 @@
             exchange->skipping_ = mustSkipResponse(*exchange);
             if (!exchange->skipping_) {
                 exchange->headReported_ = true;
+                exchange->headBytes_ = heldBytes(exchange->parser_.head());
                 exchange->bodyEnd_.emplace(exchange->parser_.head().headers_);
                 exchange->keepUntil_ =
                     keepUntil(exchange->parser_.head().headers_, BootClock::now());
@@ -362,6 +374,7 @@
         }
         std::string body = exchange->parser_.takeBody();
         exchange->bodyBytes_ += body.size();
+        exchange->countHeld();
         const std::size_t maxBytes = exchange->request_.maxBodyBytes_;
         if (maxBytes > 0 && exchange->bodyBytes_ > maxBytes) {
             fail(id, ExchangeFailure::Truncated);
--- a/libs/async/src/parser.cpp
+++ b/libs/async/src/parser.cpp
@@ -176,6 +176,11 @@
     return head.method_.capacity() + head.target_.capacity() + heldBytesOf(head.headers_);
 }
 
+std::size_t heldBytes(const ResponseHead &head)
+{
+    return head.reason_.capacity() + heldBytesOf(head.headers_);
+}
+
 struct RequestParser::State
 {
     Collector<true> collector_;
--- a/libs/async/tests/endlessanswertest.cpp
+++ b/libs/async/tests/endlessanswertest.cpp
@@ -104,4 +104,26 @@
     }
 }
 
+// Guards against answers that no account knows while they are gathered: a store, a peer or an
+// endpoint that sends much takes the memory that is left for clients.
+BOOST_AUTO_TEST_CASE(whatIsGatheredIsInTheAccount)
+{
+    EventLoop loop;
+    const std::string part(MaxBodyBytes / 2, 'a');
+    const RawServer server(loop, [&](const RawServer::Peer &peer, const std::string &) {
+        peer->write(Head + "Content-Length: " + std::to_string(MaxBodyBytes) + "\r\n\r\n" + part);
+    });
+    HttpClient client(loop);
+    ExchangeRequest request;
+    request.peer_ = "p";
+    request.address_ = server.address();
+    request.text_ = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.maxBodyBytes_ = MaxBodyBytes;
+    request.connectBy_ = BootClock::now() + millis(5'000);
+    const ExchangeId id = client.start(std::move(request), gatherAnswer([](const auto &) {}));
+    runUntil(loop, [&] { return loop.memory().held() >= part.size(); });
+    client.cancel(id);
+    runUntil(loop, [&] { return loop.memory().held() < part.size(); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -453,6 +453,8 @@
     if (attempt_.peer_) {
         if (!attempt_.responseInfo_.signed_) {
             attempt_.peerRefusal_ = readRefusal(head.headers_);
+    attempt_.headBytes_ = async::heldBytes(head);
+    countBuffered();
             attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
         }
         if (!attempt_.peerRefusal_) {
@@ -495,7 +497,8 @@
 
 void Call::countBuffered()
 {
-    attempt_.held_.set(attempt_.body_.capacity() + partialEventBytes() + unreadAnswerBytes());
+    attempt_.held_.set(attempt_.headBytes_ + attempt_.body_.capacity() + partialEventBytes()
+                       + unreadAnswerBytes());
 }
 
 void Call::limitBufferedAnswers()
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -111,6 +111,7 @@
         int urgency_ = 0;
         TimePoint sentAt_ {};
         async::ResponseHead head_;
+        std::size_t headBytes_ = 0; ///< Memory of head_.
         ResponseInfo responseInfo_;
         std::string body_;      ///< Of a response that isn't streamed to the caller.
         async::HeldBytes held_; ///< Of what is buffered of the response.
