A stop takes no request that can't be expected to end before the grace does

Report of other operators: requests that came late in the grace were passed on and cut with no answer. Here calls that were open at the end of the grace got their answer before; but with a grace of less than 3 s the intake alone took 2.5 s, so that calls ended after the kill, and whatever came within the intake was taken, however little time was left.

While the instance stops, a request whose time, by its route's objective, the mean time of generating and its caller's patience, doesn't fit is refused as not run with Retry-After; peers are told that this instance is busy.

--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -156,7 +156,11 @@
     const async::ClientCounters &clientCounters() const noexcept;
 
     /** Makes answers close their connections, so that callers reconnect to other instances. */
-    void beginDrain();
+    /**
+     * Calls end at callsEndAt: from now on requests are refused that can't be expected to end
+     * before, while it is true that they didn't run.
+     */
+    void beginDrain(TimePoint callsEndAt = TimePoint::max());
     /** From now on requests are refused, and connections end; see async::Intake::Closed. */
     void endIntake();
     /** Clients that met a limit of the server for callers and peers. */
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -221,8 +221,9 @@
     return state_->client_.counters();
 }
 
-void Gateway::beginDrain()
+void Gateway::beginDrain(TimePoint callsEndAt)
 {
+    state_->callsEndAt_ = std::min(state_->callsEndAt_, callsEndAt);
     state_->server_.beginDrain();
 }
 
@@ -655,11 +656,31 @@
     return watch->second.areSharesKnown(now) ? refusal : std::nullopt;
 }
 
+/** Until the end of the answer; at most as long as the caller waits. */
+Duration GatewayState::expectedTime(const Route &route, const RequestInfo &request) const
+{
+    std::int64_t expected = route.objectiveMillis_;
+    const bool isModelCall = route.kind_ == RouteKind::Streaming && request.prompt_.has_value();
+    for (const ServiceShare &share : route.services_) {
+        const auto costs = costs_.find(share.service_);
+        if (isModelCall && costs != costs_.end()) {
+            const auto generating =
+                static_cast<std::int64_t>(costs->second.generateMillis(route.name_));
+            expected = std::max(expected, route.objectiveMillis_ + generating);
+        }
+    }
+    return millis(std::min(expected, request.maxWaitMillis_.value_or(expected)));
+}
+
 void GatewayState::startCall(async::ServerCall request, const Route &route, AccessResult result,
                              const Credentials &credentials)
 {
     CallContext context;
     context.requestInfo_ = dialect_.parseRequest(request.head_);
+    if (BootClock::now() + expectedTime(route, context.requestInfo_) > callsEndAt_) {
+        server_.respond(request.id_, refusalOfStopping(request));
+        return;
+    }
     context.keys_.own_ =
         requestKey(settings_.keySecret_,
                    {net::headerValue(request.head_.headers_, "Host"), request.head_.method_,
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -46,6 +46,7 @@
      * so that each request must be asked for once.
      */
     std::optional<ShareRefusal> admitShare(const ShareRequest &request, TimePoint now);
+    Duration expectedTime(const Route &route, const RequestInfo &request) const;
     /** Creates and starts the call of an admitted request. */
     void startCall(async::ServerCall request, const Route &route, AccessResult result,
                    const Credentials &credentials);
@@ -126,6 +127,7 @@
     StreamOrigins origins_;
     Gateway::SendDatagrams sendDatagrams_;
     TrialClaims trialClaims_;
+    TimePoint callsEndAt_ = TimePoint::max(); ///< While this instance stops.
     bool quarantinesKnown_ = false;
     int peerCalls_ = 0; ///< Requests in progress that peers have forwarded.
     std::mt19937_64 random_;
--- a/tests/crowd/crowdtest.cpp
+++ b/tests/crowd/crowdtest.cpp
@@ -216,6 +216,21 @@
     BOOST_TEST(site.peakMb() <= site.limits().memoryMb_);
 }
 
+/** Guards against a request that ends without an answer because the grace is short. */
+BOOST_AUTO_TEST_CASE(aTakenRequestIsAnsweredBeforeTheEndOfAShortGrace)
+{
+    MachineLimits limits = machineLimits();
+    limits.graceSeconds_ = 2;
+    Site site(limits);
+    const Crowd waiting(site, {"waiting", requestHead(EndpointManner::Silent, "", "GET"), "", 0},
+                        5);
+    site.runFor(StayTime);
+    site.machine().signal(SIGTERM);
+    site.runFor(millis(1'000LL * limits.graceSeconds_));
+    site.machine().signal(SIGKILL);
+    BOOST_TEST(waiting.answered(502) == 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace almondridge::crowd
