After a pause, or with an old list, versions under ids that can restart are unknown

But where entries name start times, an instance that stood still, or was cut off, trusted the entry of a process that had been replaced under its id meanwhile, and joined the events of two versions.

Cause: an entry was doubted after a start and after a failed connection, and a process that stands still sees neither; what it handles first when it goes on may be a broken stream.

PauseWatch compares turns of the loop, and is asked before each placement. Entries without start times are not concerned: their processes have new ids, which the request names.

--- a/libs/gateway/include/almondridge/gateway/endpoints.h
+++ b/libs/gateway/include/almondridge/gateway/endpoints.h
@@ -233,10 +233,9 @@
      * there is matched by versionAt(), which this doubt leaves alone: engines in doubt could read
      * no prompts for others.
      */
-    SoftwareVersion streamVersionAt(const Endpoint &endpoint, TimePoint now) const
-    {
-        return endpoint.provenAsOf_ > listedAsOf_ ? SoftwareVersion() : endpoint.versionAt(now);
-    }
+    SoftwareVersion streamVersionAt(const Endpoint &endpoint, TimePoint now) const;
+    /** This process stood still until now: endpoints may have restarted under their ids. */
+    void onPause(TimePoint now);
     /** Limits that endpoints name in their answers. */
     RequestLimits &limits() noexcept { return limits_; }
     const RequestLimits &limits() const noexcept { return limits_; }
--- a/libs/gateway/include/almondridge/gateway/gateway.h
+++ b/libs/gateway/include/almondridge/gateway/gateway.h
@@ -156,6 +156,8 @@
     const async::ClientCounters &clientCounters() const noexcept;
 
     /** Makes answers close their connections, so that callers reconnect to other instances. */
+    /** Called several times a second, so that a pause of the process is noticed. */
+    void onTurn();
     /**
      * Calls end at callsEndAt: from now on requests are refused that can't be expected to end
      * before, while it is true that they didn't run.
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -324,9 +324,13 @@
     gateway_.onExecutionStarted_(account, startedAt);
 }
 
-/** A process that was frozen between two attempts may have missed a revocation. */
-bool Call::isKeyValid() const
+/**
+ * A process that was frozen between two attempts may have missed a revocation, and restarts of
+ * endpoints.
+ */
+bool Call::mayBeSent() const
 {
+    gateway_.noticePause();
     return isStillGranted(*gateway_.config_, context_.access_, gateway_.keyLease_,
                           BootClock::now());
 }
@@ -449,12 +453,12 @@
         attempt_.origin_ = takeOrigin(head.headers_).value_or(StreamOrigin {context_.service_, {}});
     }
     attempt_.head_ = head;
+    attempt_.headBytes_ = async::heldBytes(head);
+    countBuffered();
     attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
     if (attempt_.peer_) {
         if (!attempt_.responseInfo_.signed_) {
             attempt_.peerRefusal_ = readRefusal(head.headers_);
-    attempt_.headBytes_ = async::heldBytes(head);
-    countBuffered();
             attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
         }
         if (!attempt_.peerRefusal_) {
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -201,8 +201,8 @@
     leastLoadedEndpoint(const std::optional<SoftwareVersion> &version) const;
     /** Reports that an endpoint began to execute the request; only the first call has an effect. */
     void reportExecutionStart(TimePoint startedAt);
-    /** Whether the caller's key is still valid; checked before each attempt. */
-    bool isKeyValid() const;
+    /** Notices a pause, and whether the caller's key is still valid; asked before each attempt. */
+    bool mayBeSent() const;
     /** Whether another endpoint may be tried if the request didn't reach the last one. */
     bool canTryAnotherEndpoint() const;
     /** Takes a retry from the service's budget; false if the budget or the limit forbids it. */
--- a/libs/gateway/src/endpoints.cpp
+++ b/libs/gateway/src/endpoints.cpp
@@ -46,6 +46,11 @@
 /** Within this time after an endpoint is reached again, its entry shows whether it has restarted.
  */
 constexpr Duration EntryDelay = millis(3'000);
+/**
+ * A list that was confirmed longer ago may lack restarts that other instances know. In a calm fleet
+ * it is confirmed within three seconds.
+ */
+constexpr Duration MaxListAge = millis(4'000);
 
 /** Smoothing factor of an engine's measured speed. */
 constexpr double SpeedSmoothing = 0.1;
@@ -151,6 +156,23 @@
     return changed ? ListingChange::Changed : ListingChange::Unchanged;
 }
 
+SoftwareVersion EndpointTable::streamVersionAt(const Endpoint &endpoint, TimePoint now) const
+{
+    const bool canRestart = endpoint.listed_.startedAtMillis_ != 0;
+    const bool isListOld = listedAsOf_ != TimePoint {} && now > listedAsOf_ + MaxListAge;
+    const bool isInDoubt = endpoint.provenAsOf_ > listedAsOf_ || (canRestart && isListOld);
+    return isInDoubt ? SoftwareVersion() : endpoint.versionAt(now);
+}
+
+void EndpointTable::onPause(TimePoint now)
+{
+    for (auto &[id, endpoint] : endpoints_) {
+        if (endpoint.listed_.startedAtMillis_ != 0) {
+            endpoint.provenAsOf_ = now + EntryDelay;
+        }
+    }
+}
+
 bool EndpointTable::mayBeOutdated(const ListedEndpoint &listed) const
 {
     return ownStartMillis_ != 0 && listed.startedAtMillis_ != 0
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -221,6 +221,12 @@
     return state_->client_.counters();
 }
 
+void Gateway::onTurn()
+{
+    state_->noticePause();
+    state_->pauses_.onTurn(BootClock::now());
+}
+
 void Gateway::beginDrain(TimePoint callsEndAt)
 {
     state_->callsEndAt_ = std::min(state_->callsEndAt_, callsEndAt);
@@ -550,6 +556,15 @@
     return response;
 }
 
+void GatewayState::noticePause()
+{
+    const TimePoint now = BootClock::now();
+    if (const auto length = pauses_.notice(now)) {
+        logEvent(LogLevel::Warning, "paused", {{"for_ms", toMillis(*length)}});
+        table_.onPause(now);
+    }
+}
+
 void GatewayState::onCall(async::ServerCall request)
 {
     if (request.listener_ == async::Listener::Peers) {
--- a/libs/gateway/src/gatewaystate.h
+++ b/libs/gateway/src/gatewaystate.h
@@ -8,6 +8,7 @@
 #include "almondridge/gateway/access.h"
 #include "almondridge/gateway/endpointreach.h"
 #include "almondridge/gateway/gateway.h"
+#include "almondridge/gateway/pausewatch.h"
 #include "almondridge/gateway/placement.h"
 #include "almondridge/gateway/requestcosts.h"
 #include "almondridge/gateway/shareadmission.h"
@@ -39,6 +40,8 @@
     /** Finds the route and checks the key, then starts, queues or refuses the request. */
     void admit(async::ServerCall request, const Credentials &credentials);
     bool mayConfigBeStale(TimePoint now) const;
+    /** After a pause of this process, doubts what may have changed meanwhile. */
+    void noticePause();
     void refuseUnrouted(const async::ServerCall &request);
     std::vector<RequestKey> sharedPartKeys(const RequestInfo &request) const;
     /**
@@ -127,6 +130,7 @@
     StreamOrigins origins_;
     Gateway::SendDatagrams sendDatagrams_;
     TrialClaims trialClaims_;
+    PauseWatch pauses_;
     TimePoint callsEndAt_ = TimePoint::max(); ///< While this instance stops.
     bool quarantinesKnown_ = false;
     int peerCalls_ = 0; ///< Requests in progress that peers have forwarded.
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -38,7 +38,7 @@
 void ModelCall::place()
 {
     const TimePoint now = BootClock::now();
-    if (!isKeyValid()) {
+    if (!mayBeSent()) {
         giveUp(KeyRevokedCause);
         return;
     }
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -23,7 +23,7 @@
 void ModelCall::sendToDecode()
 {
     const TimePoint now = BootClock::now();
-    if (!isKeyValid()) {
+    if (!mayBeSent()) {
         giveUp(KeyRevokedCause);
         return;
     }
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -28,7 +28,7 @@
 
 void ServiceCall::sendNext()
 {
-    if (!isKeyValid()) {
+    if (!mayBeSent()) {
         endUnanswered(KeyRevokedCause);
         return;
     }
