--- a/tests/support/storewire.h
+++ b/tests/support/storewire.h
@@ -107,11 +107,10 @@
 {
     std::string text = "\"";
     for (const char byte : bytes) {
-        constexpr char FirstPrintable = ' ';
-        if (byte >= 0 && byte < FirstPrintable) {
+        const auto code = static_cast<unsigned char>(byte);
+        if (code < ' ') {
             constexpr std::string_view Digits = "0123456789abcdef";
-            const auto number = static_cast<std::size_t>(byte);
-            text += std::string("\\u00") + Digits[number / 16] + Digits[number % 16];
+            text += std::string("\\u00") + Digits[code / 16] + Digits[code % 16];
             continue;
         }
         if (byte == '"' || byte == '\\') {
