The position of a stream is what its caller has been handed

Cause: the splitter of events also kept the id of the last event that it had split. An answer without a signature was thrown away after that, and Last-Event-Id of the next attempt was taken from the splitter, as if its events had been delivered. A discard for another software version had the same order.

Ruled out: events in another order at the server (its record shows that it began where it was asked to), and a write to the caller that was lost.

Why it works: all events leave through StreamDelivery, and the position is its own; the splitter has none, so no other way to move it is left.

--- a/libs/gateway/src/eventsplitter.h
+++ b/libs/gateway/src/eventsplitter.h
@@ -1,6 +1,6 @@
 /**
- * Splits a stream of server-sent events into complete events, so that a stream that breaks in the
- * middle of an event can be resumed after the last complete one.
+ * Splits a stream of server-sent events into complete events, so that only whole ones are handed
+ * on. What was split counts for nothing: the position of a stream is StreamDelivery's.
  */
 #pragma once
 
@@ -16,8 +16,6 @@
 public:
     /** Adds bytes and returns all events that are complete now, unchanged. */
     std::string feed(std::string_view bytes);
-    /** The id of the last complete event that has one; empty if there is none. */
-    const std::string &lastEventId() const noexcept { return lastEventId_; }
     /** The incomplete event at the end of the bytes. */
     const std::string &partialEvent() const noexcept { return partialEvent_; }
     void discardPartialEvent();
@@ -25,7 +23,6 @@
 private:
     net::EventScanner scanner_;
     std::string partialEvent_;
-    std::string lastEventId_;
 };
 
 } // namespace almondridge::gateway
