What isn't accepted as an answer goes on with no stream, ends none and teaches nothing

Cause: an answer was judged at several places, and a stream that went on was judged at none of them: both checks of model calls asked for the signature only while the caller had got nothing. A table of deviations by place in a stream, through a peer too, showed the same for content codings, other types, another version without an event, events that begin again, unsigned successes other than 200 (also as the first answer), and empty answers, which ended the stream as complete. Load, limits, backoffs and shutdowns were learnt from the heads of all of these, the origin of a stream from a 404, and an endpoint could write the headers by which instances speak to each other.

Why it works: acceptAnswer() is the one decision, by a table of what each use demands, for first and later answers, endpoints and peers, before anything of the head is used. Only it makes an AcceptedAnswer, without which StreamDelivery can't begin, go on or end and nothing can be learnt; the raw head isn't kept. Between the head and the first events the list of endpoints may change, so the same decision is asked again then.

Tests: ports that refuse connections now stay taken (RefusingAddress).

--- a/libs/async/tests/loopsupport.h
+++ b/libs/async/tests/loopsupport.h
@@ -27,6 +27,20 @@
     BOOST_REQUIRE(condition());
 }
 
+/** Refuses connections. Its port stays taken, so that no other process begins to listen there. */
+class RefusingAddress
+{
+public:
+    explicit RefusingAddress(EventLoop &loop)
+        : socket_(loop.context(), {boost::asio::ip::make_address_v4("127.0.0.1"), 0})
+    { }
+
+    net::Address address() const { return {"127.0.0.1", socket_.local_endpoint().port()}; }
+
+private:
+    boost::asio::ip::tcp::socket socket_; ///< Bound, and not listening.
+};
+
 /** A server that passes each request to a function of the test. */
 class RawServer
 {
--- a/libs/gateway/include/almondridge/gateway/dialect.h
+++ b/libs/gateway/include/almondridge/gateway/dialect.h
@@ -73,7 +73,8 @@
     bool notRun_ = false; ///< The endpoint asserts that it didn't execute the request.
     /** The endpoint doesn't serve such requests, or isn't the one addressed; notRun_ is set too. */
     bool misdirected_ = false;
-    bool signed_ = false; ///< The response carries the endpoint's signature.
+    bool signed_ = false;  ///< The response carries the endpoint's signature.
+    bool encoded_ = false; ///< The body has a content coding, which no request asks for.
     std::optional<LoadSample> load_;
     /** The value of a load header that is invalid in whole or in part, cut; empty: none is. */
     std::string invalidLoad_;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -449,31 +449,56 @@
 
 void Call::onHead(async::ResponseHead &head)
 {
-    if (attempt_.peer_) {
-        attempt_.origin_ = takeOrigin(head.headers_).value_or(StreamOrigin {context_.service_, {}});
+    if (!attempt_.peer_) {
+        mayHaveArrived_ = true;
+        gateway_.reach_.onHeard();
+    }
+    auto decision = acceptAnswer(gateway_.dialect_, std::move(head), answerTerms());
+    if (const auto *defect = std::get_if<AnswerDefect>(&decision)) {
+        rejectAnswer(*defect);
+        return;
     }
-    attempt_.head_ = head;
-    attempt_.headBytes_ = async::heldBytes(head);
+    attempt_.answer_ = std::get<AcceptedAnswer>(std::move(decision));
+    attempt_.headBytes_ = async::heldBytes(answer().head());
     countBuffered();
-    attempt_.responseInfo_ = gateway_.dialect_.parseResponse(head);
     if (attempt_.peer_) {
-        if (!attempt_.responseInfo_.signed_) {
-            attempt_.peerRefusal_ = readRefusal(head.headers_);
-            attempt_.responseInfo_.notRun_ = attempt_.peerRefusal_.has_value();
-        }
-        if (!attempt_.peerRefusal_) {
+        attempt_.origin_ = answer().origin();
+        if (!answer().peerRefusal()) {
             gateway_.peers_.onAnswered(*attempt_.peer_);
         }
-    } else {
-        mayHaveArrived_ = true;
-        gateway_.reach_.onHeard();
-        if (!endpointRestarted()) {
-            onAnswerOfEndpoint();
-        }
+    } else if (!endpointRestarted()) {
+        onAnswerOfEndpoint();
     }
     onAttemptHead();
 }
 
+AnswerTerms Call::answerTerms() const
+{
+    AnswerTerms terms;
+    terms.use_ = answerUse();
+    terms.sender_ = attempt_.peer_ ? AnswerSender::Peer : AnswerSender::Endpoint;
+    terms.origin_ = attemptOrigin();
+    const bool goesOn = origin_ && terms.use_ != AnswerUse::PromptHandle;
+    terms.version_ = goesOn ? std::optional(origin_->version_) : std::nullopt;
+    return terms;
+}
+
+void Call::rejectAnswer(AnswerDefect defect)
+{
+    const std::string_view name = nameOf(AnswerDefectNames, defect);
+    endpointTrace_ += ':';
+    endpointTrace_ += name;
+    gateway_.metrics_.count("answers_rejected_total", observe::metricLabel("defect", name));
+    logEvent(LogLevel::Warning, "answer_rejected",
+             {{"id", requestInfo().requestId_},
+              {"endpoint", attempt_.endpoint_.value()},
+              {"through", attempt_.peer_.value_or(InstanceId()).value()},
+              {"defect", name}});
+    mayHaveArrived_ = true;
+    defect == AnswerDefect::OtherVersion ? onOtherVersion()
+                                         : onAttemptFailed(async::ExchangeFailure::Garbled);
+}
+
 void Call::onBody(std::string bytes)
 {
     if (!attempt_.peer_) {
@@ -587,6 +612,7 @@
         gateway_.budget(context_.service_).onForwarded();
     }
     attempt_.peer_ = peer->id_;
+    attempt_.origin_.service_ = context_.service_;
     attempt_.sentAt_ = now;
     DispatchOptions options;
     options.maxWaitMillis_ = remainingMillis();
@@ -607,7 +633,7 @@
 bool Call::onPeerRefused()
 {
     const TimePoint now = BootClock::now();
-    const PeerRefusal refusal = attempt_.peerRefusal_.value_or(PeerRefusal::Final);
+    const PeerRefusal refusal = answer().peerRefusal().value_or(PeerRefusal::Final);
     endpointTrace_ += ':';
     endpointTrace_ += nameOf(PeerRefusalNames, refusal);
     gateway_.metrics_.count("requests_forwarded_refused_total",
@@ -627,37 +653,37 @@
 void Call::onAnswerOfEndpoint()
 {
     const TimePoint now = BootClock::now();
-    if (attempt_.responseInfo_.load_) {
-        gateway_.table_.onLoad(attempt_.endpoint_, *attempt_.responseInfo_.load_, now);
+    if (answer().info().load_) {
+        gateway_.table_.onLoad(attempt_.endpoint_, *answer().info().load_, now);
     }
-    gateway_.traffic_.onAnswer(attempt_.endpoint_, attempt_.responseInfo_, now);
+    gateway_.traffic_.onAnswer(attempt_.endpoint_, answer(), now);
 }
 
 HealthSignal Call::refusalSignal() const
 {
-    if (attempt_.responseInfo_.misdirected_) {
+    if (answer().info().misdirected_) {
         return HealthSignal::Declined;
     }
-    if (!attempt_.responseInfo_.load_) {
+    if (!answer().info().load_) {
         return HealthSignal::Overloaded;
     }
-    const LoadSample &load = *attempt_.responseInfo_.load_;
+    const LoadSample &load = *answer().info().load_;
     const bool hasCapacity = load.waiting_ == 0 && 2 * load.running_ < load.slots_;
     return hasCapacity ? HealthSignal::Declined : HealthSignal::Overloaded;
 }
 
 void Call::logNotRun() const
 {
-    const LoadSample load = attempt_.responseInfo_.load_.value_or(LoadSample {});
+    const LoadSample load = answer().info().load_.value_or(LoadSample {});
     logEvent(LogLevel::Info, "not_run",
              {{"id", requestInfo().requestId_},
               {"endpoint", attempt_.endpoint_.value()},
-              {"status", attempt_.head_.status_},
+              {"status", answer().status()},
               {"running", load.running_},
               {"waiting", load.waiting_},
               {"slots", load.slots_},
               {"after_ms", toMillis(BootClock::now() - attempt_.sentAt_)},
-              {"backoff_ms", attempt_.responseInfo_.backoffMillis_.value_or(-1)},
+              {"backoff_ms", answer().info().backoffMillis_.value_or(-1)},
               {"taken_as", nameOf(HealthSignalNames, refusalSignal())},
               {"body", attempt_.body_.substr(0, 80)}});
 }
@@ -800,10 +826,12 @@
 
 void Call::forwardResponse()
 {
-    const int status = attempt_.head_.status_;
-    gateway_.server_.respond(
-        context_.request_.id_,
-        {status, gateway_.dialect_.callerHeaders(attempt_.head_.headers_), attempt_.body_});
+    const int status = answer().status();
+    net::Headers headers = gateway_.dialect_.callerHeaders(answer().head().headers_);
+    if (isFromPeer() && origin_) {
+        headers.push_back(originHeader(*origin_));
+    }
+    gateway_.server_.respond(context_.request_.id_, {status, std::move(headers), attempt_.body_});
     finish(Outcome::Answered, status, "");
 }
 
@@ -835,8 +863,8 @@
 /** The backoff concerns this instance: a caller that comes back may reach another one. */
 void Call::takeRetryAfter()
 {
-    if (attempt_.responseInfo_.backoffMillis_) {
-        retryAfterMillis_ = std::min(*attempt_.responseInfo_.backoffMillis_, MaxRetryAfterMillis);
+    if (answer().info().backoffMillis_) {
+        retryAfterMillis_ = std::min(*answer().info().backoffMillis_, MaxRetryAfterMillis);
     }
 }
 
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "acceptedanswer.h"
 #include "almondridge/gateway/requestkey.h"
 #include "almondridge/gateway/streamorigin.h"
 #include "gatewaystate.h"
@@ -104,17 +105,15 @@
         int number_ = 0;                ///< Of the request's attempts, from 1.
         EndpointId endpoint_;
         std::optional<InstanceId> peer_; ///< Sent to this instance instead of an endpoint.
-        std::optional<PeerRefusal> peerRefusal_;
-        std::uint64_t lifetime_ = 0; ///< The endpoint's lifetime when the request was sent.
+        std::uint64_t lifetime_ = 0;     ///< The endpoint's lifetime when the request was sent.
         StreamOrigin origin_; ///< Of what it streams: by its entry when sent, or as the peer tells.
         std::int64_t promptTokens_ = 0; ///< Counted as queued at the endpoint until prefilled.
         int urgency_ = 0;
         TimePoint sentAt_ {};
-        async::ResponseHead head_;
-        std::size_t headBytes_ = 0; ///< Memory of head_.
-        ResponseInfo responseInfo_;
-        std::string body_;      ///< Of a response that isn't streamed to the caller.
-        async::HeldBytes held_; ///< Of what is buffered of the response.
+        std::optional<AcceptedAnswer> answer_; ///< Before it, nothing of the body arrives here.
+        std::size_t headBytes_ = 0;            ///< Memory of the answer's head.
+        std::string body_;                     ///< Of a response that isn't streamed to the caller.
+        async::HeldBytes held_;                ///< Of what is buffered of the response.
     };
 
     /** Makes the first attempt. */
@@ -144,6 +143,14 @@
     bool sendToPeer(const std::string &resumeAfter);
     /** A peer refused the request. True if another one may take it. */
     bool onPeerRefused();
+    /** What the answer to the attempt is for. */
+    virtual AnswerUse answerUse() const { return AnswerUse::Whole; }
+    /** What is asked of it now; the list of endpoints may change until its body arrives. */
+    AnswerTerms answerTerms() const;
+    /** Valid once it was accepted: in onAttemptHead(), and from then on. */
+    const AcceptedAnswer &answer() const { return *attempt_.answer_; }
+    /** The attempt brought no answer that may be used. */
+    void rejectAnswer(AnswerDefect defect);
     virtual void onAttemptHead() { }
     virtual void onAttemptBody(std::string bytes) { bufferAnswer(bytes); }
     void bufferAnswer(std::string_view bytes);
@@ -156,6 +163,8 @@
     void limitBufferedAnswers();
     virtual void onAttemptEnd() = 0;
     virtual void onAttemptFailed(async::ExchangeFailure failure) = 0;
+    /** What answered isn't surely of the version that began the stream. */
+    virtual void onOtherVersion() { onAttemptFailed(async::ExchangeFailure::Garbled); }
     /** The timer of startAttemptTimer() has fired. */
     virtual void onAttemptTimeout() = 0;
     /** The deadline of the request has passed. */
--- a/libs/gateway/src/endpointtraffic.cpp
+++ b/libs/gateway/src/endpointtraffic.cpp
@@ -58,8 +58,9 @@
     }
 }
 
-void EndpointTraffic::onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now)
+void EndpointTraffic::onAnswer(const EndpointId &id, const AcceptedAnswer &answer, TimePoint now)
 {
+    const ResponseInfo &response = answer.info();
     if (!response.invalidLoad_.empty()) {
         onInvalidLoad(id, response.invalidLoad_, now);
     }
@@ -143,8 +144,10 @@
     events.onHead_ = [this, id, lifetime = asked != nullptr ? asked->lifetime_ : 0,
                       onHead = std::move(events.onHead_)](async::ResponseHead &head) {
         const Endpoint *endpoint = std::as_const(table_).find(id);
-        if (endpoint != nullptr && endpoint->lifetime_ == lifetime) {
-            onAnswer(id, dialect_.parseResponse(head), BootClock::now());
+        const auto decision = acceptAnswer(dialect_, head, {AnswerUse::OwnRequest});
+        const auto *answer = std::get_if<AcceptedAnswer>(&decision);
+        if (answer != nullptr && endpoint != nullptr && endpoint->lifetime_ == lifetime) {
+            onAnswer(id, *answer, BootClock::now());
         }
         onHead(head);
     };
--- a/libs/gateway/src/endpointtraffic.h
+++ b/libs/gateway/src/endpointtraffic.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "acceptedanswer.h"
 #include "almondridge/async/httpclient.h"
 #include "almondridge/base/logratelimiter.h"
 #include "almondridge/gateway/dialect.h"
@@ -24,7 +25,7 @@
      */
     bool admit(const EndpointId &id, RequestPath path, TimePoint now);
     void onSent(const EndpointId &id, RequestPath path, TimePoint now);
-    void onAnswer(const EndpointId &id, const ResponseInfo &response, TimePoint now);
+    void onAnswer(const EndpointId &id, const AcceptedAnswer &answer, TimePoint now);
     /** Events that also report the head of the answer here. */
     async::ExchangeEvents observed(const EndpointId &id, async::ExchangeEvents events);
 
--- a/libs/gateway/src/modelcall.cpp
+++ b/libs/gateway/src/modelcall.cpp
@@ -310,7 +310,7 @@
         onPrefillEnd();
         return;
     }
-    if (attempt_.responseInfo_.notRun_) {
+    if (answer().isNotRun()) {
         --runs_;
         onNotRun();
         return;
@@ -321,7 +321,7 @@
         return;
     }
     const HealthSignal evidence =
-        attempt_.head_.status_ >= 500 ? HealthSignal::ServerError : HealthSignal::Healthy;
+        answer().status() >= 500 ? HealthSignal::ServerError : HealthSignal::Healthy;
     if (evidence == HealthSignal::ServerError && acquireRerun()) {
         excludeEndpoint(evidence);
         sendResume();
@@ -337,13 +337,12 @@
 
 void ModelCall::onPrefillEnd()
 {
-    const std::string handle = attempt_.head_.status_ == 200
+    const std::string handle = answer().status() == 200
                                    ? gateway_.dialect_.parsePromptHandle(attempt_.body_)
                                    : std::string();
     if (handle.empty()) {
         takeRetryAfter();
-        attempt_.responseInfo_.notRun_ ? onPrefillRefused()
-                                       : onPrefillFailed(HealthSignal::ServerError);
+        answer().isNotRun() ? onPrefillRefused() : onPrefillFailed(HealthSignal::ServerError);
         return;
     }
     const Endpoint *engine = gateway_.table_.find(attempt_.endpoint_);
--- a/libs/gateway/src/modelcall.h
+++ b/libs/gateway/src/modelcall.h
@@ -55,6 +55,7 @@
     bool hasPrefillEngineRestarted() const;
     void onStreamStalled();
     bool canRetryLater() const;
+    AnswerUse answerUse() const override;
     void onAttemptHead() override;
     void onAttemptBody(std::string bytes) override;
     std::size_t partialEventBytes() const noexcept override
@@ -86,9 +87,12 @@
     bool hasShare(const PromptPlan &plan, TimePoint now);
     void logShareRefusal(const ShareRequest &request, const ShareRefusal &refusal, TimePoint now);
     void forwardEvents(std::string_view events);
-    /** Whether the attempt's events fit those that the caller already has. */
-    bool fitsStream() const;
-    void onOtherVersion();
+    /**
+     * Asks again, before the attempt's first events are handed on or it ends the stream, whether
+     * they fit what the caller has. False: the answer was rejected.
+     */
+    bool fitsStream(std::string_view events);
+    void onOtherVersion() override;
     void beginStream();
     void logContinued();
     void giveUp(std::string_view cause);
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -17,7 +17,18 @@
 
 bool ModelCall::isStream() const
 {
-    return attempt_.head_.status_ == 200;
+    return answer().status() == 200;
+}
+
+AnswerUse ModelCall::answerUse() const
+{
+    if (phase_ == ModelPhase::Prefilling) {
+        return AnswerUse::PromptHandle;
+    }
+    if (hasBegunAnswer()) {
+        return AnswerUse::GoOnStream;
+    }
+    return requestInfo().lastEventId_.empty() ? AnswerUse::Stream : AnswerUse::ResumeStream;
 }
 
 void ModelCall::sendToDecode()
@@ -111,7 +122,7 @@
     if (phase_ != ModelPhase::Waiting) {
         return;
     }
-    if (!attempt_.responseInfo_.misdirected_) {
+    if (!answer().info().misdirected_) {
         // The engine accepted the request, and a handle can be fetched only once.
         handle_.reset();
     }
@@ -128,16 +139,27 @@
     }
     const std::string complete = events_.feed(bytes);
     if (!complete.empty()) {
-        fitsStream() ? forwardEvents(complete) : onOtherVersion();
+        if (fitsStream(complete)) {
+            forwardEvents(complete);
+        }
         return;
     }
     limitBufferedAnswers();
 }
 
-bool ModelCall::fitsStream() const
+bool ModelCall::fitsStream(std::string_view events)
 {
-    return !origin_ || eventsFrom_.attempt_ == attempt_.number_
-           || isSameVersion(attemptOrigin().version_, origin_->version_);
+    if (eventsFrom_.attempt_ == attempt_.number_) {
+        return true;
+    }
+    std::optional<AnswerDefect> defect = answer().defectUnder(answerTerms());
+    if (!defect && !delivery_.isFollowedBy(events)) {
+        defect = AnswerDefect::OtherPlace;
+    }
+    if (defect) {
+        rejectAnswer(*defect);
+    }
+    return !defect;
 }
 
 /** The endpoint was replaced after its entry was read. */
@@ -150,15 +172,16 @@
               {"began_version", origin_->version_.value()}});
     mayHaveRun_ = true;
     excludeEndpoint(std::nullopt);
-    acquireRerun() ? sendResume() : giveUp("version-differs");
+    if (!acquireRerun()) {
+        giveUp("version-differs");
+        return;
+    }
+    releaseEndpointState(); // The handle isn't used again, as it may have been fetched.
+    sendResume();
 }
 
 void ModelCall::forwardEvents(std::string_view events)
 {
-    if (!hasBegunAnswer() && !attempt_.responseInfo_.signed_) {
-        onStreamBroken(async::ExchangeFailure::Garbled, HealthSignal::Broken);
-        return;
-    }
     phase_ = ModelPhase::Streaming;
     reportExecutionStart(BootClock::now());
     if (!hasBegunAnswer()) {
@@ -167,7 +190,7 @@
         beginStream();
     }
     logContinued();
-    delivery_.handOn(events);
+    delivery_.handOn(answer(), events);
     if (gateway_.server_.unwritten(context_.request_.id_) > gateway_.maxUnwrittenBytes()
         && !paused_) {
         paused_ = true;
@@ -185,11 +208,11 @@
     if (!origin_) {
         onStreamBegun(attemptOrigin());
     }
-    net::Headers headers = gateway_.dialect_.callerHeaders(attempt_.head_.headers_);
+    net::Headers headers = gateway_.dialect_.callerHeaders(answer().head().headers_);
     if (isFromPeer()) {
         headers.push_back(originHeader(*origin_));
     }
-    delivery_.begin({attempt_.head_.status_, attempt_.head_.reason_, std::move(headers)});
+    delivery_.begin(answer(), std::move(headers));
 }
 
 /** Logs which endpoint goes on with a stream of this answer or of an earlier one. */
@@ -238,8 +261,7 @@
     takeRetryAfter();
     logNotRun();
     const HealthSignal evidence = refusalSignal();
-    if (fetchesPrompt_ && !attempt_.responseInfo_.misdirected_
-        && evidence == HealthSignal::Declined) {
+    if (fetchesPrompt_ && !answer().info().misdirected_ && evidence == HealthSignal::Declined) {
         // The engine has capacity, so the prompt had expired or couldn't be transferred in time.
         // When only this engine was blamed, healthy engines were excluded for expired handles of
         // others.
@@ -268,21 +290,17 @@
 
 void ModelCall::onStreamEnd()
 {
-    if (!attempt_.responseInfo_.signed_ && !hasBegunAnswer()) {
-        onStreamBroken(async::ExchangeFailure::Garbled, HealthSignal::Broken);
-        return;
-    }
     const std::string rest = events_.partialEvent();
     // Without a content type, an answer on a streaming route is taken for events.
-    const bool isOtherType = !net::headerValue(attempt_.head_.headers_, "Content-Type").empty()
-                             && !net::isEventStream(attempt_.head_.headers_);
+    const net::Headers &headers = answer().head().headers_;
+    const bool isOtherType =
+        !net::headerValue(headers, "Content-Type").empty() && !net::isEventStream(headers);
     if (!rest.empty() && !isOtherType) {
         checkForCrash();
         onStreamBroken(async::ExchangeFailure::Truncated, HealthSignal::Broken);
         return;
     }
-    if (!rest.empty() && !fitsStream()) {
-        onOtherVersion();
+    if (!fitsStream(rest)) {
         return;
     }
     if (!hasBegunAnswer() || !rest.empty()) {
@@ -293,7 +311,7 @@
                             static_cast<double>(toMillis(BootClock::now() - firstByteAt_)));
     }
     closeAttempt(HealthSignal::Healthy);
-    delivery_.end();
+    delivery_.end(answer());
     finish(Outcome::Answered, 200, "");
 }
 
@@ -304,7 +322,7 @@
                  {{"id", requestInfo().requestId_},
                   {"endpoint", attempt_.endpoint_.value()},
                   {"bytes", events_.partialEvent().size()},
-                  {"content_type", net::headerValue(attempt_.head_.headers_, "Content-Type")}});
+                  {"content_type", net::headerValue(answer().head().headers_, "Content-Type")}});
     }
 }
 
--- a/libs/gateway/src/peerrequest.cpp
+++ b/libs/gateway/src/peerrequest.cpp
@@ -58,9 +58,11 @@
     return {std::string(RefusalHeader), std::string(nameOf(PeerRefusalNames, refusal))};
 }
 
-std::optional<PeerRefusal> readRefusal(const net::Headers &headers)
+PeerAnswerInfo takePeerAnswerInfo(net::Headers &headers)
 {
-    return valueOf(PeerRefusalNames, net::headerValue(headers, RefusalHeader));
+    const auto refusal = valueOf(PeerRefusalNames, net::headerValue(headers, RefusalHeader));
+    removeHeader(headers, RefusalHeader);
+    return {takeOrigin(headers), refusal};
 }
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/peerrequest.h
+++ b/libs/gateway/src/peerrequest.h
@@ -44,6 +44,18 @@
 std::optional<StreamOrigin> takeOrigin(net::Headers &headers);
 
 net::Header refusalHeader(PeerRefusal refusal);
-std::optional<PeerRefusal> readRefusal(const net::Headers &headers);
+
+/** What an instance adds to an answer for the instance that forwarded the request. */
+struct PeerAnswerInfo
+{
+    std::optional<StreamOrigin> origin_ {};
+    std::optional<PeerRefusal> refusal_ {};
+};
+
+/**
+ * Removes it from the headers, also from those of an endpoint's answer, which must not speak to
+ * another instance as if this one did.
+ */
+PeerAnswerInfo takePeerAnswerInfo(net::Headers &headers);
 
 } // namespace almondridge::gateway
--- a/libs/gateway/src/servicecall.cpp
+++ b/libs/gateway/src/servicecall.cpp
@@ -5,6 +5,7 @@
 
 /** An attempt times out after this many times the route's latency objective. */
 constexpr int TimeoutObjectives = 2;
+constexpr int FirstNotSuccess = 300;
 
 class ServiceCall final : public Call
 {
@@ -81,9 +82,8 @@
 
 void ServiceCall::onAttemptEnd()
 {
-    const int status = attempt_.head_.status_;
-    const ResponseInfo &response = attempt_.responseInfo_;
-    if (response.notRun_) {
+    const int status = answer().status();
+    if (answer().isNotRun()) {
         --runs_;
         if (attempt_.peer_) {
             onPeerRefused() ? sendNext() : giveUp();
@@ -96,17 +96,12 @@
     }
     mayHaveRun_ = true;
     reportExecutionStart(attempt_.sentAt_);
-    if (status < 300 && !response.signed_) {
-        // Without the endpoint's signature this may be the response to another caller's request.
-        onAttemptFailed(async::ExchangeFailure::Garbled);
-        return;
-    }
     if (status >= 500) {
         excludeEndpoint(HealthSignal::ServerError);
         acquireRerun() ? sendNext() : forwardResponse();
         return;
     }
-    if (route().kind_ == RouteKind::Streaming && !origin_) {
+    if (route().kind_ == RouteKind::Streaming && status < FirstNotSuccess && !origin_) {
         onStreamBegun(attemptOrigin());
     }
     closeAttempt(HealthSignal::Healthy);
--- a/libs/gateway/src/streamdelivery.cpp
+++ b/libs/gateway/src/streamdelivery.cpp
@@ -1,5 +1,8 @@
 #include "streamdelivery.h"
 
+#include <charconv>
+#include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace almondridge::gateway {
@@ -7,8 +10,10 @@
 
 constexpr std::string_view IdField = "id:";
 
-/** The value of the last id field in whole events; empty if there is none. */
-std::string_view findLastId(std::string_view events)
+enum class WhichId { First, Last };
+
+/** The value of an id field in whole events; empty if there is none. */
+std::string_view findId(std::string_view events, WhichId which)
 {
     std::string_view id;
     while (!events.empty()) {
@@ -23,10 +28,22 @@
             line.remove_prefix(1);
         }
         id = line;
+        if (which == WhichId::First) {
+            break;
+        }
     }
     return id;
 }
 
+/** Ids increase in a stream; nullopt: this one isn't a number. */
+std::optional<std::uint64_t> numberOf(std::string_view id)
+{
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(id.data(), id.data() + id.size(), number);
+    const bool isWhole = failure == std::errc {} && end == id.data() + id.size();
+    return isWhole ? std::optional(number) : std::nullopt;
+}
+
 } // namespace
 
 StreamDelivery::StreamDelivery(async::HttpServer &server, async::CallId call,
@@ -36,22 +53,29 @@
     , position_(std::move(lastEventId))
 { }
 
-void StreamDelivery::begin(const async::ResponseHead &head)
+bool StreamDelivery::isFollowedBy(std::string_view events) const
+{
+    const auto last = numberOf(position_);
+    const auto next = numberOf(findId(events, WhichId::First));
+    return !last || !next || *next > *last;
+}
+
+void StreamDelivery::begin(const AcceptedAnswer &answer, net::Headers headers)
 {
     hasBegun_ = true;
-    server_.beginStream(call_, head);
+    server_.beginStream(call_, {answer.status(), answer.head().reason_, std::move(headers)});
 }
 
-void StreamDelivery::handOn(std::string_view events)
+void StreamDelivery::handOn(const AcceptedAnswer & /*answer*/, std::string_view events)
 {
-    const std::string_view id = findLastId(events);
+    const std::string_view id = findId(events, WhichId::Last);
     if (!id.empty()) {
         position_ = id;
     }
     server_.streamBytes(call_, events);
 }
 
-void StreamDelivery::end()
+void StreamDelivery::end(const AcceptedAnswer & /*answer*/)
 {
     server_.endStream(call_);
 }
--- a/libs/net/include/almondridge/net/answerhead.h
+++ b/libs/net/include/almondridge/net/answerhead.h
@@ -42,4 +42,7 @@
 /** nullopt: the head is valid. */
 std::optional<HeadDefect> defectOf(const AnswerHead &head);
 
+/** Whether the body has a content coding. No client here asks for one. */
+bool isEncoded(const Headers &headers);
+
 } // namespace almondridge::net
--- a/libs/net/src/answerhead.cpp
+++ b/libs/net/src/answerhead.cpp
@@ -87,4 +87,12 @@
     return hasOneRequestId(head.headers_) ? std::nullopt : std::optional(HeadDefect::RequestId);
 }
 
+bool isEncoded(const Headers &headers)
+{
+    return std::any_of(headers.begin(), headers.end(), [](const Header &header) {
+        return equalWithoutCase(header.name_, "Content-Encoding") && !header.value_.empty()
+               && !equalWithoutCase(header.value_, "identity");
+    });
+}
+
 } // namespace almondridge::net
