A status that promises "not run" goes out only if the request hasn't run

Cause: the call knew that the request may have run, and passed the endpoint's status on as it stood. The same held for 408 and 429, with a signature and without, through a peer, and for streams that can't be resumed.

Why it works: all statuses of calls go out by forwardResponse() and refuse(), and both ask whether the request may have run and whether anybody may repeat it. What goes out instead is the instance's own 502 with nothing of the answer's. Requests that may be repeated get the status unchanged, as before.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -43,6 +43,15 @@
 constexpr int FirstNotSuccess = 300;
 constexpr int FirstServerError = 500;
 constexpr std::string_view QuarantinedCause = "quarantined";
+/** An endpoint, or a peer, answered as if it hadn't run the request, and didn't state so. */
+constexpr std::string_view UnprovenRefusalCause = "unproven-refusal";
+
+/** Callers send a request that can't be repeated once more after one of these statuses. */
+bool isPromiseOfNotRun(int status)
+{
+    constexpr std::array<int, 4> Promises {408, 421, 429, 503};
+    return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
+}
 
 RequestPath pathOf(const DispatchOptions &options)
 {
@@ -827,6 +836,11 @@
 void Call::forwardResponse()
 {
     const int status = answer().status();
+    if (isPromiseOfNotRun(status) && !mayPromiseNotRun()) {
+        endpointTrace_ += ':' + std::to_string(status);
+        failCall(502, UnprovenRefusalCause);
+        return;
+    }
     net::Headers headers = gateway_.dialect_.callerHeaders(answer().head().headers_);
     if (isFromPeer() && origin_) {
         headers.push_back(originHeader(*origin_));
@@ -835,8 +849,17 @@
     finish(Outcome::Answered, status, "");
 }
 
+bool Call::mayPromiseNotRun() const
+{
+    return route().idempotent() || (!mayHaveRun_ && runs_ == 0);
+}
+
 void Call::refuse(std::string_view cause)
 {
+    if (!mayPromiseNotRun()) {
+        failCall(502, cause);
+        return;
+    }
     // No Retry-After for what every instance would refuse, too.
     const bool isVersionGone = cause == VersionGoneCause && !mayBeListedElsewhere();
     const bool isNotNamed = cause == VersionUnknownCause && requestInfo().resumes_.empty();
--- a/libs/gateway/src/call.h
+++ b/libs/gateway/src/call.h
@@ -219,9 +219,15 @@
     /** The same after an attempt that may have been executed: the route must allow a repetition. */
     bool acquireRerun();
 
-    /** Forwards the attempt's response to the caller. */
+    /**
+     * Forwards the attempt's response to the caller, unless its status would promise that a request
+     * hasn't run which nobody may repeat and which may have run.
+     */
     void forwardResponse();
-    /** Ends a request that wasn't executed: 503, with Retry-After unless it is quarantined. */
+    /**
+     * Ends a request that wasn't executed: 503, with Retry-After unless it is quarantined. One that
+     * may have been executed and that nobody may repeat fails instead.
+     */
     void refuse(std::string_view cause);
     /** Ends a request that may have been executed, with 502, or 504 at the deadline. */
     void failCall(int status, std::string_view cause);
@@ -270,6 +276,8 @@
     std::string versionTrace_;  ///< Versions of these endpoints.
 
 private:
+    /** Whether the caller may be told that the request hasn't run and never will. */
+    bool mayPromiseNotRun() const;
     void logBroken() const;
     /** The keys for which an answer with that status shows that they crash no endpoint. */
     RequestKeys answeredKeys(int status) const;
