--- a/libs/async/src/httpclient.cpp
+++ b/libs/async/src/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "almondridge/async/httpclient.h"
 
 #include "almondridge/base/log.h"
+#include "almondridge/net/answerhead.h"
 #include "almondridge/net/bodyend.h"
 
 #include <algorithm>
@@ -52,7 +53,13 @@
 {
     const auto result = std::make_shared<ExchangeResult>();
     ExchangeEvents events;
-    events.onHead_ = [result](const ResponseHead &head) { result->status_ = head.status_; };
+    events.onHead_ = [result](const ResponseHead &head) {
+        result->status_ = head.status_;
+        // Nothing here asks for a coding, so that the body isn't what was asked for.
+        if (net::isEncoded(head.headers_)) {
+            result->failure_ = ExchangeFailure::Garbled;
+        }
+    };
     events.onBody_ = [result](const std::string &bytes) { result->body_ += bytes; };
     events.onEnd_ = [result, done] { done(*result); };
     events.onFailed_ = [result, done = std::move(done)](ExchangeFailure failure) {
