Soak: answers that are spoilt at all endpoints, and statuses that promise falsely

Two new faults of the soak's endpoints: answers without a signature that aren't the endpoint's own (streams that go on get another stream's event, or none; streams that begin break off so that others go on), and 408, 429 or 503 without X-Not-Executed to a request that has run. The first also comes to all endpoints at once.

--- a/soak/endpointstandin.cpp
+++ b/soak/endpointstandin.cpp
@@ -3,6 +3,7 @@
 #include "later.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -357,9 +358,35 @@
         respond(call.id_, {500, signedHeaders(requestId), "failed\n"});
         return;
     }
+    if (fault_ == EndpointFault::FalseNotRun && strikes()) {
+        constexpr std::array<int, 3> Statuses {408, 429, 503};
+        const bool isSigned = random_() % 2 == 0;
+        respond(call.id_, {Statuses.at(random_() % Statuses.size()),
+                           isSigned ? signedHeaders(requestId) : net::Headers {}, "not now\n"});
+        return;
+    }
+    if (fault_ == EndpointFault::Spoils && strikes() && spoil(call, requestId)) {
+        return;
+    }
     stage_.empty() ? runService(call, requestId) : beginStream(call, requestId);
 }
 
+/** False: a stream that begins, which breaks off, so that another endpoint goes on with it. */
+bool EndpointStandIn::spoil(const async::ServerCall &call, const std::string &requestId)
+{
+    const bool begins = net::headerValue(call.head_.headers_, "Last-Event-Id").empty();
+    if (stage_.empty()) {
+        respond(call.id_, {200, {{"X-Request-Id", requestId}}, "another's answer\n"});
+    } else if (!begins) {
+        const bool hasEvents = random_() % 2 == 0;
+        respond(call.id_,
+                {200,
+                 {{"X-Request-Id", requestId}, {"Content-Type", "text/event-stream"}},
+                 hasEvents ? streamEvent("another stream", EventsOfAStream, version_) : ""});
+    }
+    return stage_.empty() || !begins;
+}
+
 void EndpointStandIn::runService(const async::ServerCall &call, const std::string &requestId)
 {
     const bool garbled = fault_ == EndpointFault::Garble && strikes();
@@ -404,7 +431,8 @@
         return;
     }
     Stream &stream = found->second;
-    const bool breaks = fault_ == EndpointFault::Garble && stream.next_ == EventsOfAStream / 2;
+    const bool mayBreak = fault_ == EndpointFault::Garble || fault_ == EndpointFault::Spoils;
+    const bool breaks = mayBreak && stream.next_ == EventsOfAStream / 2;
     const std::string event = streamEvent(stream.name_, stream.next_, version_);
     if (breaks && strikes()) {
         // In the middle of an event, as a crash would.
--- a/soak/endpointstandin.h
+++ b/soak/endpointstandin.h
@@ -15,15 +15,17 @@
 
 namespace almondridge::soak {
 
-enum class EndpointFault { None, Errors, Hang, ResetAfterRun, Garble, Sheds };
+enum class EndpointFault { None, Errors, Hang, ResetAfterRun, Garble, Sheds, Spoils, FalseNotRun };
 
-inline constexpr std::array<EnumName<EndpointFault>, 6> EndpointFaultNames {{
+inline constexpr std::array<EnumName<EndpointFault>, 8> EndpointFaultNames {{
     {EndpointFault::None, "none"},
     {EndpointFault::Errors, "errors"},
     {EndpointFault::Hang, "hang"},
     {EndpointFault::ResetAfterRun, "reset-after-run"},
     {EndpointFault::Garble, "garble"},
     {EndpointFault::Sheds, "sheds"},
+    {EndpointFault::Spoils, "spoils"}, // Answers that aren't signed, and aren't its own.
+    {EndpointFault::FalseNotRun, "false-not-run"}, // Statuses that promise what isn't so.
 }};
 
 /** The whole answer of a service to a request. */
@@ -88,6 +90,7 @@
     void onCall(const async::ServerCall &call);
     void onWork(const async::ServerCall &call);
     void onOrder(const async::ServerCall &call);
+    bool spoil(const async::ServerCall &call, const std::string &requestId);
     void runService(const async::ServerCall &call, const std::string &requestId);
     void prefill(const async::ServerCall &call);
     void beginStream(const async::ServerCall &call, const std::string &requestId);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -71,7 +71,7 @@
         void (Soak::*strike_)();
         bool planned_; ///< Operators do it: every promise holds meanwhile, with its bound.
     };
-    static const std::array<FaultKind, 17> FaultKinds;
+    static const std::array<FaultKind, 18> FaultKinds;
 
     void startEndpoints();
     void writeConfig();
@@ -95,6 +95,7 @@
     void breakStore();
     void cutStoreLink();
     void breakEndpoint();
+    void spoilAnswers();
     void cutEndpointLink();
     void replaceEndpoint();
     void limitEndpoint();
@@ -155,7 +156,7 @@
     std::uint64_t servedBeforeEnd_ = 0;
 };
 
-const std::array<Soak::FaultKind, 17> Soak::FaultKinds {{
+const std::array<Soak::FaultKind, 18> Soak::FaultKinds {{
     {"kill one", &Soak::killOne, false},
     {"kill most", &Soak::killMost, false},
     {"kill all", &Soak::killAll, false},
@@ -165,6 +166,7 @@
     {"store fault", &Soak::breakStore, false},
     {"store link", &Soak::cutStoreLink, false},
     {"endpoint fault", &Soak::breakEndpoint, false},
+    {"answers spoilt", &Soak::spoilAnswers, false},
     {"endpoint link", &Soak::cutEndpointLink, false},
     {"endpoint replaced", &Soak::replaceEndpoint, true},
     {"history dropped", &Soak::dropHistory, true},
@@ -561,6 +563,19 @@
     later(loop_, length, [&endpoint] { endpoint.setFault(EndpointFault::None); });
 }
 
+/** At all endpoints at once, so that streams go on where answers are spoilt, too. */
+void Soak::spoilAnswers()
+{
+    const Duration length = span(500, 3'000);
+    disturbed(length);
+    for (EndpointStandIn &endpoint : endpoints_) {
+        if (!endpoint.draining() && !endpoint.crashed()) {
+            endpoint.setFault(EndpointFault::Spoils);
+            later(loop_, length, [&endpoint] { endpoint.setFault(EndpointFault::None); });
+        }
+    }
+}
+
 void Soak::cutEndpointLink()
 {
     const Duration length = span(500, 4'000);
