--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -567,10 +567,12 @@
 void Soak::spoilAnswers()
 {
     const Duration length = span(500, 3'000);
+    const EndpointFault fault =
+        random_() % 2 == 0 ? EndpointFault::Spoils : EndpointFault::FalseNotRun;
     disturbed(length);
     for (EndpointStandIn &endpoint : endpoints_) {
         if (!endpoint.draining() && !endpoint.crashed()) {
-            endpoint.setFault(EndpointFault::Spoils);
+            endpoint.setFault(fault);
             later(loop_, length, [&endpoint] { endpoint.setFault(EndpointFault::None); });
         }
     }
