--- a/libs/gateway/src/acceptedanswer.cpp
+++ b/libs/gateway/src/acceptedanswer.cpp
@@ -38,6 +38,11 @@
                          [use](const Demands &row) { return row.use_ == use; });
 }
 
+bool mayHoldEvents(const net::Headers &headers)
+{
+    return net::headerValue(headers, "Content-Type").empty() || net::isEventStream(headers);
+}
+
 std::optional<AnswerDefect> defectOf(const async::ResponseHead &head, const ResponseInfo &info,
                                      const StreamOrigin &origin, const AnswerTerms &terms)
 {
@@ -54,10 +59,7 @@
     if (demands.onlyOk_ && head.status_ != Ok) {
         return AnswerDefect::OtherStatus;
     }
-    // Without a content type, an answer on a streaming route is taken for events.
-    const bool isOtherType = !net::headerValue(head.headers_, "Content-Type").empty()
-                             && !net::isEventStream(head.headers_);
-    if (demands.goesOnWithStream_ && head.status_ == Ok && isOtherType) {
+    if (demands.goesOnWithStream_ && head.status_ == Ok && !mayHoldEvents(head.headers_)) {
         return AnswerDefect::OtherType;
     }
     const bool isOtherVersion = terms.version_ && !isSameVersion(origin.version_, *terms.version_);
@@ -81,6 +83,11 @@
     , peerRefusal_(peerRefusal)
 { }
 
+bool AcceptedAnswer::mayHoldEvents() const
+{
+    return gateway::mayHoldEvents(head_.headers_);
+}
+
 std::optional<AnswerDefect> AcceptedAnswer::defectUnder(const AnswerTerms &terms) const
 {
     const bool isPeers = terms.sender_ == AnswerSender::Peer;
--- a/libs/gateway/src/acceptedanswer.h
+++ b/libs/gateway/src/acceptedanswer.h
@@ -73,6 +73,8 @@
     const StreamOrigin &origin() const noexcept { return origin_; }
     /** The peer sent the request to no endpoint; nullopt: an endpoint's answer. */
     std::optional<PeerRefusal> peerRefusal() const noexcept { return peerRefusal_; }
+    /** Whether its body is taken for events: also one of no named type, on a streaming route. */
+    bool mayHoldEvents() const;
     /** Whether its sender states that the request wasn't and won't be executed. */
     bool isNotRun() const noexcept { return info_.notRun_; }
 
--- a/libs/gateway/src/modelstream.cpp
+++ b/libs/gateway/src/modelstream.cpp
@@ -291,11 +291,7 @@
 void ModelCall::onStreamEnd()
 {
     const std::string rest = events_.partialEvent();
-    // Without a content type, an answer on a streaming route is taken for events.
-    const net::Headers &headers = answer().head().headers_;
-    const bool isOtherType =
-        !net::headerValue(headers, "Content-Type").empty() && !net::isEventStream(headers);
-    if (!rest.empty() && !isOtherType) {
+    if (!rest.empty() && answer().mayHoldEvents()) {
         checkForCrash();
         onStreamBroken(async::ExchangeFailure::Truncated, HealthSignal::Broken);
         return;
