--- a/libs/async/tests/cutanswertest.cpp
+++ b/libs/async/tests/cutanswertest.cpp
@@ -8,6 +8,26 @@
 using net::testing::WholeAnswer;
 using net::testing::wholeAnswers;
 
+namespace {
+
+/** The gathered answer of a server, on a connection of its own. */
+ExchangeResult gatheredFrom(ExchangeFixture &fixture, const RawServer &server)
+{
+    std::optional<ExchangeResult> result;
+    ExchangeRequest request;
+    request.peer_ = "server";
+    request.address_ = server.address();
+    request.text_ = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.connectBy_ = BootClock::now() + millis(5'000);
+    request.fresh_ = true;
+    fixture.client_.start(std::move(request),
+                          gatherAnswer([&](const ExchangeResult &one) { result = one; }));
+    runUntil(fixture.loop_, [&] { return result.has_value(); });
+    return *result;
+}
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(CutAnswers, ExchangeFixture)
 
 /**
@@ -44,17 +64,8 @@
                 peer->write(whole.bytes_.substr(0, cut));
                 peer->closeAfterWriting();
             });
-            std::optional<ExchangeResult> result;
-            ExchangeRequest request;
-            request.peer_ = "server";
-            request.address_ = server.address();
-            request.text_ = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-            request.connectBy_ = BootClock::now() + millis(5'000);
-            request.fresh_ = true;
-            client_.start(std::move(request),
-                          gatherAnswer([&](const ExchangeResult &one) { result = one; }));
-            runUntil(loop_, [&] { return result.has_value(); });
-            BOOST_TEST(result->failure_.has_value(), whole.name_ << " up to byte " << cut);
+            BOOST_TEST(gatheredFrom(*this, server).failure_.has_value(),
+                       whole.name_ << " up to byte " << cut);
         }
     }
 }
@@ -65,16 +76,7 @@
     RawServer server(loop_, [&](const RawServer::Peer &peer, const std::string &) {
         peer->write(responseText(200, "Content-Encoding: gzip\r\n", "{}"));
     });
-    std::optional<ExchangeResult> result;
-    ExchangeRequest request;
-    request.peer_ = "server";
-    request.address_ = server.address();
-    request.text_ = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-    request.connectBy_ = BootClock::now() + millis(5'000);
-    client_.start(std::move(request),
-                  gatherAnswer([&](const ExchangeResult &one) { result = one; }));
-    runUntil(loop_, [&] { return result.has_value(); });
-    BOOST_TEST((result->failure_ == ExchangeFailure::Garbled));
+    BOOST_TEST((gatheredFrom(*this, server).failure_ == ExchangeFailure::Garbled));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
